The whole path, thin: a rolled bundle, a streamed answer

Cause: the project begins; a caller's request must go through a running daemon, configured by a bundle that operators rolled, to an engine and back. Change: a workspace of small packages: typed units, connections that know whether a byte left, bundles with signed heads, clients of the platform and of engines, pure routing and placement, the daemon, the operators' tool, stand-ins and a quick start. Before: nothing.

--- /dev/null
+++ b/crates/bundle/src/lib.rs
@@ -0,0 +1,14 @@
+//! Bundles of intent: read, checked, compared, cut into parts, signed.
+
+pub mod diff;
+pub mod head;
+pub mod ini;
+pub mod intent;
+pub mod key;
+pub mod part;
+mod read;
+
+pub use head::{Draft, Head};
+pub use ini::Problem;
+pub use intent::Intent;
+pub use read::read;
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,304 @@
+//! Command line of the tool.
+
+use bpaf::{OptionParser, Parser, construct, long, positional, pure};
+use std::path::PathBuf;
+use unit::Name;
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Print JSON instead of tables.
+    pub json: bool,
+    /// Settings file.
+    pub settings: PathBuf,
+    /// The command.
+    pub command: Command,
+}
+
+/// Command.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// Checks a bundle.
+    Check {
+        /// Its file.
+        file: PathBuf,
+        /// Whether to check that it fits the accelerators of the host list.
+        fleet: bool,
+    },
+    /// Tells what a bundle would change.
+    Diff {
+        /// Its file.
+        file: PathBuf,
+    },
+    /// Proposes a bundle.
+    Propose {
+        /// Its file.
+        file: PathBuf,
+        /// Who proposes.
+        signer: Signer,
+    },
+    /// Approves a draft.
+    Approve {
+        /// The draft.
+        draft: Name,
+        /// Who approves.
+        signer: Signer,
+    },
+    /// Rolls a draft.
+    Roll {
+        /// The draft.
+        draft: Name,
+    },
+    /// Shows the bundle in force, where it is in force, and the drafts.
+    BundleStatus,
+    /// Shows past bundles.
+    History,
+    /// Prints the bundle in force, or a past one, as INI.
+    Show {
+        /// Its sequence; the one in force when none.
+        sequence: Option<u64>,
+    },
+    /// Shows hosts, upstreams and models.
+    Status,
+    /// Explains a request.
+    WhyRequest {
+        /// Its id.
+        request: Name,
+    },
+    /// Explains a model's placement.
+    WhyModel {
+        /// Its name.
+        model: Name,
+    },
+    /// Explains a move.
+    WhyMove {
+        /// Its fence, as TERM.NUMBER, and its hall, as HALL/TERM.NUMBER.
+        fence: Name,
+    },
+    /// Lists the newest moves.
+    Moves,
+    /// Drains a host of coveford.
+    Drain {
+        /// Its name.
+        host: Name,
+    },
+    /// Makes an operator's key.
+    KeyMake {
+        /// Its file.
+        file: PathBuf,
+    },
+    /// Shows the public half of a key.
+    KeyShow {
+        /// Its file.
+        file: PathBuf,
+    },
+    /// Lists the operators' keys in the settings and whether they are revoked.
+    KeyList,
+    /// Hashes a caller's key for a bundle.
+    KeyHash {
+        /// The key.
+        key: Name,
+    },
+    /// Makes a key for the inner protocol.
+    KeyWire,
+}
+
+/// Operator that signs.
+#[derive(Debug, Clone)]
+pub struct Signer {
+    /// Name in the settings.
+    pub operator: Name,
+    /// Key file.
+    pub key: PathBuf,
+}
+
+fn signer() -> impl Parser<Signer> {
+    let operator = long("operator")
+        .help("Operator's name in the settings")
+        .argument::<String>("NAME")
+        .map(Name::from);
+    let key = long("key")
+        .help("Operator's key file")
+        .argument::<PathBuf>("FILE");
+    construct!(Signer { operator, key })
+}
+
+fn name(meta: &'static str) -> impl Parser<Name> {
+    positional::<String>(meta).map(Name::from)
+}
+
+fn file(meta: &'static str) -> impl Parser<PathBuf> {
+    positional::<PathBuf>(meta)
+}
+
+fn bundle() -> OptionParser<Command> {
+    let check = {
+        let fleet = long("fleet")
+            .help("Also check that it fits the accelerators of the host list")
+            .switch();
+        let file = file("FILE");
+        construct!(Command::Check { fleet, file })
+            .to_options()
+            .descr("Checks a bundle whole and lists every problem with its line")
+            .command("check")
+    };
+    let diff = {
+        let file = file("FILE");
+        construct!(Command::Diff { file })
+            .to_options()
+            .descr("Tells what rolling a bundle would mean: changes, loads, memory")
+            .command("diff")
+    };
+    let propose = {
+        let (signer, file) = (signer(), file("FILE"));
+        construct!(Command::Propose { signer, file })
+            .to_options()
+            .descr("Makes a signed draft of a bundle")
+            .footer("Example: coveford --settings ops.ini bundle propose b.ini --operator alice --key alice.key")
+            .command("propose")
+    };
+    let approve = {
+        let (signer, draft) = (signer(), name("DRAFT"));
+        construct!(Command::Approve { signer, draft })
+            .to_options()
+            .descr("Signs a draft of another operator")
+            .command("approve")
+    };
+    let roll = {
+        let draft = name("DRAFT");
+        construct!(Command::Roll { draft })
+            .to_options()
+            .descr("Puts an approved draft in force")
+            .command("roll")
+    };
+    let show = {
+        let sequence = positional::<u64>("SEQUENCE").optional();
+        construct!(Command::Show { sequence })
+            .to_options()
+            .descr("Prints a bundle as INI; going back is rolling such a file forward")
+            .command("show")
+    };
+    let status = pure(Command::BundleStatus)
+        .to_options()
+        .descr("Shows the bundle in force and the drafts")
+        .command("status");
+    let history = pure(Command::History)
+        .to_options()
+        .descr("Lists past bundles")
+        .command("history");
+    construct!([check, diff, propose, approve, roll, show, status, history])
+        .to_options()
+        .descr("Bundles of intent: check, diff, propose, approve, roll, show, status, history")
+}
+
+fn why() -> OptionParser<Command> {
+    let request = {
+        let request = name("REQUEST");
+        construct!(Command::WhyRequest { request })
+            .to_options()
+            .descr("Explains what happened to a request")
+            .command("request")
+    };
+    let model = {
+        let model = name("MODEL");
+        construct!(Command::WhyModel { model })
+            .to_options()
+            .descr("Explains where a model is and why")
+            .command("model")
+    };
+    let fence = {
+        let fence = name("HALL/TERM.NUMBER");
+        construct!(Command::WhyMove { fence })
+            .to_options()
+            .descr("Explains a move")
+            .command("move")
+    };
+    construct!([request, model, fence])
+        .to_options()
+        .descr("Explains a request, a model or a move")
+}
+
+fn key() -> OptionParser<Command> {
+    let make = {
+        let file = file("FILE");
+        construct!(Command::KeyMake { file })
+            .to_options()
+            .descr("Makes an operator's key")
+            .command("make")
+    };
+    let show = {
+        let file = file("FILE");
+        construct!(Command::KeyShow { file })
+            .to_options()
+            .descr("Prints the public half of a key")
+            .command("show")
+    };
+    let hash = {
+        let key = name("KEY");
+        construct!(Command::KeyHash { key })
+            .to_options()
+            .descr("Hashes a caller's key for a bundle")
+            .command("hash")
+    };
+    let list = pure(Command::KeyList)
+        .to_options()
+        .descr("Lists the operators' keys")
+        .command("list");
+    let wire = pure(Command::KeyWire)
+        .to_options()
+        .descr("Makes a key for the inner protocol")
+        .command("wire");
+    construct!([make, show, hash, list, wire])
+        .to_options()
+        .descr("Keys of operators, callers and the inner protocol")
+}
+
+fn parser() -> OptionParser<Options> {
+    let json = long("json").help("Print JSON instead of tables").switch();
+    let settings = long("settings")
+        .short('s')
+        .help("Settings file; a daemon's own serves")
+        .argument::<PathBuf>("FILE.ini")
+        .fallback(PathBuf::from("coveford.ini"));
+    let bundle = bundle().command("bundle");
+    let why = why().command("why");
+    let key = key().command("key");
+    let status = pure(Command::Status)
+        .to_options()
+        .descr("Shows hosts, upstreams and models")
+        .command("status");
+    let moves = pure(Command::Moves)
+        .to_options()
+        .descr("Lists the newest moves and their reasons")
+        .command("moves");
+    let drain = {
+        let host = name("HOST");
+        construct!(Command::Drain { host })
+            .to_options()
+            .descr("Drains one of coveford's hosts: requests in flight end, then it stops")
+            .command("drain")
+    };
+    let command = construct!([bundle, status, why, moves, drain, key]);
+    construct!(Options {
+        json,
+        settings,
+        command
+    })
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Rolls bundles of intent and asks coveford why")
+    .footer("Examples:\n  coveford --settings ops.ini bundle check b.ini --fleet\n  coveford --settings ops.ini why request d1-5f3a-2c\nExit codes: 0 done, 2 wrong use, 3 refused, 4 unreachable, 5 not known yet")
+}
+
+/// Reads the command line of this process; wrong use ends it with code 2.
+pub fn read() -> Options {
+    let args = bpaf::Args::current_args();
+    match parser().run_inner(args) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(100);
+            let code = if failure.exit_code() == 0 { 0 } else { 2 };
+            std::process::exit(code)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/render.rs
@@ -0,0 +1,25 @@
+//! Tables and JSON.
+
+use comfy_table::presets::NOTHING;
+use comfy_table::{ContentArrangement, Table};
+use serde::Serialize;
+
+/// Makes a plain aligned table with a header.
+pub fn table<const N: usize>(header: [&str; N], rows: Vec<[String; N]>) -> String {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_content_arrangement(ContentArrangement::Disabled);
+    table.set_header(header);
+    for row in rows {
+        table.add_row(row);
+    }
+    let text = table.to_string();
+    let lines: Vec<&str> = text.lines().map(str::trim_end).collect();
+    lines.join("\n")
+}
+
+/// Prints a value as JSON.
+pub fn json<T: Serialize>(value: &T) {
+    let text = serde_json::to_string_pretty(value).expect("it can always be written");
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/conn/src/lib.rs
@@ -0,0 +1,19 @@
+//! HTTP connections over TCP that know whether a byte was handed to the socket.
+//!
+//! Whether a request may be called "not run" hangs on this: a failure before
+//! the first byte of a request is proof, a failure after it is not.
+
+mod counted;
+mod error;
+mod line;
+mod pool;
+mod serve;
+mod stall;
+
+pub use error::Error;
+pub use line::{Line, Reply};
+pub use pool::{Pool, Reuse, json_request, read_json};
+pub use serve::{Cut, Server, serve};
+
+/// Whole body that is sent with a request.
+pub type Body = http_body_util::Full<bytes::Bytes>;
--- /dev/null
+++ b/crates/conn/src/line.rs
@@ -0,0 +1,126 @@
+//! One connection to another process.
+
+use crate::Body;
+use crate::counted::Counted;
+use crate::error::Error;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Open HTTP/1.1 connection; requests go over it one at a time.
+pub struct Line {
+    addr: SocketAddr,
+    sender: SendRequest<Body>,
+    written: Arc<AtomicU64>,
+}
+
+/// Whole answer of another process.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Line {
+    /// Opens a connection within `limit`.
+    pub async fn open(addr: SocketAddr, limit: Duration) -> Result<Line, Error> {
+        let ms = limit.as_millis() as u64;
+        let stream = timeout(limit, TcpStream::connect(addr))
+            .await
+            .map_err(|_| Error::ConnectTimeout { addr, ms })?
+            .map_err(|source| Error::Connect { addr, source })?;
+        let _ = stream.set_nodelay(true);
+        let written = Arc::new(AtomicU64::new(0));
+        let io = TokioIo::new(Counted::new(stream, written.clone()));
+        let (sender, task) = http1::handshake(io)
+            .await
+            .map_err(|_| Error::Unsent { addr })?;
+        tokio::spawn(task);
+        Ok(Line {
+            addr,
+            sender,
+            written,
+        })
+    }
+
+    /// Whether another request may be sent over this connection.
+    pub fn is_idle(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request and waits at most `limit` for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let addr = self.addr;
+        let before = self.written.load(Ordering::SeqCst);
+        let sent = || self.written.load(Ordering::SeqCst) > before;
+        let ready = timeout(limit, self.sender.ready()).await;
+        if !matches!(ready, Ok(Ok(()))) {
+            return Err(Error::Unsent { addr });
+        }
+        match timeout(limit, self.sender.send_request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(_)) if !sent() => Err(Error::Unsent { addr }),
+            Ok(Err(source)) => Err(Error::Broken { addr, source }),
+            Err(_) => Err(Error::Timeout {
+                addr,
+                ms: limit.as_millis() as u64,
+            }),
+        }
+    }
+
+    /// Sends a request and reads its whole answer of at most `most` bytes.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Body>,
+        limit: Duration,
+        most: usize,
+    ) -> Result<Reply, Error> {
+        let addr = self.addr;
+        let response = self.send(request, limit).await?;
+        let (head, body) = response.into_parts();
+        let body = timeout(limit, Limited::new(body, most).collect())
+            .await
+            .map_err(|_| Error::Timeout {
+                addr,
+                ms: limit.as_millis() as u64,
+            })?
+            .map_err(|fault| body_fault(addr, most, fault))?;
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+/// Tells a body that broke off from one that is too long.
+fn body_fault(
+    addr: SocketAddr,
+    limit: usize,
+    fault: Box<dyn std::error::Error + Send + Sync>,
+) -> Error {
+    match fault.downcast::<hyper::Error>() {
+        Ok(source) => Error::Broken {
+            addr,
+            source: *source,
+        },
+        Err(_) => Error::Oversized { addr, limit },
+    }
+}
--- /dev/null
+++ b/crates/conn/src/serve.rs
@@ -0,0 +1,196 @@
+//! A listener whose connections end gracefully.
+
+use crate::stall::Stall;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+
+/// Time a peer has to send the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// Longest head of a request in bytes.
+const HEAD_BYTES: usize = 32 * 1024;
+
+/// Answer that cuts the connection instead of being sent; stand-ins use it.
+#[derive(Debug)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the connection is cut instead of an answer")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Running listener and its connections.
+pub struct Server {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Open,
+    Draining,
+    Cut,
+}
+
+struct State {
+    phase: watch::Sender<Phase>,
+    /// Number of times that all connections were cut while listening went on.
+    cuts: watch::Sender<u64>,
+    shut: AtomicBool,
+    connections: AtomicUsize,
+    ended: Notify,
+}
+
+/// Listens on `listener` and answers each request by `answer`.
+///
+/// At most `most` connections are open at once; more are closed unanswered.
+pub fn serve<F, R, B>(listener: TcpListener, most: usize, answer: F) -> std::io::Result<Server>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let addr = listener.local_addr()?;
+    let state = Arc::new(State {
+        phase: watch::Sender::new(Phase::Open),
+        cuts: watch::Sender::new(0),
+        shut: AtomicBool::new(false),
+        connections: AtomicUsize::new(0),
+        ended: Notify::new(),
+    });
+    tokio::spawn(accept(listener, most, answer, state.clone()));
+    Ok(Server { addr, state })
+}
+
+async fn accept<F, R, B>(listener: TcpListener, most: usize, answer: F, state: Arc<State>)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut phase = state.phase.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = reached(&mut phase, Phase::Draining) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of descriptors: wait for connections to end.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let full = state.connections.load(Ordering::SeqCst) >= most;
+        if full || state.shut.load(Ordering::SeqCst) {
+            continue;
+        }
+        state.connections.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(connection(stream, answer.clone(), state.clone()));
+    }
+}
+
+async fn connection<F, R, B>(stream: TcpStream, answer: F, state: Arc<State>)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(answer);
+    let mut phase = state.phase.subscribe();
+    let mut cut = state.phase.subscribe();
+    let mut cuts = state.cuts.subscribe();
+    cuts.mark_unchanged();
+    let mut conn = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_LIMIT)
+            .max_buf_size(HEAD_BYTES)
+            .serve_connection(TokioIo::new(Stall::new(stream)), service)
+    );
+    tokio::select! {
+        _ = conn.as_mut() => {}
+        _ = reached(&mut phase, Phase::Draining) => {
+            conn.as_mut().graceful_shutdown();
+            tokio::select! {
+                _ = conn.as_mut() => {}
+                _ = reached(&mut cut, Phase::Cut) => {}
+            }
+        }
+        _ = cuts.changed() => {}
+    }
+    state.connections.fetch_sub(1, Ordering::SeqCst);
+    state.ended.notify_waiters();
+}
+
+/// Waits until the server has come to `phase`, or is gone.
+async fn reached(now: &mut watch::Receiver<Phase>, phase: Phase) {
+    let _ = now.wait_for(|p| *p >= phase).await;
+}
+
+impl Server {
+    /// Connections open now.
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
+    /// Stops listening and waits until requests in flight have ended.
+    ///
+    /// Returns the connections still open when `limit` ran out.
+    pub async fn drain(&self, limit: Duration) -> usize {
+        let _ = self.state.phase.send_replace(Phase::Draining);
+        let _ = tokio::time::timeout(limit, self.emptied()).await;
+        self.connections()
+    }
+
+    async fn emptied(&self) {
+        loop {
+            let ended = self.state.ended.notified();
+            if self.connections() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Cuts every connection but goes on listening.
+    pub fn cut_connections(&self) {
+        self.state.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
+    /// Closes each new connection unanswered while `shut`.
+    pub fn set_shut(&self, shut: bool) {
+        self.state.shut.store(shut, Ordering::SeqCst);
+    }
+
+    /// Cuts every connection at once, as a killed process would.
+    pub fn cut(&self) {
+        let _ = self.state.phase.send_replace(Phase::Cut);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.cut();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/placed.rs
@@ -0,0 +1,107 @@
+//! Place of a request at an upstream; dropping it gives the place up.
+
+use super::Fleet;
+use platform::hosts::Host;
+use route::choose::Weighed;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use unit::{Name, Span, Time};
+use upstream::engine::{Cause, Load};
+
+/// Weight of the newest sample in an upstream's smoothed time.
+const NEWEST: f64 = 0.1;
+
+/// Place of one attempt.
+pub struct Placed {
+    fleet: Option<Arc<Fleet>>,
+    slot: usize,
+    flight: u64,
+    /// The upstream.
+    pub upstream: Name,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// How the candidates were weighed.
+    pub weighed: Vec<Weighed>,
+    /// When it was given.
+    pub at: Time,
+}
+
+impl Placed {
+    pub(super) fn new(
+        fleet: Arc<Fleet>,
+        slot: usize,
+        flight: u64,
+        host: &Host,
+        weighed: Vec<Weighed>,
+        at: Time,
+    ) -> Placed {
+        Placed {
+            fleet: Some(fleet),
+            slot,
+            flight,
+            upstream: host.name.clone(),
+            addr: host.addr,
+            weighed,
+            at,
+        }
+    }
+
+    /// Takes the place apart without giving it up.
+    pub(super) fn forget(mut self) -> (usize, u64) {
+        self.fleet = None;
+        (self.slot, self.flight)
+    }
+
+    fn change(&self, change: impl FnOnce(Time, &mut super::Entry)) {
+        if let Some(fleet) = &self.fleet {
+            fleet.change(self.slot, change);
+        }
+    }
+
+    /// Notes the first sign of an answer: `delay` after sending, which should be within `target`.
+    pub fn answered(&self, delay: Span, target: Span) {
+        self.change(|now, entry| {
+            entry.health.succeeded();
+            let in_flight = entry.in_flight();
+            entry.limit.learn(now, in_flight, delay, target);
+        });
+    }
+
+    /// Notes the end of a whole answer.
+    pub fn ended(&self, took: Span, load: Option<Load>) {
+        self.change(|_, entry| {
+            entry.health.succeeded();
+            entry.service = match entry.service {
+                Span::ZERO => took,
+                known => known * (1.0 - NEWEST) + took * NEWEST,
+            };
+        });
+        if let (Some(fleet), Some(load)) = (&self.fleet, load) {
+            fleet.loaded(self.slot, load);
+        }
+    }
+
+    /// Notes a failure.
+    pub fn failed(&self) {
+        self.change(|now, entry| {
+            entry.health.failed(now);
+        });
+    }
+
+    /// Notes a documented refusal.
+    pub fn refused(&self, cause: Cause) {
+        self.change(|now, entry| match cause {
+            Cause::Leaving => entry.refused_leaving = true,
+            Cause::Full => entry.limit.cut(now),
+            Cause::Absent | Cause::Unknown => entry.reported_at = Time(0),
+        });
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        if let Some(fleet) = self.fleet.take() {
+            fleet.release(self.slot, self.flight);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,130 @@
+//! Starting, draining and ending a daemon.
+
+use crate::cli::Options;
+use crate::core::{self, Core};
+use crate::entry;
+use crate::error::{CutSnafu, Error, ListenSnafu, RuntimeSnafu};
+use crate::settings::{self, Settings};
+use crate::{log, operator, planner, spread, watch};
+use conn::Server;
+use futures::FutureExt;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
+use tracing::info;
+
+/// Running daemon.
+pub struct Daemon {
+    core: Arc<Core>,
+    callers: Server,
+    operators: Server,
+    tasks: JoinSet<()>,
+}
+
+/// Does what the command line asks for.
+pub fn run(options: Options) -> Result<(), Error> {
+    let settings = settings::load(&options.settings)?;
+    if options.check {
+        println!("{} is in order.", options.settings.display());
+        return Ok(());
+    }
+    log::start(&settings.log);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let daemon = spawn(settings).await?;
+    let mut term = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = daemon.core.stop.notified() => {}
+    }
+    daemon.drain().await
+}
+
+/// Starts a daemon and returns once it listens.
+pub async fn spawn(settings: Settings) -> Result<Daemon, Error> {
+    let callers = listen(settings.callers).await?;
+    let operators = listen(settings.operator).await?;
+    let core = core::open(settings);
+    let most = core.settings.limits.connections;
+    let callers = {
+        let core = core.clone();
+        let answer = move |request| entry::handle(core.clone(), request).map(Ok);
+        conn::serve(callers, most, answer)
+    }
+    .context(RuntimeSnafu)?;
+    let operators = {
+        let core = core.clone();
+        let answer = move |request| operator::handle(core.clone(), request).map(Ok);
+        conn::serve(operators, operator::MOST_CONNECTIONS, answer)
+    }
+    .context(RuntimeSnafu)?;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(watch::hosts(core.clone()));
+    tasks.spawn(watch::reports(core.clone()));
+    tasks.spawn(watch::tidy(core.clone()));
+    tasks.spawn(spread::follow(core.clone()));
+    tasks.spawn(spread::compare(core.clone()));
+    tasks.spawn(planner::run(core.clone()));
+    info!(target: "daemon", "{} answers callers at {} and operators at {}", core.settings.name, callers.addr, operators.addr);
+    Ok(Daemon {
+        core,
+        callers,
+        operators,
+        tasks,
+    })
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.context(ListenSnafu { addr })
+}
+
+impl Daemon {
+    /// Where it answers callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.addr
+    }
+
+    /// Where it answers operators.
+    pub fn operator(&self) -> SocketAddr {
+        self.operators.addr
+    }
+
+    /// Its shared state.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Ends without cutting a request: readiness fails, then no new connections, then the end.
+    pub async fn drain(mut self) -> Result<(), Error> {
+        let settings = &self.core.settings;
+        self.core.set_draining();
+        info!(target: "daemon", "draining: readiness fails now, connections are refused in {}", settings.grace);
+        tokio::time::sleep(settings.grace.std()).await;
+        let left = self.callers.drain(settings.drain.std()).await;
+        self.tasks.shutdown().await;
+        self.operators.cut();
+        if left > 0 {
+            let bound = settings.drain;
+            return CutSnafu { left, bound }.fail();
+        }
+        info!(target: "daemon", "drained: no request was cut");
+        Ok(())
+    }
+
+    /// Ends at once, as a killed process would; for tests.
+    pub fn kill(self) {
+        self.callers.cut();
+        self.operators.cut();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/spread.rs
@@ -0,0 +1,221 @@
+//! Bringing bundles to this daemon.
+//!
+//! A few relays per hall, first in a rendezvous hash over the host list, watch
+//! the key-value service; the others follow a relay by a long poll and compare
+//! sequences with a random peer, so that a lost relay or a cut link delays a
+//! bundle by seconds at most. Sequence numbers, the fan-out and the lag
+//! measured at each end follow the paper on Quicksilver.
+
+mod confirm;
+mod peer;
+
+pub use confirm::Confirmed;
+pub use peer::{answer, ask, exchange};
+
+use crate::clock::wall_ms;
+use crate::core::Core;
+use crate::shelf;
+use bundle::Head;
+use platform::keys;
+use rand::RngExt;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+use tracing::{info, warn};
+use unit::{Name, Span, rendezvous};
+use wire::Frame;
+
+/// Relays in each hall.
+const RELAYS: usize = 2;
+
+/// Longest wait of one long poll or watch.
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed poll; also bounds the calls on a service that is down.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Time between two comparisons with a random peer.
+const COMPARE_EVERY: Duration = Duration::from_secs(2);
+
+/// Whether this daemon is one of its hall's relays.
+///
+/// A host that knows of no peers is one: it must get its bundle somewhere.
+pub fn is_relay(core: &Core) -> bool {
+    let relays = relays(core);
+    relays.is_empty() || relays.contains(&core.settings.name)
+}
+
+/// Names of this hall's relays.
+fn relays(core: &Core) -> Vec<Name> {
+    let peers = core.peers.read();
+    let hall: Vec<Name> = peers
+        .iter()
+        .filter(|p| p.hall == core.settings.hall && !p.leaving)
+        .map(|p| p.name.clone())
+        .collect();
+    let key = rendezvous::hash(core.settings.hall.as_bytes());
+    rendezvous::first(key, &hall, RELAYS)
+        .into_iter()
+        .cloned()
+        .collect()
+}
+
+/// Follows the head until the process ends.
+pub async fn follow(core: Arc<Core>) {
+    let mut revision = 0;
+    loop {
+        let followed = match is_relay(&core) {
+            true => watch(&core, &mut revision).await,
+            false => follow_relay(&core).await,
+        };
+        if !followed {
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Watches the key-value service; tells whether it answered.
+async fn watch(core: &Arc<Core>, revision: &mut u64) -> bool {
+    let found = match core.kv.watch(keys::HEAD, *revision, WAIT).await {
+        Ok(found) => found,
+        Err(_) => return false,
+    };
+    core.confirmed.by_service(core.now());
+    let Some(found) = found else {
+        return true;
+    };
+    // A stale read carries an older revision; it is not followed down.
+    *revision = found.revision.max(*revision);
+    let head: Head = match shelf::parse(keys::HEAD, &found.value) {
+        Ok(head) => head,
+        Err(e) => {
+            warn!(target: "spread", "the head cannot be read: {e}");
+            sleep(PAUSE).await;
+            return true;
+        }
+    };
+    if head.sequence <= core.force.sequence() {
+        return true;
+    }
+    let texts = match shelf::parts(&core.kv, &head.draft.parts, &held(core)).await {
+        Ok(texts) => texts,
+        Err(e) => {
+            warn!(target: "spread", "bundle {} is not whole yet: {e}", head.sequence);
+            *revision = 0;
+            return false;
+        }
+    };
+    switch(core, &found.value, head, &texts, "service");
+    true
+}
+
+/// Texts of the parts in force.
+fn held(core: &Core) -> HashMap<Name, Name> {
+    core.in_force().map(|f| f.parts.clone()).unwrap_or_default()
+}
+
+/// Follows one of the hall's relays; tells whether it answered.
+async fn follow_relay(core: &Arc<Core>) -> bool {
+    let relays = relays(core);
+    let start = rand::rng().random_range(0..relays.len().max(1));
+    for i in 0..relays.len() {
+        let relay = &relays[(start + i) % relays.len()];
+        if follow_peer(core, relay, WAIT).await {
+            return true;
+        }
+    }
+    false
+}
+
+/// Takes over a peer's head if it is higher; tells whether the peer answered.
+async fn follow_peer(core: &Arc<Core>, peer: &Name, wait: Duration) -> bool {
+    let Some(addr) = core.peer(peer) else {
+        return false;
+    };
+    let after = core.force.sequence();
+    let question = Frame::Follow {
+        after,
+        wait_ms: wait.as_millis() as u64,
+    };
+    let Ok(Frame::Head { sequence, head }) = ask(core, addr, &question, wait).await else {
+        return false;
+    };
+    if sequence > 0 && sequence >= after {
+        core.confirmed.by_peer(core.now());
+    }
+    let Some(text) = head else {
+        return true;
+    };
+    let Ok(head) = shelf::parse::<Head>(keys::HEAD, &text) else {
+        warn!(target: "spread", "the head of {peer} cannot be read");
+        return false;
+    };
+    if head.sequence <= core.force.sequence() {
+        return true;
+    }
+    let mut texts = held(core);
+    let missing: Vec<Name> = head
+        .draft
+        .parts
+        .iter()
+        .filter(|at| !texts.contains_key(&at.hash))
+        .map(|at| at.hash.clone())
+        .collect();
+    if !missing.is_empty() {
+        let question = Frame::Fetch { hashes: missing };
+        let Ok(Frame::Parts { texts: got }) = ask(core, addr, &question, WAIT).await else {
+            return false;
+        };
+        let hashed = got
+            .into_iter()
+            .map(|t| (bundle::part::hash(t.as_bytes()), t));
+        texts.extend(hashed);
+    }
+    switch(core, &text, head, &texts, "peer")
+}
+
+fn switch(
+    core: &Core,
+    text: &Name,
+    head: Head,
+    texts: &HashMap<Name, Name>,
+    from: &'static str,
+) -> bool {
+    let sequence = head.sequence;
+    let lag = Span::from_ms(wall_ms().saturating_sub(head.rolled_ms));
+    match core.force.switch(text, head, texts) {
+        Ok(()) => {
+            let histogram = core
+                .metrics
+                .histogram("coveford_spread_lag_seconds", &[("from", from)]);
+            crate::metrics::record(&histogram, lag);
+            info!(target: "spread", "bundle {sequence} is in force, {lag} after its roll, from a {from}");
+            true
+        }
+        Err(crate::force::Error::NotHigher { .. }) => true,
+        Err(e) => {
+            let counter = core
+                .metrics
+                .counter("coveford_bundles_refused_total", &[("from", from)]);
+            counter.increment(1);
+            warn!(target: "spread", "bundle {sequence} is refused: {e}");
+            false
+        }
+    }
+}
+
+/// Compares sequences with a random peer now and then, until the process ends.
+pub async fn compare(core: Arc<Core>) {
+    loop {
+        sleep(COMPARE_EVERY).await;
+        let others = core.others();
+        if others.is_empty() {
+            continue;
+        }
+        let peer = others[rand::rng().random_range(0..others.len())]
+            .name
+            .clone();
+        follow_peer(&core, &peer, Duration::ZERO).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/spread/confirm.rs
@@ -0,0 +1,46 @@
+//! Whether this daemon can still confirm that its bundle is the newest.
+
+use parking_lot::Mutex;
+use unit::{Span, Time};
+
+/// Time after which a head that nobody confirmed is said to be unconfirmed.
+const UNCONFIRMED_AFTER: Span = Span::from_secs(15);
+
+/// Last confirmations of the head.
+#[derive(Default)]
+pub struct Confirmed {
+    last: Mutex<Last>,
+}
+
+#[derive(Default, Clone, Copy)]
+struct Last {
+    service: Option<Time>,
+    peer: Option<Time>,
+}
+
+impl Confirmed {
+    /// The key-value service answered a watch.
+    pub fn by_service(&self, now: Time) {
+        self.last.lock().service = Some(now);
+    }
+
+    /// A peer answered with a head that is no older.
+    pub fn by_peer(&self, now: Time) {
+        self.last.lock().peer = Some(now);
+    }
+
+    /// Whether the service answered lately.
+    pub fn service_answers(&self, now: Time) -> bool {
+        fresh(self.last.lock().service, now)
+    }
+
+    /// Whether the head was confirmed lately by anybody.
+    pub fn is_confirmed(&self, now: Time) -> bool {
+        let last = *self.last.lock();
+        fresh(last.service, now) || fresh(last.peer, now)
+    }
+}
+
+fn fresh(at: Option<Time>, now: Time) -> bool {
+    at.is_some_and(|at| now.since(at) < UNCONFIRMED_AFTER)
+}
--- /dev/null
+++ b/crates/place/src/fit.rs
@@ -0,0 +1,141 @@
+//! Whether the floors of a bundle fit the accelerators, with the arithmetic.
+
+use crate::homes::Kept;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use unit::{Bytes, Name};
+
+/// Upstream and its accelerator memory, from the host list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Room {
+    /// Its name.
+    pub upstream: Name,
+    /// Its memory.
+    pub memory: Bytes,
+}
+
+/// Replica that found no room.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Homeless {
+    /// The model.
+    pub model: Name,
+    /// Memory of one replica with its adapters.
+    pub memory: Bytes,
+}
+
+/// Outcome of the check.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fit {
+    /// Memory of all upstreams that stay.
+    pub has: Bytes,
+    /// Memory of all replicas that must be.
+    pub needs: Bytes,
+    /// Upstreams.
+    pub upstreams: usize,
+    /// Replicas.
+    pub replicas: usize,
+    /// Largest upstream.
+    pub largest: Bytes,
+    /// Replicas that found no room.
+    pub homeless: Vec<Homeless>,
+}
+
+impl Fit {
+    /// Whether every replica found room.
+    pub fn fits(&self) -> bool {
+        self.homeless.is_empty()
+    }
+}
+
+impl fmt::Display for Fit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} replicas need {}; {} upstreams have {}, the largest {}.",
+            self.replicas, self.needs, self.upstreams, self.has, self.largest
+        )?;
+        for homeless in &self.homeless {
+            write!(
+                f,
+                " No room for a replica of {} ({}).",
+                homeless.model, homeless.memory
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Packs replicas into upstreams, the largest first, each where least is left over.
+///
+/// Two replicas of one model go to different upstreams.
+pub fn check(models: &[Kept], rooms: &[Room]) -> Fit {
+    let mut left: Vec<(u64, Vec<&Name>)> = rooms.iter().map(|r| (r.memory.0, Vec::new())).collect();
+    let mut ordered: Vec<&Kept> = models.iter().collect();
+    ordered.sort_by(|a, b| b.memory.cmp(&a.memory).then(a.model.cmp(&b.model)));
+    let mut fit = Fit {
+        has: rooms.iter().map(|r| r.memory).sum(),
+        needs: Bytes(0),
+        upstreams: rooms.len(),
+        replicas: 0,
+        largest: rooms.iter().map(|r| r.memory).max().unwrap_or_default(),
+        homeless: Vec::new(),
+    };
+    for kept in ordered {
+        for _ in 0..kept.least {
+            fit.replicas += 1;
+            fit.needs += kept.memory;
+            let best = left
+                .iter_mut()
+                .filter(|(bytes, models)| *bytes >= kept.memory.0 && !models.contains(&&kept.model))
+                .min_by_key(|(bytes, _)| *bytes);
+            match best {
+                Some((bytes, models)) => {
+                    *bytes -= kept.memory.0;
+                    models.push(&kept.model);
+                }
+                None => fit.homeless.push(Homeless {
+                    model: kept.model.clone(),
+                    memory: kept.memory,
+                }),
+            }
+        }
+    }
+    fit
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn kept(model: &str, gb: u64, least: u32) -> Kept {
+        Kept {
+            model: model.into(),
+            memory: Bytes::from_gb(gb),
+            least,
+        }
+    }
+
+    fn room(upstream: &str, gb: u64) -> Room {
+        Room {
+            upstream: upstream.into(),
+            memory: Bytes::from_gb(gb),
+        }
+    }
+
+    #[test]
+    fn a_sum_that_fits_may_still_not_pack() {
+        let rooms = [room("a", 10), room("b", 10)];
+        let fit = check(&[kept("x", 6, 1), kept("y", 6, 1), kept("z", 6, 1)], &rooms);
+        assert_eq!(fit.homeless.len(), 1);
+        assert!(
+            fit.to_string()
+                .contains("3 replicas need 18.0 GB; 2 upstreams have 20.0 GB")
+        );
+    }
+
+    #[test]
+    fn replicas_of_one_model_go_to_different_upstreams() {
+        let fit = check(&[kept("x", 2, 2)], &[room("a", 10)]);
+        assert!(!fit.fits());
+    }
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,17 @@
+//! Pure decisions on placement: which weights each upstream of a hall should hold.
+//!
+//! Nothing here awaits, logs or reads a clock. The safety of memory rests on
+//! [`ledger`] alone; [`plan`] only proposes what the ledger allows.
+
+pub mod demand;
+pub mod fit;
+pub mod fleet;
+pub mod homes;
+pub mod ledger;
+pub mod plan;
+pub mod share;
+
+pub use fleet::{Fleet, Upstream};
+pub use homes::Homes;
+pub use ledger::Ledger;
+pub use plan::{Plan, plan};
--- /dev/null
+++ b/crates/place/src/plan/floor.rs
@@ -0,0 +1,212 @@
+//! Floors: every served model keeps its replicas.
+
+use super::tick::{Tick, Want};
+use unit::engine::Weights;
+use unit::{Bytes, Name};
+
+/// Joins the homes of models that this hall holds and should; leaves those that others keep.
+pub(super) fn homes(tick: &mut Tick) {
+    for want in tick.s.wants {
+        let model = &want.model;
+        let is_home = tick.s.homes.is_home(model, tick.s.hall);
+        let assigned = tick
+            .assigned
+            .get(model)
+            .is_some_and(|h| h.contains(tick.s.hall));
+        let should = assigned || !tick.s.homes.has_home(model);
+        let holds = !tick.ready(model).is_empty();
+        if should && holds && !is_home {
+            tick.plan.joins.push(model.clone());
+        }
+        // What the assignment's first hall keeps, this hall need not.
+        let others = tick.assigned.get(model).cloned().unwrap_or_default();
+        let kept = others.iter().any(|h| tick.s.homes.is_home(model, h));
+        if is_home && !assigned && kept {
+            tick.plan.leaves.push(model.clone());
+        }
+    }
+}
+
+/// Loads what is missing from the floors, the most important models first.
+pub(super) fn repair(tick: &mut Tick) {
+    let mut missing: Vec<(&Want, usize)> = tick
+        .s
+        .wants
+        .iter()
+        .filter_map(|want| {
+            let have = tick.ready(&want.model).len() + tick.coming(&want.model).len();
+            let floor = tick.floor(want);
+            (have < floor).then_some((want, floor - have))
+        })
+        .collect();
+    missing.sort_by_key(|(want, _)| {
+        let none = tick.ready(&want.model).is_empty();
+        (
+            !none,
+            std::cmp::Reverse(want.priority),
+            std::cmp::Reverse(want.memory),
+        )
+    });
+    for (want, count) in missing {
+        for _ in 0..count {
+            let reason = format!(
+                "{} has {} ready replicas in this hall and must have {}.",
+                want.model,
+                tick.ready(&want.model).len(),
+                tick.floor(want)
+            );
+            place(tick, want, reason);
+        }
+    }
+}
+
+/// Loads a replica where it fits best, or makes room for it.
+pub(super) fn place(tick: &mut Tick, want: &Want, reason: String) -> bool {
+    let fitting = fitting(tick, want);
+    for at in fitting {
+        if tick.load(at, want.weights(), want.memory, reason.clone()) {
+            return true;
+        }
+    }
+    if !tick.may_start() {
+        let text = format!(
+            "A replica of {} waits for the weight store: {reason}",
+            want.model
+        );
+        tick.note(&want.model, text);
+        return false;
+    }
+    if !make_room(tick, want) {
+        let text = format!(
+            "A replica of {} ({}) finds no room: no upstream of this hall has that much free, and nothing there can go.",
+            want.model,
+            want.whole()
+        );
+        tick.note(&want.model, text);
+    }
+    false
+}
+
+/// Upstreams with room for a replica with its adapters, the one with least work and most room first.
+fn fitting(tick: &Tick, want: &Want) -> Vec<usize> {
+    let mut fitting: Vec<(u32, Bytes, usize)> = tick
+        .usable()
+        .into_iter()
+        .filter(|at| !tick.has(*at, &want.model))
+        .map(|at| (tick.free(at), at))
+        .filter(|(free, _)| *free >= want.whole())
+        .map(|(free, at)| {
+            let load = tick.upstream(at).report.load;
+            (load.running + load.waiting, free, at)
+        })
+        .collect();
+    // Between equally idle ones the fullest that fits, so that large gaps stay for large models.
+    fitting.sort_by_key(|(busy, free, _)| (*busy, *free));
+    fitting.into_iter().map(|(_, _, at)| at).collect()
+}
+
+/// Unloads surplus replicas at the upstream where the fewest must go; tells whether room is coming.
+pub(super) fn make_room(tick: &mut Tick, want: &Want) -> bool {
+    let mut best: Option<(usize, Vec<Surplus>)> = None;
+    for at in tick.usable() {
+        if tick.has(at, &want.model) {
+            continue;
+        }
+        if room_is_coming(tick, at, want.whole()) {
+            return true;
+        }
+        let Some(chosen) = enough(tick, at, want.whole()) else {
+            continue;
+        };
+        if best.as_ref().is_none_or(|(_, b)| chosen.len() < b.len()) {
+            best = Some((at, chosen));
+        }
+    }
+    let Some((at, chosen)) = best else {
+        return false;
+    };
+    for surplus in chosen {
+        let reason = format!(
+            "{} has replicas to spare here, and {} needs the room.",
+            surplus.weights.model, want.model
+        );
+        for weights in surplus.all {
+            tick.unload(at, weights, reason.clone());
+        }
+    }
+    true
+}
+
+/// Whether unloads under way at an upstream will free enough.
+fn room_is_coming(tick: &Tick, at: usize, needed: Bytes) -> bool {
+    let upstream = tick.upstream(at);
+    let going = upstream.report.resident.iter().filter(|r| {
+        r.state == unit::engine::State::Unloading || tick.ledger.may_go(&upstream.name, &r.weights)
+    });
+    let going: Bytes = going.map(|r| r.bytes).sum();
+    going > Bytes(0) && tick.free(at) + going >= needed
+}
+
+/// Replica that may go.
+pub(super) struct Surplus {
+    pub(super) weights: Weights,
+    all: Vec<Weights>,
+    bytes: Bytes,
+}
+
+/// Fewest surplus replicas at an upstream whose memory, with what is free, is enough.
+pub(super) fn enough(tick: &Tick, at: usize, needed: Bytes) -> Option<Vec<Surplus>> {
+    let mut surplus = surplus(tick, at);
+    surplus.sort_by_key(|s| std::cmp::Reverse(s.bytes));
+    let mut free = tick.free(at);
+    let mut chosen = Vec::new();
+    for candidate in surplus {
+        if free >= needed {
+            break;
+        }
+        free += candidate.bytes;
+        chosen.push(candidate);
+    }
+    (free >= needed && !chosen.is_empty()).then_some(chosen)
+}
+
+/// Ready replicas at an upstream that the floors do not need and demand does not fill.
+fn surplus(tick: &Tick, at: usize) -> Vec<Surplus> {
+    let upstream = tick.upstream(at);
+    let mut found = Vec::new();
+    for resident in &upstream.report.resident {
+        let weights = &resident.weights;
+        let is_ready = resident.state == unit::engine::State::Ready;
+        if weights.adapter.is_some() || !is_ready || tick.ledger.may_go(&upstream.name, weights) {
+            continue;
+        }
+        let ready = tick.ready(&weights.model).len();
+        let want = tick.s.wants.iter().find(|w| w.model == weights.model);
+        let floor = want.map_or(0, |w| tick.floor(w));
+        let here = tick.ready(&weights.model).iter().any(|(i, _)| *i == at);
+        if !here || ready <= floor.max(busy_replicas(tick, &weights.model)) {
+            continue;
+        }
+        let whole: Vec<_> = upstream
+            .report
+            .resident
+            .iter()
+            .filter(|r| r.weights.model == weights.model && r.weights.version == weights.version)
+            .collect();
+        found.push(Surplus {
+            weights: weights.clone(),
+            bytes: whole.iter().map(|r| r.bytes).sum(),
+            all: whole.iter().map(|r| r.weights.clone()).collect(),
+        });
+    }
+    found
+}
+
+/// Work of a replica, in shares of an upstream, below which it may be spared.
+const SPARE: f64 = 0.3;
+
+/// Replicas that a model's demand fills.
+fn busy_replicas(tick: &Tick, model: &Name) -> usize {
+    let need = tick.s.needs.get(model).copied().unwrap_or_default();
+    (need.rate * need.work / SPARE).ceil() as usize
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,12 @@
+//! Pure decisions on requests: tables in, choice and reason out.
+//!
+//! Nothing here awaits, logs or reads a clock; the time and a seeded generator
+//! are arguments.
+
+pub mod budget;
+pub mod choose;
+pub mod demand;
+pub mod health;
+pub mod limit;
+pub mod queue;
+pub mod retry;
--- /dev/null
+++ b/crates/unit/src/lib.rs
@@ -0,0 +1,34 @@
+//! Typed quantities and names shared by the coveford packages.
+
+mod bytes;
+pub mod engine;
+pub mod rendezvous;
+mod time;
+
+pub use bytes::Bytes;
+pub use time::{Span, Time};
+
+use std::sync::Arc;
+
+/// Shared immutable name of a model, caller, host, hall or upstream.
+pub type Name = Arc<str>;
+
+/// Reason why a quantity could not be read, as a full sentence.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable(pub String);
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Splits a quantity such as `1600ms` into its number and its unit.
+fn split(text: &str) -> Option<(u64, &str)> {
+    let text = text.trim();
+    let end = text
+        .find(|c: char| !c.is_ascii_digit())
+        .unwrap_or(text.len());
+    let number = text[..end].parse().ok()?;
+    Some((number, text[end..].trim()))
+}
