--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -3,6 +3,8 @@
 use comfy_table::presets::NOTHING;
 use comfy_table::{ContentArrangement, Table};
 use serde::Serialize;
+use std::fmt::Display;
+use std::io::{self, Write};
 
 /// Makes a plain aligned table with a header.
 pub fn table<const N: usize>(header: [&str; N], rows: Vec<[String; N]>) -> String {
@@ -21,5 +23,10 @@
 /// Prints a value as JSON.
 pub fn json<T: Serialize>(value: &T) {
     let text = serde_json::to_string_pretty(value).expect("it can always be written");
-    println!("{text}");
+    out(text);
+}
+
+/// Prints a line; a reader that has gone away, such as `head`, is no error.
+pub fn out(line: impl Display) {
+    let _ = writeln!(io::stdout(), "{line}");
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -4,7 +4,7 @@
 use crate::error::{Error, ReadSnafu};
 use crate::options::{Command, Options, Signer};
 use crate::platform_tool::{self, Tool};
-use crate::render::{json, table};
+use crate::render::{json, out, table};
 use crate::state::{self, Seen};
 use crate::{keys, why};
 use bundle::part;
@@ -28,31 +28,31 @@
 async fn command(options: &Options) -> Result<(), Error> {
     match &options.command {
         Command::KeyMake { file } => {
-            println!("{}", keys::make(file)?);
+            out(format!("{}", keys::make(file)?));
             Ok(())
         }
         Command::KeyShow { file } => {
-            println!("{}", bundle::key::public(&keys::read(file)?));
+            out(format!("{}", bundle::key::public(&keys::read(file)?)));
             Ok(())
         }
         Command::KeyHash { key } => {
-            println!("{}", part::hash(key.as_bytes()));
+            out(format!("{}", part::hash(key.as_bytes())));
             Ok(())
         }
         Command::KeyWire => {
-            println!("{}", keys::wire());
+            out(format!("{}", keys::wire()));
             Ok(())
         }
         Command::Check { file, fleet: false } => {
             let intent = bundles::check(&name(file), &read(file)?)?;
-            println!(
+            out(format!(
                 "{} is in order: {} models, {} adapters, {} callers, {} services.",
                 file.display(),
                 intent.models.len(),
                 intent.adapters.len(),
                 intent.callers.len(),
                 intent.services.len()
-            );
+            ));
             Ok(())
         }
         _ => with_platform(options, &platform_tool::load(&options.settings)?).await,
@@ -71,7 +71,7 @@
     match &options.command {
         Command::Check { file, .. } => {
             let fit = bundles::check_fleet(tool, &name(file), &read(file)?).await?;
-            println!("{} is in order and fits: {fit}", file.display());
+            out(format!("{} is in order and fits: {fit}", file.display()));
         }
         Command::Diff { file } => {
             let diff = bundles::compare(tool, &name(file), &read(file)?).await?;
@@ -86,21 +86,21 @@
             let needed = tool.settings.trust.needed;
             match options.json {
                 true => json(&draft),
-                false => println!(
+                false => out(format!(
                     "Draft {} would replace bundle {}; it needs {needed} approvals.",
                     draft.id, draft.replaces
-                ),
+                )),
             }
         }
         Command::Approve { draft, signer } => {
             let draft = signed(signer, async |s| bundles::approve(tool, draft, &s).await).await?;
             match options.json {
                 true => json(&draft),
-                false => println!(
+                false => out(format!(
                     "Draft {} has {} approvals.",
                     draft.id,
                     draft.approvals.len()
-                ),
+                )),
             }
         }
         Command::Roll { draft } => roll(options, tool, draft).await?,
@@ -108,7 +108,7 @@
         Command::History => history(options, tool).await?,
         Command::Show { sequence } => {
             let head = bundles::find(tool, *sequence).await?;
-            println!("{}", bundles::text(tool, &head).await?);
+            out(format!("{}", bundles::text(tool, &head).await?));
         }
         Command::Status => status(options, tool).await?,
         Command::WhyRequest { request } => {
@@ -152,7 +152,7 @@
 
 fn print(lines: &[String]) {
     for line in lines {
-        println!("{line}");
+        out(line);
     }
 }
 
@@ -161,17 +161,20 @@
         return json(diff);
     }
     if diff.changes.is_empty() {
-        return println!("Nothing would change.");
+        return out("Nothing would change.");
     }
     let rows = diff
         .changes
         .iter()
         .map(|c| [c.kind.to_string(), c.name.to_string(), c.text.clone()]);
-    println!("{}", table(["KIND", "NAME", "CHANGE"], rows.collect()));
-    println!(
+    out(format!(
+        "{}",
+        table(["KIND", "NAME", "CHANGE"], rows.collect())
+    ));
+    out(format!(
         "At least {} loads and {} unloads; floors need {} more while it settles and {} less afterwards.",
         diff.loads, diff.unloads, diff.memory_added, diff.memory_freed
-    );
+    ));
 }
 
 async fn roll(options: &Options, tool: &Tool, draft: &Name) -> Result<(), Error> {
@@ -183,11 +186,11 @@
     let there = in_force(&seen, head.sequence);
     match options.json {
         true => json(&json!({"sequence": head.sequence, "hosts": seen.len(), "in_force": there})),
-        false => println!(
+        false => out(format!(
             "Bundle {} is accepted, and in force on {there} of {} hosts.",
             head.sequence,
             seen.len()
-        ),
+        )),
     }
     Ok(())
 }
@@ -214,15 +217,15 @@
     }
     let current = head.as_ref().map_or(0, |h| h.sequence);
     match &head {
-        Some(head) => println!(
+        Some(head) => out(format!(
             "Bundle {} ({}), proposed by {}, is in force on {} of {} hosts.",
             head.sequence,
             head.draft.title,
             head.draft.proposal.operator,
             in_force(&seen, current),
             seen.len()
-        ),
-        None => println!("No bundle is in force yet."),
+        )),
+        None => out("No bundle is in force yet."),
     }
     let rows: Vec<[String; 5]> = drafts
         .iter()
@@ -240,13 +243,13 @@
         })
         .collect();
     if !rows.is_empty() {
-        println!(
+        out(format!(
             "{}",
             table(
                 ["DRAFT", "TITLE", "PROPOSED BY", "APPROVED BY", "REPLACES"],
                 rows
             )
-        );
+        ));
     }
     Ok(())
 }
@@ -271,13 +274,13 @@
             approvals.join(", "),
         ]
     });
-    println!(
+    out(format!(
         "{}",
         table(
             ["BUNDLE", "TITLE", "PROPOSED BY", "APPROVED BY"],
             rows.collect()
         )
-    );
+    ));
     Ok(())
 }
 
@@ -292,13 +295,13 @@
         return Ok(());
     }
     let rows = seen.iter().map(host_row);
-    println!(
+    out(format!(
         "{}",
         table(
             ["HOST", "HALL", "STATE", "BUNDLE", "ROLES", "IN FLIGHT"],
             rows.collect()
         )
-    );
+    ));
     let Some(status) = seen
         .iter()
         .filter_map(|s| s.status.as_ref())
@@ -309,7 +312,7 @@
             reason: "none answered.".into(),
         });
     };
-    println!("\nAs {} sees it:", status.name);
+    out(format!("\nAs {} sees it:", status.name));
     let rows = status.upstreams.iter().map(|u| {
         let state = match (u.leaving, u.ejected) {
             (true, _) => "leaving",
@@ -326,7 +329,7 @@
             format!("{} of {}", u.in_flight, u.allowed),
         ]
     });
-    println!(
+    out(format!(
         "{}",
         table(
             [
@@ -334,8 +337,8 @@
             ],
             rows.collect()
         )
-    );
-    println!();
+    ));
+    out("");
     let rows = status.models.iter().map(|(name, model)| {
         let ready = model
             .replicas
@@ -351,13 +354,13 @@
             format!("{:.1}", model.rate),
         ]
     });
-    println!(
+    out(format!(
         "{}",
         table(
             ["MODEL", "VERSION", "READY", "REPLICAS", "WAITING", "RATE/S"],
             rows.collect()
         )
-    );
+    ));
     Ok(())
 }
 
@@ -412,13 +415,13 @@
             m.moved.reason.clone(),
         ]
     });
-    println!(
+    out(format!(
         "{}",
         table(
             ["MOVE", "UPSTREAM", "ACTION", "STATE", "WHY"],
             rows.collect()
         )
-    );
+    ));
     Ok(())
 }
 
@@ -435,7 +438,9 @@
         daemon::spread::exchange(&tool.pool, key, found.addr, &Frame::Drain, Duration::ZERO).await;
     match asked {
         Ok((Frame::Draining { in_flight }, _)) => {
-            println!("{host} drains; {in_flight} requests in flight will end first.");
+            out(format!(
+                "{host} drains; {in_flight} requests in flight will end first."
+            ));
             Ok(())
         }
         Ok(_) => Err(Error::Unreachable {
@@ -475,6 +480,9 @@
         };
         [n.to_string(), state.into(), k.to_string()]
     });
-    println!("{}", table(["OPERATOR", "STATE", "KEY"], rows.collect()));
+    out(format!(
+        "{}",
+        table(["OPERATOR", "STATE", "KEY"], rows.collect())
+    ));
     Ok(())
 }
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -24,12 +24,6 @@
 /// First-token targets an attempt may take before it is held to be lost.
 const FIRST_TOKEN_FACTOR: f64 = 4.0;
 
-/// Least time for a first token before an attempt is held to be lost.
-const LEAST_FIRST_TOKEN: Span = Span::from_secs(5);
-
-/// Time without a token after which a stream is held to be lost.
-const TOKEN_STALL: Span = Span::from_secs(5);
-
 /// When a shed caller may come back.
 const SHED_RETRY: Span = Span::from_secs(2);
 
@@ -144,15 +138,13 @@
 
     /// Time that the next token may take.
     fn token_limit(&self) -> Duration {
+        let stall = self.core.settings.limits.stall;
         if self.first_at.is_some() {
-            return TOKEN_STALL.std();
+            return stall.std();
         }
         let patience = self.ask.asker.class.first_token * FIRST_TOKEN_FACTOR;
         let left = self.ask.asker.deadline().since(self.core.now());
-        patience
-            .max(LEAST_FIRST_TOKEN)
-            .min(left.max(Span::from_ms(1)))
-            .std()
+        patience.max(stall).min(left.max(Span::from_ms(1))).std()
     }
 
     /// Notes an item in histograms, and keeps the text for a continuation.
@@ -310,7 +302,7 @@
         let offset = running.stream.offset();
         let mut run = run(&self.ask, running.attempt.clone());
         run.resume_at = Some(offset);
-        let limit = TOKEN_STALL.std();
+        let limit = self.core.settings.limits.stall.std();
         let addr = running.placed.addr;
         // A resumption starts nothing, so what failed to reach the engine is still lost, not "not run".
         let resumed = engine::start(&self.core.pool, addr, Reuse::Fresh, &run, limit).await;
@@ -408,7 +400,7 @@
     async fn take_up(&mut self, placed: Placed, attempt: Attempt) -> bool {
         let mut run = run(&self.ask, attempt.clone());
         run.resume_at = Some(self.tokens);
-        let limit = TOKEN_STALL.std();
+        let limit = self.core.settings.limits.stall.std();
         let taken = engine::start(&self.core.pool, placed.addr, Reuse::Fresh, &run, limit).await;
         let Ok(stream) = taken else {
             return false;
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -361,6 +361,8 @@
             Last::Nothing => return None,
             Last::Cut => {
                 self.last = Last::Nothing;
+                // What was said last must leave before the cut: a pause lets it be flushed.
+                tokio::task::yield_now().await;
                 return Some(Err(io::Error::other("the answer is not whole")));
             }
             Last::More => {}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -54,6 +54,8 @@
     pub connections: usize,
     /// Memory of request bodies held at once.
     pub bodies: Bytes,
+    /// Time without a token after which a stream is held to be lost.
+    pub stall: Span,
 }
 
 /// How upstreams' reports are had.
@@ -358,6 +360,11 @@
             Bytes::from_mb(64),
             Bytes::from_mb(1)..=Bytes::from_gb(64),
         ),
+        stall: fields.value(
+            "stall",
+            Span::from_secs(5),
+            Span::from_ms(10)..=Span::from_secs(600),
+        ),
     };
     fields.finish();
     limits
--- a/crates/place/src/homes.rs
+++ b/crates/place/src/homes.rs
@@ -74,7 +74,7 @@
 /// Halls that should hold each model: the same at every planner with the same host list.
 ///
 /// The largest models choose first; each goes to the first hall of its own
-/// order that has room, a second replica to the next.
+/// order that has room, each further replica to the next.
 pub fn assign(models: &[Kept], halls: &[Hall]) -> BTreeMap<Name, Vec<Name>> {
     let mut left: BTreeMap<&Name, u64> = halls
         .iter()
@@ -84,9 +84,9 @@
     let mut ordered: Vec<&Kept> = models.iter().collect();
     ordered.sort_by(|a, b| b.memory.cmp(&a.memory).then(a.model.cmp(&b.model)));
     let mut assigned: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
-    for round in 0..2 {
+    for round in 0..halls.len() {
         for kept in &ordered {
-            if round == 1 && kept.least < 2 {
+            if round >= kept.least as usize {
                 continue;
             }
             let chosen = assigned.entry(kept.model.clone()).or_default();
--- a/crates/place/src/plan/tick.rs
+++ b/crates/place/src/plan/tick.rs
@@ -259,8 +259,9 @@
             .assigned
             .get(&want.model)
             .map_or(&[][..], Vec::as_slice);
-        if halls.contains(self.s.hall) {
-            return (want.least as usize).div_ceil(halls.len());
+        if let Some(i) = halls.iter().position(|hall| hall == self.s.hall) {
+            // The first halls take what does not divide evenly.
+            return (want.least as usize + halls.len() - 1 - i) / halls.len();
         }
         usize::from(self.s.homes.is_home(&want.model, self.s.hall))
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -53,9 +53,9 @@
 }
 
 impl Engine {
-    /// Adds a fault for a run to come.
+    /// Adds a fault for a run to come, here or at an engine that shares these settings' faults.
     pub fn push_fault(&self, fault: Fault) {
-        self.state.inner.lock().faults.push_back(fault);
+        self.settings.faults.lock().push_back(fault);
     }
 
     /// Freezes or thaws it: connections stay open, nothing moves.
--- a/crates/standin/src/engine/runs.rs
+++ b/crates/standin/src/engine/runs.rs
@@ -28,7 +28,8 @@
             None => refuse(&run.attempt, Cause::Unknown),
         });
     }
-    let fault = state.inner.lock().faults.pop_front();
+    let faults = state.inner.lock().faults.clone();
+    let fault = faults.lock().pop_front();
     match fault {
         Some(Fault::CloseBefore) => return Err(Cut),
         Some(Fault::Refuse) => return Ok(refuse(&run.attempt, Cause::Full)),
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -1,6 +1,7 @@
 //! State of a stand-in engine.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -40,8 +41,13 @@
     pub lag: Duration,
     /// Whether it checks fences.
     pub fencing: bool,
+    /// Faults of runs to come; engines made from clones of these settings share them.
+    pub faults: Faults,
 }
 
+/// Faults that wait for a run, first come first served.
+pub type Faults = Arc<parking_lot::Mutex<VecDeque<Fault>>>;
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
@@ -52,6 +58,7 @@
             load: Duration::from_millis(50),
             lag: Duration::from_millis(20),
             fencing: true,
+            faults: Faults::default(),
         }
     }
 }
@@ -137,7 +144,7 @@
     pub(super) refuses_when_leaving: bool,
     pub(super) running: u32,
     pub(super) waiting: u32,
-    pub(super) faults: VecDeque<Fault>,
+    pub(super) faults: Faults,
     pub(super) runs: HashMap<Attempt, Running>,
     pub(super) started: Vec<Started>,
     pub(super) cancelled: u64,
@@ -186,7 +193,7 @@
             refuses_when_leaving: true,
             running: 0,
             waiting: 0,
-            faults: VecDeque::new(),
+            faults: settings.faults.clone(),
             runs: HashMap::new(),
             started: Vec::new(),
             cancelled: 0,
--- a/crates/standin/src/quickstart/report.rs
+++ b/crates/standin/src/quickstart/report.rs
@@ -2,7 +2,7 @@
 
 use super::check::Sent;
 use crate::fleet::Fleet;
-use cli::render::table;
+use cli::render::{out, table};
 use cli::why;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
@@ -14,22 +14,22 @@
 
 /// Prints the tables.
 pub async fn print(fleet: &Fleet, sent: &[Sent], broken: &[String], up: Duration) {
-    println!(
+    out(format!(
         "{} daemons, {} engines and {} services in 3 halls; every model ready after {}.\n",
         fleet.daemons.len(),
         fleet.engines.len(),
         fleet.services.len(),
         Span::from(up)
-    );
-    println!("{}\n", classes(sent));
-    println!("{}\n", moves(fleet).await);
+    ));
+    out(format!("{}\n", classes(sent)));
+    out(format!("{}\n", moves(fleet).await));
     explain(fleet, sent).await;
     match broken.is_empty() {
-        true => println!("\nEvery promise held for {} requests.", sent.len()),
+        true => out(format!("\nEvery promise held for {} requests.", sent.len())),
         false => {
-            println!("\n{} promises were broken:", broken.len());
+            out(format!("\n{} promises were broken:", broken.len()));
             for sentence in broken.iter().take(MOST_LISTED) {
-                println!("  {sentence}");
+                out(format!("  {sentence}"));
             }
         }
     }
@@ -98,12 +98,12 @@
         return;
     };
     let id = first.got.request.as_str().into();
-    println!("coveford why request {id}");
+    out(format!("coveford why request {id}"));
     match why::request(&fleet.tool, &id).await {
         Ok(record) => record
             .explain()
             .iter()
-            .for_each(|line| println!("  {line}")),
-        Err(e) => println!("  {e}"),
+            .for_each(|line| out(format!("  {line}"))),
+        Err(e) => out(format!("  {e}")),
     }
 }
