--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -22,12 +22,12 @@
 use place::plan::{Need, Plan, Situation, Starts, Want};
 use place::{Fleet, plan};
 use platform::hosts::Kind;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 use tracing::{info, warn};
-use unit::engine::{Action, Order};
+use unit::engine::Action;
 use unit::{Bytes, Name, Span};
 use wire::Frame;
 
@@ -168,20 +168,6 @@
 
     /// Sends the orders of a plan, and again those that a fencing upstream never saw.
     async fn send(&mut self, fleet: &Fleet, plan: Plan) {
-        let fresh: BTreeSet<_> = plan.orders.iter().map(|(_, o)| o.fence).collect();
-        let again: Vec<(Name, Order)> = self
-            .book
-            .ledger()
-            .open
-            .iter()
-            .filter(|o| !fresh.contains(&o.order.fence))
-            .filter(|o| {
-                fleet
-                    .find(&o.upstream)
-                    .is_some_and(|u| u.fencing && !u.silent)
-            })
-            .map(|o| (o.upstream.clone(), o.order.clone()))
-            .collect();
         if !self.lease.is_safe(self.core.now()) {
             return;
         }
@@ -189,7 +175,7 @@
             count(&self.core, &order.action);
             info!(target: "planner", "order {}.{} to {upstream}: {:?}", order.fence.term, order.fence.number, order.action);
         }
-        let orders: Vec<_> = plan.orders.into_iter().chain(again).collect();
+        let orders: Vec<_> = plan.orders.into_iter().chain(plan.again).collect();
         let answers = self.lines.send(orders).await;
         let ledger = self.book.ledger();
         let mut changed = false;
--- a/crates/place/src/homes.rs
+++ b/crates/place/src/homes.rs
@@ -91,12 +91,19 @@
             }
             let chosen = assigned.entry(kept.model.clone()).or_default();
             let key = rendezvous::hash(kept.model.as_bytes());
-            let hall = rendezvous::first(key, &names, names.len())
-                .into_iter()
-                .find(|hall| !chosen.contains(hall) && left[hall] >= kept.memory.0);
-            if let Some(hall) = hall {
-                *left.get_mut(hall).expect("ranked halls are known") -= kept.memory.0;
-                chosen.push(hall.clone());
+            let ranked = rendezvous::first(key, &names, names.len());
+            let open = ranked.into_iter().filter(|hall| !chosen.contains(hall));
+            let open: Vec<&Name> = open.collect();
+            let roomy = open.iter().find(|hall| left[**hall] >= kept.memory.0);
+            // Every model has one hall at least, and be it the least full one.
+            let least_full = open
+                .iter()
+                .max_by_key(|hall| left[**hall])
+                .filter(|_| round == 0);
+            if let Some(hall) = roomy.or(least_full) {
+                let left = left.get_mut(*hall).expect("ranked halls are known");
+                *left = left.saturating_sub(kept.memory.0);
+                chosen.push((*hall).clone());
             }
         }
     }
--- a/crates/place/src/ledger.rs
+++ b/crates/place/src/ledger.rs
@@ -246,14 +246,18 @@
     /// Whether an unresolved order stands in the way of another about the same weights.
     ///
     /// At an upstream that checks fences every order is resolved sooner or
-    /// later by being sent again. At one that checks none, an order of an
+    /// later by being sent again, and a load may overtake an unload. At one that checks none, an order of an
     /// earlier term may never be; it is left in doubt, which counts for ever.
     fn blocks(&self, upstream: &Upstream, action: &Action) -> bool {
         self.open.iter().any(|open| {
             let same =
                 open.upstream == upstream.name && subject(&open.order.action) == subject(action);
             let old = open.order.fence.term < self.term;
+            let overtaken = upstream.fencing
+                && matches!(open.order.action, Action::Unload { .. })
+                && matches!(action, Action::Load { .. });
             let passable = match open.sent {
+                _ if overtaken => true,
                 Sent::Taken => false,
                 Sent::Perhaps => old && !upstream.fencing,
                 Sent::Doubt => true,
@@ -303,8 +307,10 @@
                 self.open[at].sent = Sent::Taken;
                 changed
             }
+            // A copy that came before may have been done: only a report can tell.
+            Obeyed::Stale => false,
             // It was not and will not be done.
-            Obeyed::Stale | Obeyed::Other | Obeyed::Unable => {
+            Obeyed::Other | Obeyed::Unable => {
                 self.open.remove(at);
                 true
             }
--- a/crates/place/src/plan/floor.rs
+++ b/crates/place/src/plan/floor.rs
@@ -1,6 +1,7 @@
 //! Floors: every served model keeps its replicas.
 
 use super::tick::{Tick, Want};
+use crate::fleet::is_base;
 use unit::engine::Weights;
 use unit::{Bytes, Name};
 
@@ -36,7 +37,7 @@
         .filter_map(|want| {
             let have = tick.ready(&want.model).len() + tick.coming(&want.model).len();
             let floor = tick.floor(want);
-            (have < floor).then_some((want, floor - have))
+            (have < floor).then(|| (want, floor - have))
         })
         .collect();
     missing.sort_by_key(|(want, _)| {
@@ -48,6 +49,9 @@
         )
     });
     for (want, count) in missing {
+        if tick.ready(&want.model).is_empty() && renew(tick, want) {
+            continue;
+        }
         for _ in 0..count {
             let reason = format!(
                 "{} has {} ready replicas in this hall and must have {}.",
@@ -60,6 +64,29 @@
     }
 }
 
+/// Overtakes an unload that has not taken effect yet, when nothing else is left of a model.
+///
+/// At a fencing upstream a later order makes the earlier one void, and loading what is there
+/// already moves nothing.
+fn renew(tick: &mut Tick, want: &Want) -> bool {
+    for at in tick.usable() {
+        let upstream = tick.upstream(at);
+        let kept = upstream.report.resident.iter().find(|r| {
+            is_base(&r.weights, &want.model)
+                && r.state == unit::engine::State::Ready
+                && tick.ledger.may_go(&upstream.name, &r.weights)
+        });
+        if let Some(kept) = kept.filter(|_| upstream.fencing) {
+            let reason = format!(
+                "Nothing else is left of {}: its unload is overtaken.",
+                want.model
+            );
+            return tick.load(at, kept.weights.clone(), kept.bytes, reason);
+        }
+    }
+    false
+}
+
 /// Loads a replica where it fits best, or makes room for it.
 pub(super) fn place(tick: &mut Tick, want: &Want, reason: String) -> bool {
     let fitting = fitting(tick, want);
--- a/crates/place/src/plan/tick.rs
+++ b/crates/place/src/plan/tick.rs
@@ -129,6 +129,8 @@
 pub struct Plan {
     /// Orders to send, with their upstreams; the ledger holds them already.
     pub orders: Vec<(Name, Order)>,
+    /// Orders of earlier ticks to send again: to fencing upstreams that never saw them.
+    pub again: Vec<(Name, Order)>,
     /// Models whose homes this hall joins.
     pub joins: Vec<Name>,
     /// Models whose homes this hall leaves.
@@ -178,6 +180,7 @@
     upkeep::adapters(&mut tick);
     upkeep::unnamed(&mut tick);
     grow::grow(&mut tick);
+    tick.plan.again = tick.again();
     tick.plan
 }
 
@@ -211,7 +214,11 @@
                 continue;
             }
             let at = (i, weights.version.clone());
+            // A silent upstream, or one known only from an old report, may hold it still: no
+            // reason to load another, and none to let another go.
+            let sure = !upstream.silent && ledger.is_current(upstream);
             match resident.state {
+                State::Ready if !sure => coming.entry(weights.model.clone()).or_default().push(at),
                 State::Ready => ready.entry(weights.model.clone()).or_default().push(at),
                 State::Loading => coming.entry(weights.model.clone()).or_default().push(at),
                 State::Unloading => {}
@@ -348,6 +355,38 @@
         !self.ready(&weights.model).iter().any(other)
     }
 
+    /// Open orders that may be sent again.
+    ///
+    /// An unload is judged anew: what stood by when it was decided may be gone.
+    fn again(&self) -> Vec<(Name, Order)> {
+        let fresh: BTreeSet<_> = self.plan.orders.iter().map(|(_, o)| o.fence).collect();
+        let usable = self.usable();
+        let mut again = Vec::new();
+        for open in self
+            .ledger
+            .open
+            .iter()
+            .filter(|o| !fresh.contains(&o.order.fence))
+        {
+            let at = usable
+                .iter()
+                .find(|at| self.upstream(**at).name == open.upstream);
+            let Some(at) = at.filter(|at| self.upstream(**at).fencing) else {
+                continue;
+            };
+            let harmful = match &open.order.action {
+                Action::Unload { weights } if weights.adapter.is_none() => {
+                    self.takes_last(*at, weights)
+                }
+                _ => false,
+            };
+            if !harmful {
+                again.push((open.upstream.clone(), open.order.clone()));
+            }
+        }
+        again
+    }
+
     /// Memory that an upstream has free now.
     pub(super) fn free(&self, at: usize) -> Bytes {
         self.ledger.free(self.upstream(at))
