--- a/crates/cli/src/bundles.rs
+++ b/crates/cli/src/bundles.rs
@@ -248,7 +248,7 @@
     };
     let what = format!("the roll of bundle {}", head.sequence);
     let written = settle(tool, keys::HEAD, at.revision, &to_text(&head), &what).await?;
-    if !written {
+    if !written && !was_in_force(tool, &head).await? {
         let now = shelf::head(&tool.kv).await?;
         check_overtaken(&head.draft, now.value.as_ref())?;
     }
@@ -256,6 +256,19 @@
     Ok(head)
 }
 
+/// Whether a head took effect by a write whose answer was lost, and was overtaken since.
+///
+/// Whoever rolls the next bundle keeps the one before it in the history first.
+async fn was_in_force(tool: &Tool, head: &Head) -> Result<bool, Error> {
+    let kept: Result<At<Head>, _> = shelf::read(&tool.kv, &keys::history(head.sequence)).await;
+    let kept = kept.map_err(|_| Error::NotYetKnown {
+        what: format!("the roll of bundle {}", head.sequence),
+    })?;
+    Ok(kept
+        .value
+        .is_some_and(|kept| kept.draft.id == head.draft.id))
+}
+
 /// Keeps a head in the history; its key is its sequence, so a repeat is harmless.
 async fn keep(tool: &Tool, head: &Head) -> Result<(), Error> {
     let key = keys::history(head.sequence);
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -28,19 +28,19 @@
 async fn command(options: &Options) -> Result<(), Error> {
     match &options.command {
         Command::KeyMake { file } => {
-            out(format!("{}", keys::make(file)?));
+            out(keys::make(file)?);
             Ok(())
         }
         Command::KeyShow { file } => {
-            out(format!("{}", bundle::key::public(&keys::read(file)?)));
+            out(bundle::key::public(&keys::read(file)?));
             Ok(())
         }
         Command::KeyHash { key } => {
-            out(format!("{}", part::hash(key.as_bytes())));
+            out(part::hash(key.as_bytes()));
             Ok(())
         }
         Command::KeyWire => {
-            out(format!("{}", keys::wire()));
+            out(keys::wire());
             Ok(())
         }
         Command::Check { file, fleet: false } => {
@@ -108,7 +108,7 @@
         Command::History => history(options, tool).await?,
         Command::Show { sequence } => {
             let head = bundles::find(tool, *sequence).await?;
-            out(format!("{}", bundles::text(tool, &head).await?));
+            out(bundles::text(tool, &head).await?);
         }
         Command::Status => status(options, tool).await?,
         Command::WhyRequest { request } => {
@@ -167,10 +167,7 @@
         .changes
         .iter()
         .map(|c| [c.kind.to_string(), c.name.to_string(), c.text.clone()]);
-    out(format!(
-        "{}",
-        table(["KIND", "NAME", "CHANGE"], rows.collect())
-    ));
+    out(table(["KIND", "NAME", "CHANGE"], rows.collect()));
     out(format!(
         "At least {} loads and {} unloads; floors need {} more while it settles and {} less afterwards.",
         diff.loads, diff.unloads, diff.memory_added, diff.memory_freed
@@ -243,12 +240,9 @@
         })
         .collect();
     if !rows.is_empty() {
-        out(format!(
-            "{}",
-            table(
-                ["DRAFT", "TITLE", "PROPOSED BY", "APPROVED BY", "REPLACES"],
-                rows
-            )
+        out(table(
+            ["DRAFT", "TITLE", "PROPOSED BY", "APPROVED BY", "REPLACES"],
+            rows,
         ));
     }
     Ok(())
@@ -274,12 +268,9 @@
             approvals.join(", "),
         ]
     });
-    out(format!(
-        "{}",
-        table(
-            ["BUNDLE", "TITLE", "PROPOSED BY", "APPROVED BY"],
-            rows.collect()
-        )
+    out(table(
+        ["BUNDLE", "TITLE", "PROPOSED BY", "APPROVED BY"],
+        rows.collect(),
     ));
     Ok(())
 }
@@ -295,12 +286,9 @@
         return Ok(());
     }
     let rows = seen.iter().map(host_row);
-    out(format!(
-        "{}",
-        table(
-            ["HOST", "HALL", "STATE", "BUNDLE", "ROLES", "IN FLIGHT"],
-            rows.collect()
-        )
+    out(table(
+        ["HOST", "HALL", "STATE", "BUNDLE", "ROLES", "IN FLIGHT"],
+        rows.collect(),
     ));
     let Some(status) = seen
         .iter()
@@ -329,14 +317,11 @@
             format!("{} of {}", u.in_flight, u.allowed),
         ]
     });
-    out(format!(
-        "{}",
-        table(
-            [
-                "UPSTREAM", "HALL", "STATE", "MEMORY", "RUNNING", "WAITING", "OURS"
-            ],
-            rows.collect()
-        )
+    out(table(
+        [
+            "UPSTREAM", "HALL", "STATE", "MEMORY", "RUNNING", "WAITING", "OURS",
+        ],
+        rows.collect(),
     ));
     out("");
     let rows = status.models.iter().map(|(name, model)| {
@@ -354,12 +339,9 @@
             format!("{:.1}", model.rate),
         ]
     });
-    out(format!(
-        "{}",
-        table(
-            ["MODEL", "VERSION", "READY", "REPLICAS", "WAITING", "RATE/S"],
-            rows.collect()
-        )
+    out(table(
+        ["MODEL", "VERSION", "READY", "REPLICAS", "WAITING", "RATE/S"],
+        rows.collect(),
     ));
     Ok(())
 }
@@ -415,12 +397,9 @@
             m.moved.reason.clone(),
         ]
     });
-    out(format!(
-        "{}",
-        table(
-            ["MOVE", "UPSTREAM", "ACTION", "STATE", "WHY"],
-            rows.collect()
-        )
+    out(table(
+        ["MOVE", "UPSTREAM", "ACTION", "STATE", "WHY"],
+        rows.collect(),
     ));
     Ok(())
 }
@@ -480,9 +459,6 @@
         };
         [n.to_string(), state.into(), k.to_string()]
     });
-    out(format!(
-        "{}",
-        table(["OPERATOR", "STATE", "KEY"], rows.collect())
-    ));
+    out(table(["OPERATOR", "STATE", "KEY"], rows.collect()));
     Ok(())
 }
--- a/crates/daemon/src/shelf.rs
+++ b/crates/daemon/src/shelf.rs
@@ -106,20 +106,32 @@
     Ok(found.value)
 }
 
+/// Tries to write a part before giving up.
+const PART_TRIES: u32 = 5;
+
 /// Writes parts that are not there yet; a part's key is its hash, so a repeat is harmless.
 pub async fn put_parts(kv: &Kv, parts: &[Part]) -> Result<(), Error> {
     for part in parts {
-        let key = keys::part(&part.at.hash);
-        match kv.swap(&key, 0, Some(&part.text), None).await? {
-            Swapped::Written(_) => {}
-            Swapped::Conflict(Some(found)) if found.value == part.text => {}
-            Swapped::Conflict(_) => {
+        put_part(kv, part).await?;
+    }
+    Ok(())
+}
+
+async fn put_part(kv: &Kv, part: &Part) -> Result<(), Error> {
+    let key = keys::part(&part.at.hash);
+    let mut tries = 1;
+    loop {
+        match kv.swap(&key, 0, Some(&part.text), None).await {
+            Ok(Swapped::Written(_)) => return Ok(()),
+            Ok(Swapped::Conflict(Some(found))) if found.value == part.text => return Ok(()),
+            Ok(Swapped::Conflict(_)) => {
                 return Err(Error::Corrupt {
                     key: key.into(),
                     reason: "another content stands there".into(),
                 });
             }
+            Err(source) if tries >= PART_TRIES => return Err(Error::Kv { source }),
+            Err(_) => tries += 1,
         }
     }
-    Ok(())
 }
