--- a/crates/bundle/src/ini.rs
+++ b/crates/bundle/src/ini.rs
@@ -165,7 +165,9 @@
 
     /// The entry of a key, if it stands there.
     pub fn entry(&mut self, key: &'static str) -> Option<&'a Entry> {
-        self.asked.push(key);
+        if !self.asked.contains(&key) {
+            self.asked.push(key);
+        }
         self.section.entries.iter().find(|e| &*e.key == key)
     }
 
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -200,7 +200,9 @@
         if let Some(running) = self.running.take() {
             self.core.teller.attempt_ended(&asker.request, "whole.");
             let took = self.core.now().since(running.placed.at);
-            running.placed.ended(took, Some(end.load));
+            let first = self.first_at.unwrap_or(running.placed.at);
+            let first = first.since(running.placed.at);
+            running.placed.ended(first, took, Some(end.load));
             count_dropped(&self.core, &running.stream);
             running.stream.finish().await;
         }
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -120,7 +120,7 @@
             Ok(reply) => {
                 let took = core.now().since(placed.at);
                 placed.answered(took, call.asker.class.first_token);
-                placed.ended(took, None);
+                placed.ended(Span::ZERO, took, None);
                 core.teller.attempt_ended(id, "whole.");
                 return Ok(reply);
             }
--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -4,6 +4,7 @@
 use route::choose::{self, Candidate};
 use route::health::Health;
 use route::limit::Limit;
+use route::service::Service;
 use std::collections::HashMap;
 use unit::{Name, Span, Time};
 use upstream::engine::{Load, Report, State};
@@ -71,8 +72,8 @@
     pub health: Health,
     /// Requests of this daemon that may be in flight there.
     pub limit: Limit,
-    /// Smoothed time of one request; zero when not known.
-    pub service: Span,
+    /// Time that one request takes there.
+    pub service: Service,
     /// Whether it refused a request since it is leaving, in this incarnation.
     pub refused_leaving: bool,
     /// What it serves now, as last put into the index.
@@ -94,7 +95,7 @@
                 UNKNOWN_BATCH * START_PER_BATCH,
                 UNKNOWN_BATCH * MOST_PER_BATCH,
             ),
-            service: Span::ZERO,
+            service: Service::default(),
             refused_leaving: false,
             serves: Vec::new(),
             flights: Vec::new(),
@@ -174,7 +175,7 @@
             age,
             sent_since: (self.flights.len() - before) as u32,
             batch: self.report.as_ref().map_or(UNKNOWN_BATCH, |r| r.batch),
-            service: self.service,
+            service: self.service.time(),
             in_flight: self.in_flight(),
             allowed: self.limit.allowed(),
             health: self.health.state(now),
--- a/crates/daemon/src/fleet/placed.rs
+++ b/crates/daemon/src/fleet/placed.rs
@@ -8,9 +8,6 @@
 use unit::{Name, Span, Time};
 use upstream::engine::{Cause, Load};
 
-/// Weight of the newest sample in an upstream's smoothed time.
-const NEWEST: f64 = 0.1;
-
 /// Place of one attempt.
 pub struct Placed {
     fleet: Option<Arc<Fleet>>,
@@ -67,14 +64,11 @@
         });
     }
 
-    /// Notes the end of a whole answer.
-    pub fn ended(&self, took: Span, load: Option<Load>) {
+    /// Notes the end of a whole answer: its delay to the first sign, and its whole time.
+    pub fn ended(&self, first: Span, whole: Span, load: Option<Load>) {
         self.change(|_, entry| {
             entry.health.succeeded();
-            entry.service = match entry.service {
-                Span::ZERO => took,
-                known => known * (1.0 - NEWEST) + took * NEWEST,
-            };
+            entry.service.learn(first, whole);
         });
         if let (Some(fleet), Some(load)) = (&self.fleet, load) {
             fleet.loaded(self.slot, load);
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -90,6 +90,7 @@
     async fn tick(&mut self, bundle: &InForce) -> Result<(), crate::shelf::Error> {
         self.book.open(&self.core).await?;
         let fleet = self.fleet(bundle).await;
+        let elsewhere = elsewhere(&self.core, bundle);
         let homes = self.book.homes(&self.core).await?;
         let wants = wants(bundle);
         let halls = halls(&self.core, &fleet);
@@ -102,6 +103,7 @@
             halls: &halls,
             wants: &wants,
             fleet: &fleet,
+            elsewhere: &elsewhere,
             homes: &homes,
             needs: &needs,
             attainment: weights.attainment,
@@ -149,15 +151,10 @@
         Fleet { upstreams }
     }
 
-    /// Demand that falls to this hall, by model.
+    /// Demand by model, from all daemons.
     async fn needs(&mut self, wants: &[Want]) -> BTreeMap<Name, Need> {
         let arriving = arriving(&self.core).await;
-        let shares = shares(&self.core);
-        let fallen = arriving.iter().map(|(model, rate)| {
-            let share = shares.get(model).copied().unwrap_or(0.0);
-            (model.clone(), rate * share)
-        });
-        self.demand.take(self.core.now(), &fallen.collect());
+        self.demand.take(self.core.now(), &arriving);
         let work = work_per_request(&self.core);
         let need = |want: &Want| Need {
             rate: self.demand.rate(&want.model),
@@ -271,29 +268,22 @@
     sum
 }
 
-/// Share of each model's ready replicas that stand in this hall.
-fn shares(core: &Core) -> BTreeMap<Name, f64> {
-    let mut here: BTreeMap<Name, f64> = BTreeMap::new();
-    let mut all: BTreeMap<Name, f64> = BTreeMap::new();
-    for entry in core.fleet.entries().iter().filter(|e| !e.is_leaving()) {
-        let Some(report) = &entry.report else {
-            continue;
-        };
-        let bases = report
-            .resident
-            .iter()
-            .filter(|r| r.weights.adapter.is_none());
-        for resident in bases {
-            let model = &resident.weights.model;
-            *all.entry(model.clone()).or_default() += 1.0;
-            if entry.host.hall == core.settings.hall {
-                *here.entry(model.clone()).or_default() += 1.0;
-            }
-        }
+/// Upstreams of other halls, as last reported to this daemon.
+fn elsewhere(core: &Core, bundle: &InForce) -> Fleet {
+    let entries = core.fleet.entries();
+    let others = entries.iter().filter(|e| e.host.hall != core.settings.hall);
+    let upstreams = others.filter_map(|entry| {
+        Some(place::Upstream {
+            name: entry.host.name.clone(),
+            report: entry.report.clone()?,
+            leaving: entry.is_leaving(),
+            fencing: bundle.intent.upstreams.checks_fences(&entry.host.name),
+            silent: false,
+        })
+    });
+    Fleet {
+        upstreams: upstreams.collect(),
     }
-    here.into_iter()
-        .map(|(model, n)| (model.clone(), n / all[&model]))
-        .collect()
 }
 
 fn default_work() -> f64 {
@@ -307,10 +297,11 @@
         let Some(report) = &entry.report else {
             continue;
         };
-        if entry.service == Span::ZERO {
+        let service = entry.service.time();
+        if service == Span::ZERO {
             continue;
         }
-        let work = entry.service.secs() / f64::from(report.batch.max(1));
+        let work = service.secs() / f64::from(report.batch.max(1));
         for resident in report
             .resident
             .iter()
--- /dev/null
+++ b/crates/daemon/tests/process.rs
@@ -0,0 +1,138 @@
+//! The daemon as a process: its settings checked, a stop that cuts nothing.
+
+use standin::caller::{Ask, Caller};
+use standin::engine::text;
+use standin::fleet::{self, Fleet, KEY_ONE, Plan};
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("coveford-{name}-{}.ini", std::process::id()));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn check(path: &PathBuf) -> Output {
+    let command = Command::new(env!("CARGO_BIN_EXE_covefordd"))
+        .args(["--settings".as_ref(), path.as_os_str(), "--check".as_ref()])
+        .output();
+    command.unwrap()
+}
+
+#[test]
+fn every_wrong_setting_is_reported_at_once() {
+    let path = file(
+        "bad",
+        "[daemon]\nname = d1\nhall = hall-a\ncallers = localhost:80\noperator = 127.0.0.1:9001\ndrain = soon\ncolour = blue\n\
+         [platform]\nkv = 127.0.0.1:7000, nowhere\nhosts = 127.0.0.1:7001\n\
+         [wire]\nkey = 1234\n[operator alice]\nkey = zz\n[limits]\nconnections = 0\n[log]\nformat = xml\nlevel = =\n[extra]\n",
+    );
+    let output = check(&path);
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8(output.stderr).unwrap();
+    insta::assert_snapshot!(said.replace(&path.display().to_string(), "bad.ini"));
+    let _ = fs::remove_file(path);
+}
+
+#[test]
+fn a_missing_file_is_a_clear_error() {
+    let output = check(&PathBuf::from("/nonexistent/d1.ini"));
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        said.contains("/nonexistent/d1.ini cannot be read"),
+        "{said}"
+    );
+}
+
+/// Daemon process; killed by its own id if a test fails.
+struct Process(Child);
+
+impl Process {
+    fn start(path: &PathBuf) -> Process {
+        let child = Command::new(env!("CARGO_BIN_EXE_covefordd"))
+            .arg("--settings")
+            .arg(path)
+            .stderr(Stdio::piped())
+            .spawn();
+        Process(child.unwrap())
+    }
+
+    fn terminate(&self) {
+        let id = self.0.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+async fn ready(fleet: &Fleet, addr: std::net::SocketAddr) -> bool {
+    for _ in 0..2_000 {
+        let reply = fleet.tool.get(addr, "/status").await;
+        if let Ok(reply) = reply {
+            let body = String::from_utf8_lossy(&reply.body).into_owned();
+            if body.contains("\"state\":\"ready\"") {
+                return true;
+            }
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+fn address(text: &str, key: &str) -> std::net::SocketAddr {
+    let line = text
+        .lines()
+        .find_map(|l| l.strip_prefix(&format!("{key} = ")));
+    line.unwrap().parse().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_ends_the_stream_first_and_exits_with_zero() {
+    let mut fleet = fleet::bind(Plan {
+        halls: 1,
+        engines: 1,
+        daemons: 0,
+        ..Plan::default()
+    })
+    .await
+    .unwrap();
+    fleet
+        .roll(&fleet::sample(1, 0).replace("least = 2", "least = 1"))
+        .await
+        .unwrap();
+    let text_of = fleet.settings_text("d1", 0).unwrap();
+    let path = file("good", &text_of);
+    assert_eq!(check(&path).status.code(), Some(0));
+    let mut process = Process::start(&path);
+    let (callers, operator) = (address(&text_of, "callers"), address(&text_of, "operator"));
+    assert!(ready(&fleet, operator).await);
+    let ask = Ask::new("judge-00", "tell me a long story", 1_500).streamed();
+    let prompt = format!("user: {}\n", ask.prompt);
+    let telling = tokio::spawn(async move { Caller::new(callers, KEY_ONE).chat(&ask).await });
+    let engine = fleet.engines.remove(0).1;
+    for _ in 0..2_000 {
+        if !engine.started().is_empty() {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    process.terminate();
+    let got = telling.await.unwrap();
+    assert!(
+        got.whole && got.text == text("judge-00", &prompt, 1_500),
+        "{}",
+        got.message
+    );
+    let status = process.0.wait().unwrap();
+    assert_eq!(status.code(), Some(0));
+    let _ = fs::remove_file(path);
+}
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -4,10 +4,10 @@
 use unit::{Name, Span, Time};
 
 /// Time over which a rise is followed: fast, since a late verdict stops a line.
-const RISE: Span = Span::from_secs(15);
+const RISE: Span = Span::from_secs(5);
 
 /// Time over which a fall is followed: slow, so that a pause moves nothing.
-const FALL: Span = Span::from_secs(300);
+const FALL: Span = Span::from_secs(120);
 
 /// Smoothed demand for each model, in requests a second.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -61,9 +61,6 @@
         demand.take(Time(0) + RISE, &rate(10.0));
         assert!((6.0..7.0).contains(&demand.rate("m")));
         demand.take(Time(0) + RISE + RISE, &rate(0.0));
-        assert!(
-            demand.rate("m") > 5.9,
-            "a quarter of a minute takes little away"
-        );
+        assert!(demand.rate("m") > 5.9, "five seconds take little away");
     }
 }
--- a/crates/place/src/plan/floor.rs
+++ b/crates/place/src/plan/floor.rs
@@ -1,9 +1,10 @@
 //! Floors: every served model keeps its replicas.
 
+use super::grow;
 use super::tick::{Tick, Want};
 use crate::fleet::is_base;
+use unit::Bytes;
 use unit::engine::Weights;
-use unit::{Bytes, Name};
 
 /// Joins the homes of models that this hall holds and should; leaves those that others keep.
 pub(super) fn homes(tick: &mut Tick) {
@@ -152,6 +153,12 @@
     let Some((at, chosen)) = best else {
         return false;
     };
+    evict(tick, want, at, chosen);
+    true
+}
+
+/// Unloads replicas to make room for another model.
+pub(super) fn evict(tick: &mut Tick, want: &Want, at: usize, chosen: Vec<Surplus>) {
     for surplus in chosen {
         let reason = format!(
             "{} has replicas to spare here, and {} needs the room.",
@@ -161,30 +168,37 @@
             tick.unload(at, weights, reason.clone());
         }
     }
-    true
 }
 
-/// Whether unloads under way at an upstream will free enough.
-fn room_is_coming(tick: &Tick, at: usize, needed: Bytes) -> bool {
+/// Memory that unloads under way at an upstream will free.
+pub(super) fn going(tick: &Tick, at: usize) -> Bytes {
     let upstream = tick.upstream(at);
     let going = upstream.report.resident.iter().filter(|r| {
         r.state == unit::engine::State::Unloading || tick.ledger.may_go(&upstream.name, &r.weights)
     });
-    let going: Bytes = going.map(|r| r.bytes).sum();
+    going.map(|r| r.bytes).sum()
+}
+
+/// Whether unloads under way at an upstream will free enough.
+fn room_is_coming(tick: &Tick, at: usize, needed: Bytes) -> bool {
+    let going = going(tick, at);
     going > Bytes(0) && tick.free(at) + going >= needed
 }
 
 /// Replica that may go.
+#[derive(Debug, Clone)]
 pub(super) struct Surplus {
     pub(super) weights: Weights,
     all: Vec<Weights>,
     bytes: Bytes,
+    /// Work that falls to it, in shares of an upstream.
+    work: f64,
 }
 
 /// Fewest surplus replicas at an upstream whose memory, with what is free, is enough.
 pub(super) fn enough(tick: &Tick, at: usize, needed: Bytes) -> Option<Vec<Surplus>> {
     let mut surplus = surplus(tick, at);
-    surplus.sort_by_key(|s| std::cmp::Reverse(s.bytes));
+    surplus.sort_by(|a, b| a.work.total_cmp(&b.work));
     let mut free = tick.free(at);
     let mut chosen = Vec::new();
     for candidate in surplus {
@@ -197,7 +211,7 @@
     (free >= needed && !chosen.is_empty()).then_some(chosen)
 }
 
-/// Ready replicas at an upstream that the floors do not need and demand does not fill.
+/// Ready replicas at an upstream that the floors do not need.
 fn surplus(tick: &Tick, at: usize) -> Vec<Surplus> {
     let upstream = tick.upstream(at);
     let mut found = Vec::new();
@@ -211,7 +225,7 @@
         let want = tick.s.wants.iter().find(|w| w.model == weights.model);
         let floor = want.map_or(0, |w| tick.floor(w));
         let here = tick.ready(&weights.model).iter().any(|(i, _)| *i == at);
-        if !here || ready <= floor.max(busy_replicas(tick, &weights.model)) {
+        if !here || ready <= floor {
             continue;
         }
         let whole: Vec<_> = upstream
@@ -220,20 +234,18 @@
             .iter()
             .filter(|r| r.weights.model == weights.model && r.weights.version == weights.version)
             .collect();
+        let need = tick
+            .s
+            .needs
+            .get(&weights.model)
+            .copied()
+            .unwrap_or_default();
         found.push(Surplus {
             weights: weights.clone(),
             bytes: whole.iter().map(|r| r.bytes).sum(),
             all: whole.iter().map(|r| r.weights.clone()).collect(),
+            work: need.rate * need.work / grow::replicas(tick, &weights.model) as f64,
         });
     }
     found
 }
-
-/// Work of a replica, in shares of an upstream, below which it may be spared.
-const SPARE: f64 = 0.3;
-
-/// Replicas that a model's demand fills.
-fn busy_replicas(tick: &Tick, model: &Name) -> usize {
-    let need = tick.s.needs.get(model).copied().unwrap_or_default();
-    (need.rate * need.work / SPARE).ceil() as usize
-}
--- a/crates/place/src/plan/grow.rs
+++ b/crates/place/src/plan/grow.rs
@@ -1,10 +1,19 @@
 //! Growth: another replica where demand overloads those there are, if it is worth the moves.
+//!
+//! A local search: from the fullest upstreams, each of their larger models is tried at the least
+//! full ones, with evictions where memory asks for them. The whole spread of demand is worked out
+//! anew for each trial, so that what an eviction costs its own model counts as well.
+//!
+//! All halls are weighed by each planner, and each acts on the offers that fall to its own
+//! upstreams: planners that see much the same need no further agreement. Upstreams are numbered
+//! over this hall's first, then those elsewhere.
 
-use super::floor;
+use super::floor::{self, Surplus};
 use super::tick::{Need, Tick, Want};
+use crate::fleet::{Upstream, is_base};
 use crate::share::{self, Flow};
-use std::collections::BTreeMap;
-use unit::Name;
+use unit::engine::{Resident, State};
+use unit::{Bytes, Name};
 
 /// Work of an upstream, in shares of its capacity, above which requests miss their targets.
 const FULL: f64 = 0.75;
@@ -19,31 +28,48 @@
 const MOST_PER_TICK: usize = 4;
 
 /// Weight of one rank of priority in the worth of a request.
-const PER_PRIORITY: f64 = 0.2;
+const PER_PRIORITY: f64 = 0.1;
+
+/// Full upstreams looked at, models of each, and upstreams tried for each model.
+const HOT: usize = 4;
+const MODELS: usize = 3;
+const TARGETS: usize = 6;
 
 /// Replica that could be added.
 struct Offer<'a> {
     want: &'a Want,
     at: usize,
-    evictions: usize,
+    evicted: Evicted,
     worth: f64,
     relief: f64,
     level: f64,
 }
 
+/// Demand and where it can go, by model in the order of the wants.
+struct Spread {
+    flows: Vec<Flow>,
+    work: Vec<f64>,
+    over: f64,
+}
+
 /// Adds the replicas that are worth most.
 pub(super) fn grow(tick: &mut Tick) {
+    let mut promised: Vec<(usize, usize)> = Vec::new();
     for _ in 0..MOST_PER_TICK {
         if !tick.may_start() {
             return;
         }
-        let work = work(tick);
-        let Some(offer) = best(tick, &work) else {
+        let spread = spread(tick, &promised);
+        let Some(offer) = best(tick, &spread) else {
             return;
         };
-        if !take(tick, &offer) {
-            return;
-        }
+        let model = tick
+            .s
+            .wants
+            .iter()
+            .position(|w| w.model == offer.want.model);
+        promised.push((model.expect("offers are of wanted models"), offer.at));
+        take(tick, offer);
     }
 }
 
@@ -51,20 +77,34 @@
     tick.s.needs.get(model).copied().unwrap_or_default()
 }
 
-/// Upstreams that hold or are getting a model.
+/// Upstreams that hold or are getting a model, in all halls.
 fn places(tick: &Tick, model: &Name) -> Vec<usize> {
     let ready = tick.ready(model).into_iter().map(|(at, _)| at);
-    let mut places: Vec<usize> = ready
-        .chain(tick.coming(model).iter().map(|(at, _)| *at))
-        .collect();
+    let coming = tick.coming(model).iter().map(|(at, _)| *at);
+    let here = tick.s.fleet.upstreams.len();
+    let elsewhere = tick.s.elsewhere.upstreams.iter().enumerate();
+    let elsewhere = elsewhere.filter(|(_, u)| !u.leaving && holds(u, model));
+    let mut places: Vec<usize> = ready.chain(coming).collect();
+    places.extend(elsewhere.map(|(i, _)| here + i));
     places.sort_unstable();
     places.dedup();
     places
 }
 
-/// Work of each upstream when demand spreads over what is there or on its way.
-fn work(tick: &Tick) -> Vec<f64> {
-    let flows: Vec<Flow> = tick
+/// Whether an upstream holds a model and is not letting it go.
+fn holds(upstream: &Upstream, model: &str) -> bool {
+    let mut resident = upstream.report.resident.iter();
+    resident.any(|r| is_base(&r.weights, model) && r.state != State::Unloading)
+}
+
+/// Number of replicas of a model in all halls, ready or on their way; at least one.
+pub(super) fn replicas(tick: &Tick, model: &Name) -> usize {
+    places(tick, model).len().max(1)
+}
+
+/// Demand over what is there, on its way, or promised in this tick.
+fn spread(tick: &Tick, promised: &[(usize, usize)]) -> Spread {
+    let mut flows: Vec<Flow> = tick
         .s
         .wants
         .iter()
@@ -76,29 +116,41 @@
             }
         })
         .collect();
-    share::spread(&flows, tick.s.fleet.upstreams.len())
+    for (model, at) in promised {
+        if !flows[*model].at.contains(at) {
+            flows[*model].at.push(*at);
+        }
+    }
+    let all = tick.s.fleet.upstreams.len() + tick.s.elsewhere.upstreams.len();
+    let work = share::spread(&flows, all);
+    let over = over(&work);
+    Spread { flows, work, over }
+}
+
+/// Work beyond what upstreams can do in time.
+fn over(work: &[f64]) -> f64 {
+    work.iter().map(|w| (w - FULL).max(0.0)).sum()
 }
 
 /// The offer that earns most beyond its cost.
-fn best<'a>(tick: &Tick<'a>, work: &[f64]) -> Option<Offer<'a>> {
-    let usable = tick.usable();
-    let mut evictions: BTreeMap<(usize, u64), Option<usize>> = BTreeMap::new();
+fn best<'a>(tick: &Tick<'a>, spread: &Spread) -> Option<Offer<'a>> {
+    if spread.over <= 0.0 {
+        return None;
+    }
+    let here = tick.s.fleet.upstreams.len();
+    let elsewhere = tick.s.elsewhere.upstreams.iter().enumerate();
+    let elsewhere = elsewhere.filter(|(_, u)| !u.leaving).map(|(i, _)| here + i);
+    let mut cold: Vec<usize> = tick.usable().into_iter().chain(elsewhere).collect();
+    cold.sort_by(|a, b| spread.work[*a].total_cmp(&spread.work[*b]));
     let mut best: Option<Offer> = None;
-    for want in tick.s.wants {
-        let need = need(tick, &want.model);
-        let at = places(tick, &want.model);
-        let level = at.iter().map(|u| work[*u]).fold(f64::INFINITY, f64::min);
-        if need.rate <= 0.0 || at.is_empty() || level <= FULL {
-            continue;
-        }
-        for u in &usable {
-            if at.contains(u) || work[*u] >= level {
+    for m in hot_models(spread) {
+        let want = &tick.s.wants[m];
+        let tried = cold.iter().filter(|u| !spread.flows[m].at.contains(u));
+        for u in tried.take(TARGETS) {
+            let Some(offer) = weigh(tick, spread, m, want, *u) else {
                 continue;
-            }
-            let offer = weigh(tick, want, need, &at, level, *u, work[*u], &mut evictions);
-            if let Some(offer) = offer
-                && best.as_ref().is_none_or(|b| offer.worth > b.worth)
-            {
+            };
+            if best.as_ref().is_none_or(|b| offer.worth > b.worth) {
                 best = Some(offer);
             }
         }
@@ -106,60 +158,153 @@
     best
 }
 
-#[expect(clippy::too_many_arguments, reason = "one row of a table, used once")]
+/// Models with much work at the fullest upstreams.
+fn hot_models(spread: &Spread) -> Vec<usize> {
+    let mut hot: Vec<usize> = (0..spread.work.len())
+        .filter(|u| spread.work[*u] > FULL)
+        .collect();
+    hot.sort_by(|a, b| spread.work[*b].total_cmp(&spread.work[*a]));
+    let mut models = Vec::new();
+    for u in hot.into_iter().take(HOT) {
+        let per_replica = |m: &usize| {
+            let flow = &spread.flows[*m];
+            flow.work / flow.at.len() as f64
+        };
+        let mut here: Vec<usize> = (0..spread.flows.len())
+            .filter(|m| spread.flows[*m].work > 0.0 && spread.flows[*m].at.contains(&u))
+            .collect();
+        here.sort_by(|a, b| per_replica(b).total_cmp(&per_replica(a)));
+        models.extend(here.into_iter().take(MODELS));
+    }
+    models.sort_unstable();
+    models.dedup();
+    models
+}
+
+/// What a replica of a model at an upstream would earn and cost; none when it is not worth it.
 fn weigh<'a>(
     tick: &Tick<'a>,
+    spread: &Spread,
+    m: usize,
     want: &'a Want,
-    need: Need,
-    at: &[usize],
-    level: f64,
     u: usize,
-    there: f64,
-    evictions: &mut BTreeMap<(usize, u64), Option<usize>>,
 ) -> Option<Offer<'a>> {
-    let replicas = at.len() as f64;
-    let after = (level * replicas + there) / (replicas + 1.0);
-    let over = |l: f64| (l - FULL).max(0.0);
-    let relief =
-        (over(level) * replicas - over(after) * (replicas + 1.0)).min(need.rate * need.work);
-    let relief = relief / need.work.max(1e-9);
-    let evictions = *evictions
-        .entry((u, want.whole().0))
-        .or_insert_with(|| evicted(tick, u, want));
-    let moves = 1 + evictions?;
+    let evicted = match tick.s.fleet.upstreams.get(u) {
+        Some(_) => evicted_here(tick, want, u)?,
+        None => evicted_elsewhere(tick, spread, want, u)?,
+    };
+    let mut flows = spread.flows.clone();
+    flows[m].at.push(u);
+    for gone in evicted.models(tick) {
+        flows[gone].at.retain(|at| *at != u);
+    }
+    let after = over(&share::spread(&flows, spread.work.len()));
+    let need = need(tick, &want.model);
+    let relief = (spread.over - after) / need.work.max(1e-9);
+    let moves = 1 + evicted.count();
     let rank = 1.0 + f64::from(want.priority) * PER_PRIORITY;
     let earned = tick.s.attainment * rank * relief * HORIZON;
     let cost = tick.s.moves * MOVE_COST * moves as f64;
+    let at = &spread.flows[m].at;
+    let level = at.iter().map(|u| spread.work[*u]).fold(0.0, f64::max);
     (earned > cost).then_some(Offer {
         want,
         at: u,
-        evictions: moves - 1,
+        evicted,
         worth: earned - cost,
         relief,
         level,
     })
 }
 
-/// Replicas that must go for a load at an upstream; none when it cannot have room.
-fn evicted(tick: &Tick, at: usize, want: &Want) -> Option<usize> {
-    if tick.free(at) >= want.whole() {
-        return Some(0);
+/// What must go for a load.
+enum Evicted {
+    /// Replicas of this hall.
+    Here(Vec<Surplus>),
+    /// Models, by number, that another hall's planner is expected to let go.
+    Elsewhere(Vec<usize>),
+}
+
+impl Evicted {
+    fn count(&self) -> usize {
+        match self {
+            Evicted::Here(surplus) => surplus.len(),
+            Evicted::Elsewhere(models) => models.len(),
+        }
+    }
+
+    fn models(&self, tick: &Tick) -> Vec<usize> {
+        match self {
+            Evicted::Here(surplus) => {
+                let number =
+                    |s: &Surplus| tick.s.wants.iter().position(|w| w.model == s.weights.model);
+                surplus.iter().filter_map(number).collect()
+            }
+            Evicted::Elsewhere(models) => models.clone(),
+        }
+    }
+}
+
+fn evicted_here(tick: &Tick, want: &Want, u: usize) -> Option<Evicted> {
+    let going = floor::going(tick, u);
+    if tick.free(u) + going >= want.whole() {
+        return Some(Evicted::Here(Vec::new()));
+    }
+    // Where something goes already, its room is awaited before more must go.
+    if going > Bytes(0) {
+        return None;
+    }
+    floor::enough(tick, u, want.whole()).map(Evicted::Here)
+}
+
+/// What another hall's planner would let go: the replicas with least work of models that have more.
+fn evicted_elsewhere(tick: &Tick, spread: &Spread, want: &Want, u: usize) -> Option<Evicted> {
+    let upstream = &tick.s.elsewhere.upstreams[u - tick.s.fleet.upstreams.len()];
+    let staying = |r: &&Resident| r.state != State::Unloading;
+    let resident = &upstream.report.resident;
+    let taken: Bytes = resident.iter().filter(staying).map(|r| r.bytes).sum();
+    let mut free = upstream.report.memory.saturating_sub(taken);
+    let per_replica = |m: usize| spread.flows[m].work / spread.flows[m].at.len().max(1) as f64;
+    let mut surplus: Vec<(usize, Bytes)> = resident
+        .iter()
+        .filter(|r| r.state == State::Ready && r.weights.adapter.is_none())
+        .filter_map(|r| {
+            let m = tick
+                .s
+                .wants
+                .iter()
+                .position(|w| w.model == r.weights.model)?;
+            (spread.flows[m].at.len() > 1).then_some((m, r.bytes))
+        })
+        .collect();
+    surplus.sort_by(|a, b| per_replica(a.0).total_cmp(&per_replica(b.0)));
+    let mut gone = Vec::new();
+    for (m, bytes) in surplus {
+        if free >= want.whole() {
+            break;
+        }
+        free += bytes;
+        gone.push(m);
     }
-    floor::enough(tick, at, want.whole()).map(|chosen| chosen.len())
+    (free >= want.whole()).then_some(Evicted::Elsewhere(gone))
 }
 
-fn take(tick: &mut Tick, offer: &Offer) -> bool {
+/// Acts on an offer that falls to this hall.
+fn take(tick: &mut Tick, offer: Offer) {
     let want = offer.want;
-    if offer.evictions > 0 {
+    let Evicted::Here(evicted) = offer.evicted else {
+        return;
+    };
+    if tick.free(offer.at) < want.whole() {
         // The load follows in a later tick, when a report shows the room.
-        floor::make_room(tick, want);
-        return false;
+        floor::evict(tick, want, offer.at, evicted);
+        return;
     }
     let reason = format!(
-        "Replicas of {} are filled to {:.0} in 100; another relieves {:.1} requests a second.",
+        "Upstreams of {} are filled to {:.0} in 100; another replica relieves {:.1} requests a second.",
         want.model,
         offer.level * 100.0,
         offer.relief
     );
-    tick.load(offer.at, want.weights(), want.memory, reason)
+    tick.load(offer.at, want.weights(), want.memory, reason);
 }
--- a/crates/place/src/plan/tick.rs
+++ b/crates/place/src/plan/tick.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// Demand for a model in this hall.
+/// Demand for a model, from all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Need {
     /// Requests a second, smoothed.
@@ -83,6 +83,8 @@
     pub wants: &'a [Want],
     /// Upstreams of this hall.
     pub fleet: &'a Fleet,
+    /// Upstreams of other halls, as last reported; they are weighed, never ordered.
+    pub elsewhere: &'a Fleet,
     /// Homes as read for this tick.
     pub homes: &'a Homes,
     /// Demand by model.
--- a/crates/place/src/share.rs
+++ b/crates/place/src/share.rs
@@ -1,7 +1,5 @@
 //! How demand spreads over replicas.
 
-use std::collections::BTreeMap;
-
 /// Rounds of spreading; three bring models with few replicas near their balance.
 const ROUNDS: usize = 3;
 
@@ -16,57 +14,49 @@
 
 /// Spreads flows over upstreams so that the fuller ones get less; returns each upstream's work.
 pub fn spread(flows: &[Flow], upstreams: usize) -> Vec<f64> {
-    let mut given: BTreeMap<(usize, usize), f64> = BTreeMap::new();
     let mut work = vec![0.0; upstreams];
-    for round in 0..ROUNDS {
-        for (f, flow) in flows.iter().enumerate() {
-            for u in &flow.at {
-                if let Some(had) = given.remove(&(f, *u)) {
-                    work[*u] -= had;
-                }
+    let mut given: Vec<Vec<f64>> = Vec::with_capacity(flows.len());
+    for flow in flows {
+        let part = flow.work / flow.at.len().max(1) as f64;
+        for u in &flow.at {
+            work[*u] += part;
+        }
+        given.push(vec![part; flow.at.len()]);
+    }
+    for _ in 0..ROUNDS {
+        for (flow, given) in flows.iter().zip(&mut given) {
+            if flow.at.len() > 1 && flow.work > 0.0 {
+                level(flow, &mut work, given);
             }
-            fill(flow, f, &mut work, &mut given, round == 0);
         }
     }
     work
 }
 
-/// Pours one flow into its upstreams up to a common level.
-fn fill(
-    flow: &Flow,
-    f: usize,
-    work: &mut [f64],
-    given: &mut BTreeMap<(usize, usize), f64>,
-    evenly: bool,
-) {
-    if flow.at.is_empty() || flow.work <= 0.0 {
-        return;
-    }
-    if evenly {
-        let part = flow.work / flow.at.len() as f64;
-        for u in &flow.at {
-            work[*u] += part;
-            given.insert((f, *u), part);
-        }
-        return;
+/// Pours one flow anew into its upstreams, up to a common level.
+fn level(flow: &Flow, work: &mut [f64], given: &mut [f64]) {
+    for (u, part) in flow.at.iter().zip(given.iter()) {
+        work[*u] -= part;
     }
-    let mut order = flow.at.clone();
-    order.sort_by(|a, b| work[*a].total_cmp(&work[*b]));
+    let mut order: Vec<usize> = (0..flow.at.len()).collect();
+    order.sort_by(|a, b| work[flow.at[*a]].total_cmp(&work[flow.at[*b]]));
     let mut sum = flow.work;
-    let mut level = f64::INFINITY;
+    let mut surface = f64::INFINITY;
     let mut used = 0;
-    for (n, u) in order.iter().enumerate() {
-        if work[*u] >= level {
+    for i in &order {
+        let here = work[flow.at[*i]];
+        if here >= surface {
             break;
         }
-        sum += work[*u];
-        level = sum / (n + 1) as f64;
-        used = n + 1;
+        sum += here;
+        used += 1;
+        surface = sum / used as f64;
     }
-    for u in &order[..used] {
-        let part = (level - work[*u]).max(0.0);
-        work[*u] += part;
-        given.insert((f, *u), part);
+    given.fill(0.0);
+    for i in &order[..used] {
+        let part = (surface - work[flow.at[*i]]).max(0.0);
+        given[*i] = part;
+        work[flow.at[*i]] += part;
     }
 }
 
--- a/crates/place/tests/homes.rs
+++ b/crates/place/tests/homes.rs
@@ -74,6 +74,7 @@
         halls: &halls,
         wants,
         fleet: &holding(&[("x", 6)]),
+        elsewhere: &Fleet::default(),
         homes,
         needs: &needs,
         attainment: 1.0,
--- a/crates/place/tests/world/mod.rs
+++ b/crates/place/tests/world/mod.rs
@@ -360,6 +360,7 @@
             halls: &halls,
             wants: &self.wants,
             fleet: &fleet,
+            elsewhere: &Fleet::default(),
             homes: &homes,
             needs: &self.needs,
             attainment: 1.0,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod limit;
 pub mod queue;
 pub mod retry;
+pub mod service;
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -1,7 +1,8 @@
 //! Requests that wait at a daemon for room at an upstream.
 //!
 //! Order: priority raised by age, then the caller that is furthest below its
-//! fair share, then the earliest deadline. A full queue sheds the lowest.
+//! fair share, then the earliest deadline. A full queue sheds the lowest,
+//! and of equals that of the caller which holds most of the queue for its weight.
 
 use crate::demand::Demand;
 use std::collections::HashMap;
@@ -125,15 +126,28 @@
         if self.tickets.len() <= self.most {
             return None;
         }
+        let held = self.held();
         let lowest = (0..self.tickets.len()).min_by(|a, b| {
             let (a, b) = (&self.tickets[*a], &self.tickets[*b]);
+            let (held_a, held_b) = (held[&a.caller], held[&b.caller]);
             rank(a, now)
                 .cmp(&rank(b, now))
+                .then(held_b.total_cmp(&held_a))
                 .then(b.arrived.cmp(&a.arrived))
         })?;
         Some(self.tickets.swap_remove(lowest))
     }
 
+    /// Room that each caller holds here, over its weight.
+    fn held(&self) -> HashMap<Name, f64> {
+        let mut held = HashMap::new();
+        for ticket in &self.tickets {
+            let share = 1.0 / f64::from(ticket.weight.max(1));
+            *held.entry(ticket.caller.clone()).or_insert(0.0) += share;
+        }
+        held
+    }
+
     /// Takes out the request that goes first.
     pub fn pop(&mut self, now: Time) -> Option<Ticket<T>> {
         let first = self.first(now)?;
@@ -235,6 +249,21 @@
         assert_eq!(&*shed.caller, "d", "of equals the newest goes");
     }
 
+    #[test]
+    fn of_equals_the_caller_that_holds_most_is_shed() {
+        let mut queue = Queue::new(6);
+        for i in 0..6 {
+            queue.push(Time(i), ticket("early", 3, i));
+        }
+        for i in 6..9 {
+            let shed = queue.push(Time(i), ticket("late", 3, i)).unwrap();
+            assert_eq!(&*shed.caller, "early", "until both hold the same");
+        }
+        let mut light = ticket("late", 3, 9);
+        light.weight = 1;
+        assert_eq!(&*queue.push(Time(9), light).unwrap().caller, "late");
+    }
+
     #[test]
     fn shares_follow_weights() {
         let mut queue = Queue::new(1_000);
--- /dev/null
+++ b/crates/standin/src/experiment.rs
@@ -0,0 +1,63 @@
+//! Measurements, each by its name.
+
+mod measure;
+mod model;
+mod overhead;
+mod quality;
+
+use bpaf::{Parser, construct, long, positional};
+use std::io;
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Print JSON instead of tables.
+    pub json: bool,
+    /// Seed.
+    pub seed: u64,
+    /// Seeds run, from `seed` on.
+    pub seeds: u64,
+    /// Only what bears one of these words in its size, workload or policy.
+    pub only: Vec<String>,
+    /// Name of the experiment.
+    pub name: String,
+}
+
+/// Reads the command line.
+pub fn options() -> Options {
+    let json = long("json").help("Print JSON instead of tables").switch();
+    let seed = long("seed")
+        .help("Seed of what is random")
+        .argument::<u64>("N")
+        .fallback(1);
+    let seeds = long("seeds")
+        .help("How many seeds to run")
+        .argument::<u64>("N")
+        .fallback(10);
+    let only = long("only")
+        .help("Only rows of 'quality' that bear this size, workload or policy; may be repeated")
+        .argument::<String>("WORD")
+        .many();
+    let name = positional::<String>("NAME").help("overhead, quality or curve");
+    let parser = construct!(Options {
+        json,
+        seed,
+        seeds,
+        only,
+        name
+    })
+    .to_options();
+    parser.descr("Runs one of coveford's measurements").run()
+}
+
+/// Runs an experiment.
+pub fn run(options: &Options) -> io::Result<()> {
+    match options.name.as_str() {
+        "overhead" => overhead::run(options),
+        "quality" => quality::run(options),
+        "curve" => quality::curve(options),
+        other => Err(io::Error::other(format!(
+            "'{other}' is no experiment; known are: overhead, quality, curve."
+        ))),
+    }
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -240,7 +240,8 @@
         Ok(text)
     }
 
-    fn settings(&self, name: &str, hall_index: usize) -> io::Result<Settings> {
+    /// Settings of a daemon at free ports.
+    pub fn settings(&self, name: &str, hall_index: usize) -> io::Result<Settings> {
         let text = self.settings_text(name, hall_index)?;
         let read = settings::read(&format!("{name}.ini"), &text);
         read.map_err(|problems| io::Error::other(format!("{problems:?}")))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod hosts;
 pub mod kv;
