--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -38,6 +38,9 @@
 /// When to come back to a daemon that has no bundle yet, or no memory for a body.
 const SOON: Span = Span::from_secs(1);
 
+/// Header by which callers' usual libraries are kept from sending a request again by themselves.
+const SHOULD_RETRY: &str = "x-should-retry";
+
 /// Bytes of events sent at once at the most.
 const MOST_CHUNK: usize = 16 * 1_024;
 
@@ -633,6 +636,9 @@
     *response.status_mut() = fault.status;
     let headers = response.headers_mut();
     mark(headers, id, fault.outcome.word());
+    if fault.outcome == Outcome::Unknown {
+        headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"));
+    }
     if let Some(after) = fault.retry_after {
         headers.insert(RETRY_AFTER, HeaderValue::from(after.secs().ceil() as u64));
     }
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -4,7 +4,7 @@
 use standin::engine::text;
 use standin::fleet::{self, Fleet, KEY_ONE, Plan};
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -15,7 +15,7 @@
     path
 }
 
-fn check(path: &PathBuf) -> Output {
+fn check(path: &Path) -> Output {
     let command = Command::new(env!("CARGO_BIN_EXE_covefordd"))
         .args(["--settings".as_ref(), path.as_os_str(), "--check".as_ref()])
         .output();
@@ -39,7 +39,7 @@
 
 #[test]
 fn a_missing_file_is_a_clear_error() {
-    let output = check(&PathBuf::from("/nonexistent/d1.ini"));
+    let output = check(Path::new("/nonexistent/d1.ini"));
     assert_eq!(output.status.code(), Some(2));
     let said = String::from_utf8(output.stderr).unwrap();
     assert!(
@@ -52,7 +52,7 @@
 struct Process(Child);
 
 impl Process {
-    fn start(path: &PathBuf) -> Process {
+    fn start(path: &Path) -> Process {
         let child = Command::new(env!("CARGO_BIN_EXE_covefordd"))
             .arg("--settings")
             .arg(path)
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -7,7 +7,7 @@
 const RISE: Span = Span::from_secs(5);
 
 /// Time over which a fall is followed: slow, so that a pause moves nothing.
-const FALL: Span = Span::from_secs(120);
+const FALL: Span = Span::from_secs(45);
 
 /// Smoothed demand for each model, in requests a second.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -59,8 +59,11 @@
         let rate = |r: f64| BTreeMap::from([("m".into(), r)]);
         demand.take(Time(0), &rate(0.0));
         demand.take(Time(0) + RISE, &rate(10.0));
-        assert!((6.0..7.0).contains(&demand.rate("m")));
+        let risen = demand.rate("m");
+        assert!((risen - 10.0 * (1.0 - (-1.0_f64).exp())).abs() < 1e-9);
         demand.take(Time(0) + RISE + RISE, &rate(0.0));
-        assert!(demand.rate("m") > 5.9, "five seconds take little away");
+        let kept = (-RISE.secs() / FALL.secs()).exp();
+        assert!((demand.rate("m") - risen * kept).abs() < 1e-9);
+        assert!(kept > 0.85, "a pause of a few seconds takes little away");
     }
 }
--- a/crates/place/src/plan/grow.rs
+++ b/crates/place/src/plan/grow.rs
@@ -16,7 +16,7 @@
 use unit::{Bytes, Name};
 
 /// Work of an upstream, in shares of its capacity, above which requests miss their targets.
-const FULL: f64 = 0.75;
+const FULL: f64 = 0.90;
 
 /// Time over which a move must earn what it costs, in seconds.
 const HORIZON: f64 = 60.0;
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -90,6 +90,8 @@
     pub message: String,
     /// Seconds after which to come back.
     pub retry_after: Option<u64>,
+    /// Whether the caller's library would be kept from sending it again by itself.
+    pub must_not_retry: bool,
     /// Time to the first token, or to the whole answer.
     pub first: Duration,
     /// Times between pieces.
@@ -208,6 +210,7 @@
         self.outcome = text("coveford-outcome");
         self.request = text("coveford-request");
         self.retry_after = text("retry-after").parse().ok();
+        self.must_not_retry = text("x-should-retry") == "false";
     }
 
     fn error(&mut self, value: &Value) {
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -4,6 +4,8 @@
 mod model;
 mod overhead;
 mod quality;
+mod slopes;
+mod spread;
 
 use bpaf::{Parser, construct, long, positional};
 use std::io;
@@ -38,7 +40,7 @@
         .help("Only rows of 'quality' that bear this size, workload or policy; may be repeated")
         .argument::<String>("WORD")
         .many();
-    let name = positional::<String>("NAME").help("overhead, quality or curve");
+    let name = positional::<String>("NAME").help("overhead, quality, curve, spread or slopes");
     let parser = construct!(Options {
         json,
         seed,
@@ -56,8 +58,10 @@
         "overhead" => overhead::run(options),
         "quality" => quality::run(options),
         "curve" => quality::curve(options),
+        "spread" => spread::run(options),
+        "slopes" => slopes::run(options),
         other => Err(io::Error::other(format!(
-            "'{other}' is no experiment; known are: overhead, quality, curve."
+            "'{other}' is no experiment; known are: overhead, quality, curve, spread, slopes."
         ))),
     }
 }
--- a/crates/standin/src/experiment/model/world.rs
+++ b/crates/standin/src/experiment/model/world.rs
@@ -38,6 +38,9 @@
 /// Target between tokens.
 const BETWEEN: Span = Span::from_ms(33);
 
+/// Time between two tries of the requests that wait at a router.
+const RETRY_EVERY: Span = Span::from_ms(100);
+
 /// Time after which nobody needs an answer any more.
 const DEADLINE: Span = Span::from_secs(20);
 
@@ -301,8 +304,14 @@
     }
 
     fn place(&mut self, now: Time) {
+        let retry = now.0.is_multiple_of(RETRY_EVERY.0);
         for r in 0..self.routers.len() {
-            let mut queue = std::mem::take(&mut self.routers[r].queue);
+            let queue = std::mem::take(&mut self.routers[r].queue);
+            // Those that waited are tried again now and then, newcomers at once.
+            let (mut queue, later): (Vec<Job>, Vec<Job>) = queue
+                .into_iter()
+                .partition(|job| retry || job.arrived == now);
+            self.routers[r].queue = later;
             queue.sort_by_key(|j| (std::cmp::Reverse(j.priority), j.arrived));
             for mut job in queue {
                 if now.since(job.arrived) > DEADLINE {
--- a/crates/standin/tests/services.rs
+++ b/crates/standin/tests/services.rs
@@ -44,6 +44,11 @@
     if outcome == "complete" {
         assert_eq!(got.text, "POST /print ran: label 7");
     }
+    let doubtful = outcome == "unknown";
+    assert_eq!(
+        got.must_not_retry, doubtful,
+        "libraries resend server errors by themselves"
+    );
 }
 
 #[rstest]
