Followers are sent what a bundle changes, not the whole head

Change: a peer that still has the head the asker stands at answers with a delta; the asker makes the whole from it, and the signatures, which are over the whole, decide. Ruled out: compressing the head (hashes do not compress), longer hashes lists by level (more round trips).

--- a/crates/bundle/src/head.rs
+++ b/crates/bundle/src/head.rs
@@ -116,6 +116,48 @@
     }
 }
 
+/// What a head changes against an earlier one; the signatures are over the whole.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Sequence of the earlier head.
+    pub base: u64,
+    /// The new head, with only those parts that differ.
+    pub head: Head,
+    /// Groups that are gone.
+    pub gone: Vec<Name>,
+}
+
+impl Delta {
+    /// Compares two heads.
+    pub fn between(old: &Head, new: &Head) -> Delta {
+        let group = |parts: &[Ref], group: &Name| parts.iter().any(|p| p.group == *group);
+        let mut head = new.clone();
+        head.draft
+            .parts
+            .retain(|part| !old.draft.parts.contains(part));
+        let gone = old.draft.parts.iter().map(|p| p.group.clone());
+        Delta {
+            base: old.sequence,
+            head,
+            gone: gone.filter(|g| !group(&new.draft.parts, g)).collect(),
+        }
+    }
+
+    /// The new head, made from the earlier one; whether it is right, its signatures tell.
+    pub fn apply(self, old: &Head) -> Head {
+        let mut head = self.head;
+        let changed = std::mem::take(&mut head.draft.parts);
+        let kept = old.draft.parts.iter().filter(|old| {
+            !self.gone.contains(&old.group) && !changed.iter().any(|new| new.group == old.group)
+        });
+        let mut parts: Vec<Ref> = kept.cloned().collect();
+        parts.extend(changed);
+        parts.sort_by(|a, b| a.group.cmp(&b.group));
+        head.draft.parts = parts;
+        head
+    }
+}
+
 impl Head {
     /// Checks that this head may be put in force after `revoked` keys were withdrawn.
     pub fn verify(&self, trust: &Trust, revoked: &BTreeSet<Name>) -> Result<(), Refusal> {
@@ -128,3 +170,40 @@
         self.draft.verify(trust, revoked)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn head(sequence: u64, parts: &[(&str, &str)]) -> Head {
+        let signed = Signed {
+            operator: "alice".into(),
+            signature: "".into(),
+        };
+        let parts = parts.iter().map(|(group, hash)| Ref {
+            group: (*group).into(),
+            hash: (*hash).into(),
+        });
+        Head {
+            sequence,
+            rolled_ms: 0,
+            draft: Draft {
+                id: "x".into(),
+                replaces: sequence - 1,
+                title: "".into(),
+                parts: parts.collect(),
+                proposal: signed,
+                approvals: Vec::new(),
+            },
+        }
+    }
+
+    #[test]
+    fn a_delta_makes_the_new_head_again() {
+        let old = head(1, &[("a", "1"), ("b", "1"), ("c", "1")]);
+        let new = head(2, &[("a", "1"), ("aa", "1"), ("c", "2")]);
+        let delta = Delta::between(&old, &new);
+        assert_eq!(delta.head.draft.parts.len(), 2);
+        assert_eq!(delta.apply(&old), new);
+    }
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod part;
 mod read;
 
-pub use head::{Draft, Head};
+pub use head::{Delta, Draft, Head};
 pub use ini::Problem;
 pub use intent::Intent;
 pub use read::read;
--- a/crates/daemon/src/force.rs
+++ b/crates/daemon/src/force.rs
@@ -6,7 +6,7 @@
 use bundle::{Head, Intent, Problem, part};
 use parking_lot::Mutex;
 use snafu::Snafu;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use tokio::sync::watch;
 use unit::Name;
@@ -58,11 +58,15 @@
     },
 }
 
+/// Heads kept, so that followers a few bundles behind are sent only what changed.
+const KEPT_HEADS: usize = 32;
+
 /// Holder of the bundle in force.
 pub struct Force {
     trust: Trust,
     current: ArcSwapOption<InForce>,
     switching: Mutex<()>,
+    past: Mutex<VecDeque<Head>>,
     sequence: watch::Sender<u64>,
 }
 
@@ -72,6 +76,7 @@
         trust,
         current: ArcSwapOption::empty(),
         switching: Mutex::new(()),
+        past: Mutex::default(),
         sequence: watch::Sender::new(0),
     }
 }
@@ -87,6 +92,12 @@
         *self.sequence.borrow()
     }
 
+    /// A head that was in force here before, if it is still kept.
+    pub fn past(&self, sequence: u64) -> Option<Head> {
+        let past = self.past.lock();
+        past.iter().find(|head| head.sequence == sequence).cloned()
+    }
+
     /// Follows the sequence in force.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.sequence.subscribe()
@@ -108,14 +119,19 @@
                 current: self.sequence(),
             });
         }
-        let revoked = current
-            .map(|c| c.intent.revoked.clone())
-            .unwrap_or_default();
+        let revoked = current.as_ref().map(|c| c.intent.revoked.clone());
+        let revoked = revoked.unwrap_or_default();
         head.verify(&self.trust, &revoked)?;
         let parts = verified(&head, texts)?;
         let ordered = head.draft.parts.iter().map(|at| &*parts[&at.hash]);
         let intent =
             part::join(ordered).map_err(|problems| Error::Content { sequence, problems })?;
+        if let Some(current) = current {
+            let mut past = self.past.lock();
+            past.push_back(current.head.clone());
+            let surplus = past.len().saturating_sub(KEPT_HEADS);
+            past.drain(..surplus);
+        }
         self.current.store(Some(Arc::new(InForce {
             head,
             text: text.clone(),
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -15,7 +15,7 @@
 use crate::clock::wall_ms;
 use crate::core::Core;
 use crate::shelf;
-use bundle::Head;
+use bundle::{Delta, Head};
 use platform::keys;
 use rand::RngExt;
 use std::collections::HashMap;
@@ -128,6 +128,37 @@
     false
 }
 
+/// What a peer told of its head.
+struct Told {
+    sequence: u64,
+    head: Option<Head>,
+}
+
+/// Reads a peer's answer; a delta is applied to the head it is against.
+fn told(core: &Core, answer: Frame) -> Option<Told> {
+    match answer {
+        Frame::Head { sequence, head } => {
+            let head = match head {
+                Some(text) => Some(shelf::parse::<Head>(keys::HEAD, &text).ok()?),
+                None => None,
+            };
+            Some(Told { sequence, head })
+        }
+        Frame::Delta { sequence, delta } => {
+            let delta: Delta = shelf::parse(keys::HEAD, &delta).ok()?;
+            let current = core.in_force()?;
+            let base = match current.head.sequence == delta.base {
+                true => current.head.clone(),
+                // A bundle came by another way meanwhile.
+                false => core.force.past(delta.base)?,
+            };
+            let head = Some(delta.apply(&base));
+            Some(Told { sequence, head })
+        }
+        _ => None,
+    }
+}
+
 /// Takes over a peer's head if it is higher; tells whether the peer answered.
 async fn follow_peer(core: &Arc<Core>, peer: &Name, wait: Duration) -> bool {
     let Some(addr) = core.peer(peer) else {
@@ -138,19 +169,19 @@
         after,
         wait_ms: wait.as_millis() as u64,
     };
-    let Ok(Frame::Head { sequence, head }) = ask(core, addr, &question, wait).await else {
+    let Ok(answer) = ask(core, addr, &question, wait).await else {
+        return false;
+    };
+    let Some(Told { sequence, head }) = told(core, answer) else {
+        warn!(target: "spread", "the head of {peer} cannot be read");
         return false;
     };
     if sequence > 0 && sequence >= after {
         core.confirmed.by_peer(core.now());
     }
-    let Some(text) = head else {
+    let Some(head) = head else {
         return true;
     };
-    let Ok(head) = shelf::parse::<Head>(keys::HEAD, &text) else {
-        warn!(target: "spread", "the head of {peer} cannot be read");
-        return false;
-    };
     if head.sequence <= core.force.sequence() {
         return true;
     }
@@ -172,7 +203,8 @@
             .map(|t| (bundle::part::hash(t.as_bytes()), t));
         texts.extend(hashed);
     }
-    switch(core, &text, head, &texts, "peer")
+    let text = serde_json::to_string(&head).expect("a head can always be written");
+    switch(core, &text.into(), head, &texts, "peer")
 }
 
 fn switch(
--- a/crates/daemon/src/spread/peer.rs
+++ b/crates/daemon/src/spread/peer.rs
@@ -1,6 +1,7 @@
 //! Asking other daemons, and answering them.
 
 use crate::core::Core;
+use bundle::Delta;
 use bytes::Bytes;
 use conn::Pool;
 use hyper::header::HOST;
@@ -120,6 +121,7 @@
             }
         }
         Frame::Head { .. }
+        | Frame::Delta { .. }
         | Frame::Draining { .. }
         | Frame::Parts { .. }
         | Frame::Demands { .. }
@@ -136,6 +138,16 @@
     let _ = timeout(wait, sequence.wait_for(|s| *s > after)).await;
     let current = core.in_force();
     let sequence = current.as_ref().map_or(0, |c| c.head.sequence);
+    if let (Some(current), Some(past)) = (&current, core.force.past(after))
+        && sequence > after
+    {
+        let delta = Delta::between(&past, &current.head);
+        let delta = serde_json::to_string(&delta).expect("a delta can always be written");
+        return Frame::Delta {
+            sequence,
+            delta: delta.into(),
+        };
+    }
     let head = current.filter(|c| c.head.sequence > after);
     Frame::Head {
         sequence,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -20,6 +20,13 @@
         /// The head.
         head: Option<Name>,
     },
+    /// What the head in force at the answerer changes against the asker's, as JSON.
+    Delta {
+        /// Sequence in force at the answerer.
+        sequence: u64,
+        /// The changes.
+        delta: Name,
+    },
     /// Asks for parts by hash.
     Fetch {
         /// Hashes in hex.
