--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,8 +4,10 @@
 mod ask;
 mod fault;
 mod render;
+mod respond;
 mod serve;
 mod service;
+mod settle;
 
 pub use ask::{Ask, Form};
 pub use fault::Fault;
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -4,9 +4,10 @@
 use super::ask::{self, Ask, Asker, Form};
 use super::fault::Fault;
 use super::render::{self, Whole};
+use super::respond::{Body, full, mark, models, one_model, refuse, whole_response};
 use super::service::{self, Call};
-use super::{OUTCOME_HEADER, REQUEST_HEADER};
-use crate::claim::{self, Held, State, Stored, Taken};
+use super::settle::{Settle, stored, stored_plain, take_claim};
+use crate::claim::{Stored, Taken};
 use crate::clock::wall_ms;
 use crate::core::{BODY_UNIT, Core};
 use crate::force::InForce;
@@ -14,13 +15,11 @@
 use bytes::{Bytes, BytesMut};
 use conn::Reply;
 use futures::stream;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
 use route::retry::Outcome;
-use serde_json::json;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,18 +28,12 @@
 use unit::{Name, Span};
 use upstream::engine::Item;
 
-/// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, io::Error>;
-
 /// Time a caller has to send a body.
 const BODY_LIMIT: Duration = Duration::from_secs(30);
 
 /// When to come back to a daemon that has no bundle yet, or no memory for a body.
 const SOON: Span = Span::from_secs(1);
 
-/// Header by which callers' usual libraries are kept from sending a request again by themselves.
-const SHOULD_RETRY: &str = "x-should-retry";
-
 /// Bytes of events sent at once at the most.
 const MOST_CHUNK: usize = 16 * 1_024;
 
@@ -181,10 +174,7 @@
             Some(Taken::Ours(held)) => Some(held),
             None => None,
         };
-    let settle = Settle {
-        core: core.clone(),
-        held,
-    };
+    let settle = Settle::new(core, held);
     let answer = answer::start(core, ask.clone()).await;
     let answer = match answer {
         Ok(answer) => answer,
@@ -215,85 +205,6 @@
     });
 }
 
-/// Takes the claim of an unrepeatable request with a key.
-async fn take_claim(
-    core: &Arc<Core>,
-    asker: &Asker,
-    method: &Method,
-    path: &str,
-    body: &[u8],
-) -> Result<Option<Taken>, Fault> {
-    let Some(key) = asker.key.as_ref().filter(|_| !asker.repeatable) else {
-        return Ok(None);
-    };
-    let content = claim::content(method.as_str(), path, body);
-    let taken = claim::take(core, &asker.caller, key, &asker.request, content).await;
-    let counter = |how| {
-        core.metrics
-            .counter("coveford_claims_total", &[("how", how)])
-    };
-    match taken {
-        Ok(Taken::Ours(held)) => {
-            counter("taken").increment(1);
-            Ok(Some(Taken::Ours(held)))
-        }
-        Ok(answer) => {
-            counter("replayed").increment(1);
-            core.teller.ended(
-                &asker.request,
-                Outcome::Complete,
-                "The first sending's answer was given again.",
-            );
-            Ok(Some(answer))
-        }
-        Err(fault) => {
-            counter("refused").increment(1);
-            core.teller
-                .ended(&asker.request, Outcome::NotRun, &fault.message);
-            Err(fault)
-        }
-    }
-}
-
-/// Claim to be settled when its request has ended.
-struct Settle {
-    core: Arc<Core>,
-    held: Option<Held>,
-}
-
-impl Settle {
-    fn done(mut self, answer: Option<Stored>) {
-        self.settle(State::Done { answer });
-    }
-
-    fn failed(mut self, fault: &Fault) {
-        self.settle(match fault.outcome {
-            Outcome::NotRun => State::Released,
-            _ => State::Lost,
-        });
-    }
-
-    fn settle(&mut self, state: State) {
-        if let Some(held) = self.held.take() {
-            claim::settle(&self.core, held, state);
-        }
-    }
-}
-
-impl Drop for Settle {
-    /// A caller that went away mid-answer leaves a request that may have run.
-    fn drop(&mut self) {
-        self.settle(State::Lost);
-    }
-}
-
-fn stored(whole: &Whole) -> Option<Stored> {
-    let whole = serde_json::to_string(whole).ok()?;
-    Some(Stored::Model {
-        whole: whole.into(),
-    })
-}
-
 async fn collected(ask: &Ask, mut answer: Answer, settle: Settle) -> Result<Response<Body>, Fault> {
     match render::collect(&mut answer).await {
         Ok(whole) => {
@@ -332,7 +243,7 @@
     settle: Settle,
     memory: OwnedSemaphorePermit,
 ) -> Response<Body> {
-    let keeps = settle.held.is_some();
+    let keeps = settle.holds();
     let streaming = Streaming {
         answer,
         events: render::events(ask, wall_ms() / 1_000),
@@ -515,10 +426,7 @@
         body: body.bytes,
         refusal_status: entry.refusal_status,
     };
-    let settle = Settle {
-        core: core.clone(),
-        held,
-    };
+    let settle = Settle::new(core, held);
     match service::call(core, &call).await {
         Ok(reply) => {
             settle.done(stored_plain(&reply));
@@ -539,18 +447,6 @@
     response
 }
 
-fn stored_plain(reply: &Reply) -> Option<Stored> {
-    let content_type = reply
-        .headers
-        .get(CONTENT_TYPE)
-        .and_then(|v| v.to_str().ok());
-    Some(Stored::Plain {
-        status: reply.status.as_u16(),
-        content_type: content_type.map(Name::from),
-        body: std::str::from_utf8(&reply.body).ok()?.into(),
-    })
-}
-
 fn replay_plain(id: &Name, stored: Stored) -> Result<Response<Body>, Fault> {
     let odd = || {
         Fault::lost(
@@ -574,80 +470,3 @@
     mark(response.headers_mut(), id, Outcome::Complete.word());
     Ok(response)
 }
-
-/// Names of models and adapters that the caller of these headers may use.
-fn usable(headers: &HeaderMap, bundle: &InForce) -> Vec<Name> {
-    let Ok((_, caller)) = ask::authenticate(headers, bundle) else {
-        return Vec::new();
-    };
-    let models = bundle.intent.models.keys();
-    let names = models.chain(bundle.intent.adapters.keys());
-    names.filter(|name| caller.may_use(name)).cloned().collect()
-}
-
-fn model_entry(name: &str) -> serde_json::Value {
-    json!({"id": name, "object": "model", "created": 0, "owned_by": "coveford"})
-}
-
-fn models(id: &Name, headers: &HeaderMap, bundle: &InForce) -> Response<Body> {
-    let data: Vec<_> = usable(headers, bundle)
-        .iter()
-        .map(|n| model_entry(n))
-        .collect();
-    let list = json!({"object": "list", "data": data});
-    whole_response(id, list.to_string().into_bytes())
-}
-
-fn one_model(
-    id: &Name,
-    name: &str,
-    headers: &HeaderMap,
-    bundle: &InForce,
-) -> Result<Response<Body>, Fault> {
-    if usable(headers, bundle).iter().any(|n| &**n == name) {
-        return Ok(whole_response(
-            id,
-            model_entry(name).to_string().into_bytes(),
-        ));
-    }
-    Err(Fault::refused(
-        StatusCode::NOT_FOUND,
-        "model_not_found",
-        format!("The model '{name}' does not exist or you may not use it."),
-    ))
-}
-
-fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
-fn whole_response(id: &Name, body: Vec<u8>) -> Response<Body> {
-    let mut response = Response::new(full(body));
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    mark(headers, id, Outcome::Complete.word());
-    response
-}
-
-fn refuse(id: &Name, fault: &Fault) -> Response<Body> {
-    let mut response = whole_response(id, fault.body());
-    *response.status_mut() = fault.status;
-    let headers = response.headers_mut();
-    mark(headers, id, fault.outcome.word());
-    if fault.outcome == Outcome::Unknown {
-        headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"));
-    }
-    if let Some(after) = fault.retry_after {
-        headers.insert(RETRY_AFTER, HeaderValue::from(after.secs().ceil() as u64));
-    }
-    response
-}
-
-fn mark(headers: &mut HeaderMap, id: &Name, outcome: &'static str) {
-    if let Ok(value) = HeaderValue::from_str(id) {
-        headers.insert(REQUEST_HEADER, value);
-    }
-    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
-}
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -52,6 +52,18 @@
     parser.descr("Runs one of coveford's measurements").run()
 }
 
+/// Options of an experiment that has a command of its own.
+pub fn options_for(name: &str) -> Options {
+    let json = long("json").help("Print JSON instead of tables").switch();
+    Options {
+        json: json.to_options().run(),
+        seed: 1,
+        seeds: 1,
+        only: Vec::new(),
+        name: name.into(),
+    }
+}
+
 /// Runs an experiment.
 pub fn run(options: &Options) -> io::Result<()> {
     match options.name.as_str() {
