One place for what an unanswered request's outcome is, and for what the fleet is asked

Cause: the rule 'unknown if it may have run, else not-run' stood three times (retry, models, services), and so did the building of a request's want (models, services). Change: Outcome::unanswered and Asker::want serve all. No behaviour changed. Before and after: clippy clean, all tests pass.

--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -3,7 +3,7 @@
 use super::ask::Ask;
 use super::fault::Fault;
 use crate::core::{Core, InFlight};
-use crate::fleet::{Placed, Placeless, Target, Want};
+use crate::fleet::{Placed, Placeless, Target};
 use crate::metrics::{Class as ClassMetrics, record};
 use crate::teller::Decision;
 use conn::Reuse;
@@ -256,10 +256,7 @@
 
     /// Outcome that is true of the request so far, if it ended now.
     fn true_outcome(&self) -> Outcome {
-        match self.may_have_run {
-            true => Outcome::Unknown,
-            false => Outcome::NotRun,
-        }
+        Outcome::unanswered(self.may_have_run)
     }
 
     /// Notes how an attempt ended, for routing, for the record and for what follows.
@@ -418,22 +415,18 @@
 
     async fn place(&mut self) -> Result<Placed, Fault> {
         let asker = &self.ask.asker;
-        let want = Want {
-            target: Target::Model {
-                model: self.ask.model.clone(),
-                adapter: self.ask.adapter.clone(),
-            },
-            caller: asker.caller.clone(),
-            weight: asker.weight,
-            priority: asker.class.priority,
-            arrived: asker.arrived,
-            deadline: asker.deadline(),
-            ask: choose::Ask {
+        let target = Target::Model {
+            model: self.ask.model.clone(),
+            adapter: self.ask.adapter.clone(),
+        };
+        let want = asker.want(
+            target,
+            choose::Ask {
                 prefix: Some(prefix(&self.ask.model, &self.ask.prompt)),
                 prefill: Span((self.ask.prompt.len() as f64 * PREFILL_PER_BYTE) as u64),
                 avoid: self.avoid,
             },
-        };
+        );
         let most = asker.bundle.intent.limits.queue as usize;
         let from = self.core.now();
         let placed = self.core.fleet.acquire(want, most).await;
--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -2,9 +2,11 @@
 
 use super::fault::Fault;
 use super::{CLASS_HEADER, IDEMPOTENCY_HEADER, UNREPEATABLE_HEADER};
+use crate::fleet::{Target, Want};
 use crate::force::InForce;
 use bundle::intent::{Caller, Class};
 use hyper::{HeaderMap, StatusCode};
+use route::choose;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::sync::Arc;
@@ -68,6 +70,19 @@
     pub fn deadline(&self) -> Time {
         self.arrived + self.class.deadline
     }
+
+    /// What the fleet is asked for on behalf of this request.
+    pub fn want(&self, target: Target, ask: choose::Ask) -> Want {
+        Want {
+            target,
+            caller: self.caller.clone(),
+            weight: self.weight,
+            priority: self.class.priority,
+            arrived: self.arrived,
+            deadline: self.deadline(),
+            ask,
+        }
+    }
 }
 
 /// Request to a model.
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -4,7 +4,7 @@
 use super::ask::Asker;
 use super::fault::Fault;
 use crate::core::Core;
-use crate::fleet::{Placeless, Target, Want};
+use crate::fleet::{Placeless, Target};
 use crate::metrics::record;
 use crate::teller::Decision;
 use conn::{Reply, Reuse};
@@ -153,18 +153,11 @@
         match retry::next(&known, end, core.now()) {
             Next::Again if core.spend(&call.asker.caller) => {}
             Next::GiveUp(outcome) => return Err(lost(outcome, &text)),
-            _ => return Err(lost(true_outcome(may_have_run), &text)),
+            _ => return Err(lost(Outcome::unanswered(may_have_run), &text)),
         }
     }
 }
 
-fn true_outcome(may_have_run: bool) -> Outcome {
-    match may_have_run {
-        true => Outcome::Unknown,
-        false => Outcome::NotRun,
-    }
-}
-
 fn lost(outcome: Outcome, text: &str) -> Fault {
     Fault::lost(
         outcome,
@@ -179,19 +172,15 @@
     may_have_run: bool,
 ) -> Result<crate::fleet::Placed, Fault> {
     let asker = &call.asker;
-    let want = Want {
-        target: Target::Service(call.service.clone()),
-        caller: asker.caller.clone(),
-        weight: asker.weight,
-        priority: asker.class.priority,
-        arrived: asker.arrived,
-        deadline: asker.deadline(),
-        ask: choose::Ask {
+    let target = Target::Service(call.service.clone());
+    let want = asker.want(
+        target,
+        choose::Ask {
             prefix: None,
             prefill: Span::ZERO,
             avoid,
         },
-    };
+    );
     let most = asker.bundle.intent.limits.queue as usize;
     let placed = core.fleet.acquire(want, most).await;
     placed.map_err(|placeless| {
@@ -200,7 +189,7 @@
             Placeless::Shed(Shed::Late) => "The request cannot be answered before its deadline.",
             Placeless::Absent => "No upstream of this service is there at the moment.",
         };
-        match true_outcome(may_have_run) {
+        match Outcome::unanswered(may_have_run) {
             Outcome::NotRun => Fault::busy("overloaded", message, RETRY_AFTER),
             outcome => Fault::lost(outcome, message),
         }
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -25,6 +25,14 @@
 }
 
 impl Outcome {
+    /// What is true of a request that has no answer.
+    pub fn unanswered(may_have_run: bool) -> Outcome {
+        match may_have_run {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun,
+        }
+    }
+
     /// The word in the outcome header.
     pub fn word(self) -> &'static str {
         match self {
@@ -75,10 +83,7 @@
 /// Decides what follows a failed attempt.
 pub fn next(known: &Known, end: End, now: Time) -> Next {
     let ran = known.may_have_run || end != End::NotRun;
-    let verdict = match ran {
-        true => Outcome::Unknown,
-        false => Outcome::NotRun,
-    };
+    let verdict = Outcome::unanswered(ran);
     if now >= known.deadline {
         return Next::GiveUp(verdict);
     }
