--- a/crates/cli/src/platform_tool.rs
+++ b/crates/cli/src/platform_tool.rs
@@ -4,8 +4,8 @@
 use conn::{Pool, Reply};
 use daemon::settings::{self, Tool as Settings};
 use hyper::StatusCode;
-use platform::hosts::{Host, Hosts, Kind};
-use platform::kv::Kv;
+use backing::hosts::{Host, Hosts, Kind};
+use backing::kv::Kv;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -33,8 +33,8 @@
 pub fn open(settings: Settings) -> Tool {
     let limit = settings.call_limit.std();
     Tool {
-        kv: platform::kv::open(&settings.kv, limit),
-        hosts: platform::hosts::open(settings.hosts, limit),
+        kv: backing::kv::open(&settings.kv, limit),
+        hosts: backing::hosts::open(settings.hosts, limit),
         pool: Pool::default(),
         settings,
     }
--- a/crates/cli/src/state.rs
+++ b/crates/cli/src/state.rs
@@ -4,7 +4,7 @@
 use crate::platform_tool::Tool;
 use daemon::operator::Status;
 use futures::future::join_all;
-use platform::hosts::Host;
+use backing::hosts::Host;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -9,7 +9,7 @@
 use daemon::teller::Record;
 use place::Ledger;
 use place::ledger::Move;
-use platform::keys;
+use backing::keys;
 use unit::Name;
 use unit::engine::{Action, State, Weights};
 
--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -13,7 +13,7 @@
 pub use error::Error;
 pub use line::{Line, Reply};
 pub use pool::{Pool, Reuse, json_request, read_json};
-pub use serve::{Cut, Server, serve};
+pub use serve::{Bounds, Cut, Server, serve, serve_within};
 
 /// Whole body that is sent with a request.
 pub type Body = http_body_util::Full<bytes::Bytes>;
--- a/crates/conn/src/line.rs
+++ b/crates/conn/src/line.rs
@@ -13,9 +13,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Time after which a connection fails whose peer acknowledges nothing: a host that lost its power
+/// resets nothing.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+
 /// Open HTTP/1.1 connection; requests go over it one at a time.
 pub struct Line {
     addr: SocketAddr,
@@ -43,6 +48,7 @@
             .map_err(|_| Error::ConnectTimeout { addr, ms })?
             .map_err(|source| Error::Connect { addr, source })?;
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
         let written = Arc::new(AtomicU64::new(0));
         let io = TokioIo::new(Counted::new(stream, written.clone()));
         let (sender, task) = http1::handshake(io)
--- a/crates/conn/src/serve.rs
+++ b/crates/conn/src/serve.rs
@@ -16,11 +16,28 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout};
 
-/// Time a peer has to send the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
+/// Bounds of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections open at once; more are closed unanswered.
+    pub connections: usize,
+    /// Time a peer has to send the head of a request, counted from the end of the last answer:
+    /// it bounds how long a connection may be idle as well.
+    pub head_time: Duration,
+    /// Longest head of a request in bytes.
+    pub head_bytes: usize,
+}
 
-/// Longest head of a request in bytes.
-const HEAD_BYTES: usize = 32 * 1024;
+impl Bounds {
+    /// Bounds for at most that many connections of well-known peers.
+    pub const fn connections(connections: usize) -> Bounds {
+        Bounds {
+            connections,
+            head_time: Duration::from_secs(10),
+            head_bytes: 32 * 1024,
+        }
+    }
+}
 
 /// Time that a connection on which no request came yet has for its first, once the server drains.
 const FIRST_REQUEST: Duration = Duration::from_millis(500);
@@ -67,10 +84,20 @@
     ended: Notify,
 }
 
-/// Listens on `listener` and answers each request by `answer`.
-///
-/// At most `most` connections are open at once; more are closed unanswered.
+/// Listens on `listener` and answers each request by `answer`, with at most `most` connections.
 pub fn serve<F, R, B>(listener: TcpListener, most: usize, answer: F) -> std::io::Result<Server>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_within(listener, Bounds::connections(most), answer)
+}
+
+/// Listens on `listener` within `bounds` and answers each request by `answer`.
+pub fn serve_within<F, R, B>(listener: TcpListener, bounds: Bounds, answer: F) -> std::io::Result<Server>
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
@@ -89,14 +116,14 @@
     });
     let accepting = state.clone();
     tokio::spawn(async move {
-        accept(listener, most, answer, accepting.clone()).await;
+        accept(listener, bounds, answer, accepting.clone()).await;
         accepting.accepting.store(false, Ordering::SeqCst);
         accepting.ended.notify_waiters();
     });
     Ok(Server { addr, state })
 }
 
-async fn accept<F, R, B>(listener: TcpListener, most: usize, answer: F, state: Arc<State>)
+async fn accept<F, R, B>(listener: TcpListener, bounds: Bounds, answer: F, state: Arc<State>)
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
@@ -115,20 +142,20 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        admit(stream, most, &answer, &state);
+        admit(stream, bounds, &answer, &state);
     }
     // Connections that the system holds for us already must not be reset.
     let until = Instant::now() + QUIET_LIMIT;
     while Instant::now() < until && *phase.borrow() == Phase::Draining {
         match timeout(QUIET, listener.accept()).await {
-            Ok(Ok((stream, _))) => admit(stream, most, &answer, &state),
+            Ok(Ok((stream, _))) => admit(stream, bounds, &answer, &state),
             _ => return,
         }
     }
 }
 
 /// Serves a connection, unless there are too many.
-fn admit<F, R, B>(stream: TcpStream, most: usize, answer: &F, state: &Arc<State>)
+fn admit<F, R, B>(stream: TcpStream, bounds: Bounds, answer: &F, state: &Arc<State>)
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
@@ -136,15 +163,15 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let full = state.connections.load(Ordering::SeqCst) >= most;
+    let full = state.connections.load(Ordering::SeqCst) >= bounds.connections;
     if full || state.shut.load(Ordering::SeqCst) {
         return;
     }
     state.connections.fetch_add(1, Ordering::SeqCst);
-    tokio::spawn(connection(stream, answer.clone(), state.clone()));
+    tokio::spawn(connection(stream, bounds, answer.clone(), state.clone()));
 }
 
-async fn connection<F, R, B>(stream: TcpStream, answer: F, state: Arc<State>)
+async fn connection<F, R, B>(stream: TcpStream, bounds: Bounds, answer: F, state: Arc<State>)
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
@@ -168,8 +195,8 @@
     let mut conn = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_LIMIT)
-            .max_buf_size(HEAD_BYTES)
+            .header_read_timeout(bounds.head_time)
+            .max_buf_size(bounds.head_bytes)
             .serve_connection(TokioIo::new(Stall::new(stream)), service)
     );
     tokio::select! {
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -16,6 +16,7 @@
 fn parser() -> OptionParser<Options> {
     let settings = long("settings")
         .short('s')
+        .env("COVEFORD_SETTINGS")
         .help("Settings file in INI form")
         .argument::<PathBuf>("FILE.ini");
     let check = long("check")
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -11,8 +11,8 @@
 use crate::teller::Teller;
 use conn::Pool;
 use parking_lot::{Mutex, RwLock};
-use platform::hosts::{Host, Hosts, Kind};
-use platform::kv::Kv;
+use backing::hosts::{Host, Hosts, Kind};
+use backing::kv::Kv;
 use route::budget::Budget;
 use route::demand::Demand;
 use std::collections::HashMap;
@@ -77,8 +77,8 @@
         clock,
         force: force::open(settings.trust.clone()),
         fleet: fleet::open(clock, seed, settings.hall.clone(), distance),
-        kv: platform::kv::open(&settings.kv, call_limit),
-        hosts: platform::hosts::open(settings.hosts, call_limit),
+        kv: backing::kv::open(&settings.kv, call_limit),
+        hosts: backing::hosts::open(settings.hosts, call_limit),
         pool: Pool::default(),
         metrics: metrics::open(),
         teller: Teller::default(),
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -46,6 +46,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// A daemon on a platform could not start.
+    #[snafu(display("{source}"))]
+    Front {
+        /// Why.
+        source: front::Error,
+    },
     /// Requests were cut at the end of the drain.
     #[snafu(display(
         "{left} connections were still open when the drain's bound of {bound} ran out; raise [daemon] drain."
@@ -64,6 +70,11 @@
         match self {
             Error::ReadSettings { .. } | Error::Settings { .. } => ExitCode::from(WRONG_USE),
             Error::Listen { .. } => ExitCode::from(UNREACHABLE),
+            Error::Front { source } => match source {
+                front::Error::Settings { .. } => ExitCode::from(WRONG_USE),
+                front::Error::Listen { .. } => ExitCode::from(UNREACHABLE),
+                front::Error::Runtime { .. } => ExitCode::FAILURE,
+            },
             Error::Runtime { .. } | Error::Cut { .. } => ExitCode::FAILURE,
         }
     }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use parking_lot::Mutex;
-use platform::hosts::Host;
+use backing::hosts::Host;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use route::choose::Ask;
--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -1,6 +1,6 @@
 //! What is known of one upstream.
 
-use platform::hosts::{Host, Kind};
+use backing::hosts::{Host, Kind};
 use route::choose::{self, Candidate};
 use route::health::Health;
 use route::limit::Limit;
--- a/crates/daemon/src/fleet/placed.rs
+++ b/crates/daemon/src/fleet/placed.rs
@@ -1,7 +1,7 @@
 //! Place of a request at an upstream; dropping it gives the place up.
 
 use super::Fleet;
-use platform::hosts::Host;
+use backing::hosts::Host;
 use route::choose::Weighed;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/daemon/src/fleet/tables.rs
+++ b/crates/daemon/src/fleet/tables.rs
@@ -3,7 +3,7 @@
 use super::entry::{Entry, Flight, Target};
 use super::placed::Placed;
 use super::{Fleet, Grant, Want};
-use platform::hosts::{Host, Kind};
+use backing::hosts::{Host, Kind};
 use rand_chacha::ChaCha8Rng;
 use route::choose::{self, Candidate, Verdict};
 use route::queue::Queue;
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -21,7 +21,7 @@
 use place::homes::Hall;
 use place::plan::{Need, Plan, Situation, Starts, Want};
 use place::{Fleet, plan};
-use platform::hosts::Kind;
+use backing::hosts::Kind;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/planner/book.rs
+++ b/crates/daemon/src/planner/book.rs
@@ -5,8 +5,8 @@
 use crate::shelf::{self, At, Error};
 use place::plan::Plan;
 use place::{Homes, Ledger};
-use platform::keys;
-use platform::kv::{Error as KvError, Swapped};
+use backing::keys;
+use backing::kv::{Error as KvError, Swapped};
 use serde::Serialize;
 use unit::Name;
 
--- a/crates/daemon/src/planner/lease.rs
+++ b/crates/daemon/src/planner/lease.rs
@@ -2,8 +2,8 @@
 
 use crate::core::Core;
 use crate::settings::Settings;
-use platform::keys;
-use platform::kv::{Error, Swapped};
+use backing::keys;
+use backing::kv::{Error, Swapped};
 use unit::{Span, Time};
 
 /// Share of the lease's time after which its holder stops sending orders, in percent.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -3,13 +3,14 @@
 use crate::cli::Options;
 use crate::core::{self, Core};
 use crate::entry;
-use crate::error::{CutSnafu, Error, ListenSnafu, RuntimeSnafu};
+use crate::error::{CutSnafu, Error, FrontSnafu, ListenSnafu, ReadSettingsSnafu, RuntimeSnafu};
 use crate::settings::{self, Settings};
 use crate::{log, operator, planner, spread, watch};
 use conn::Server;
 use futures::FutureExt;
 use snafu::ResultExt;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -26,6 +27,9 @@
 
 /// Does what the command line asks for.
 pub fn run(options: Options) -> Result<(), Error> {
+    if is_on_platform(&options.settings) {
+        return run_front(&options);
+    }
     let settings = settings::load(&options.settings)?;
     if options.check {
         println!("{} is in order.", options.settings.display());
@@ -39,6 +43,24 @@
     runtime.block_on(serve(settings))
 }
 
+/// Whether a settings file names a platform's store; one that cannot be read is told of later.
+fn is_on_platform(path: &Path) -> bool {
+    std::fs::read_to_string(path).is_ok_and(|text| front::settings::is_on_platform(&text))
+}
+
+/// Checks the settings of a daemon on a platform, and runs it.
+fn run_front(options: &Options) -> Result<(), Error> {
+    let path = &options.settings;
+    let text = std::fs::read_to_string(path).context(ReadSettingsSnafu { path })?;
+    let settings = front::settings::read(&path.display().to_string(), &text)
+        .map_err(|problems| Error::Settings { problems })?;
+    if options.check {
+        println!("{} is in order.", path.display());
+        return Ok(());
+    }
+    front::run(path, settings).context(FrontSnafu)
+}
+
 async fn serve(settings: Settings) -> Result<(), Error> {
     let daemon = spawn(settings).await?;
     let mut term = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::error::{Error, ReadSettingsSnafu};
 use bundle::ini::{self, Document, Fields, Problem, Problems, Section};
 use bundle::key::{Trust, read_public};
-use platform::store::Bounds;
+use backing::store::Bounds;
 use snafu::ResultExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/daemon/src/shelf.rs
+++ b/crates/daemon/src/shelf.rs
@@ -2,8 +2,8 @@
 
 use bundle::part::{self, Part, Ref};
 use bundle::{Draft, Head};
-use platform::keys;
-use platform::kv::{Error as KvError, Kv, Swapped};
+use backing::keys;
+use backing::kv::{Error as KvError, Kv, Swapped};
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use std::collections::HashMap;
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -16,7 +16,7 @@
 use crate::core::Core;
 use crate::shelf;
 use bundle::{Delta, Head};
-use platform::keys;
+use backing::keys;
 use rand::RngExt;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{Core, is_daemon};
 use parking_lot::Mutex;
-use platform::hosts::Host;
+use backing::hosts::Host;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/front/src/follow.rs
@@ -0,0 +1,212 @@
+//! Following the store: one watch over all keys tells configuration, replicas and leader.
+//!
+//! A watch is answered at the first change and is priced, so the next one starts only after
+//! [`COALESCED`]; changes of that time come together.
+
+use crate::leader;
+use crate::state::State;
+use crate::view::News;
+use crate::{routes, state};
+use platform::names;
+use platform::store::{Change, Freshness, Item, Listing};
+use platform::{config, replica};
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{error, info, warn};
+use unit::Name;
+
+/// Pause between two watches: a part of the two seconds that the bounds allow.
+const COALESCED: Duration = Duration::from_millis(250);
+
+/// Time that a watch waits for a change. A store that falls silent is noticed after it.
+const WAIT: Duration = Duration::from_millis(3_000);
+
+/// Pause after a call that failed; the store's return must be noticed within a part of a second.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the store until the daemon ends.
+pub async fn run(state: Arc<State>) {
+    loop {
+        let listing = state.store.range("", Freshness::Newest).await;
+        let Some(listing) = heard(&state, listing) else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let mut after = listing.revision;
+        compare(&state, listing);
+        loop {
+            let changes = state.store.watch("", after, WAIT).await;
+            if let Err(platform::Error::Compacted { after }) = changes {
+                info!(target: "store", event = "compacted", after, "the watch's history is gone; the whole range is read");
+                break;
+            }
+            let Some(changes) = heard(&state, changes) else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            after = after.max(changes.revision);
+            if !changes.found.is_empty() {
+                apply(&state, changes.found);
+                tokio::time::sleep(COALESCED).await;
+            }
+        }
+    }
+}
+
+/// Notes whether the store answers, and gives back what it said.
+fn heard<T>(state: &State, answer: Result<T, platform::Error>) -> Option<T> {
+    let now = state.now();
+    match answer {
+        Ok(answer) => {
+            let mut table = state.table.lock();
+            let was_away = table.view.is_away();
+            table.view.store_answers(true, now);
+            drop(table);
+            if was_away {
+                info!(target: "store", event = "regained", "the store answers again");
+            }
+            Some(answer)
+        }
+        Err(error) => {
+            let mut table = state.table.lock();
+            let was_away = table.view.is_away();
+            table.view.store_answers(false, now);
+            drop(table);
+            if !was_away {
+                warn!(target: "store", event = "lost", why = %error, "the store does not answer; the last view stays in force");
+            }
+            None
+        }
+    }
+}
+
+/// Takes in the whole store.
+fn compare(state: &State, listing: Listing<Item>) {
+    let present: Vec<Name> = listing
+        .found
+        .iter()
+        .filter(|item| item.key.starts_with(names::REPLICAS))
+        .map(|item| replica::id(&item.key).into())
+        .collect();
+    let has_leader = listing.found.iter().any(|item| &*item.key == leader::KEY);
+    for item in listing.found {
+        written(state, item);
+    }
+    let now = state.now();
+    let news = {
+        let mut table = state.table.lock();
+        let news = table.view.compare(&present, listing.revision, now);
+        table.apply(&news);
+        news
+    };
+    told(state, news, listing.revision);
+    if !has_leader {
+        set_leader(state, None);
+    }
+    state.changed.notify_waiters();
+}
+
+fn apply(state: &State, changes: Vec<Change>) {
+    for change in changes {
+        match change {
+            Change::Written(item) => written(state, item),
+            Change::Removed { key, revision } => removed(state, &key, revision),
+        }
+    }
+    state.changed.notify_waiters();
+}
+
+fn written(state: &State, item: Item) {
+    if &*item.key == names::CONFIG {
+        configured(state, &item);
+    } else if item.key.starts_with(names::REPLICAS) {
+        match replica::decode(&item.key, &item.value) {
+            Ok(entry) => {
+                let news = state.table.lock().view.put(entry, item.revision);
+                told(state, news.into_iter().collect(), item.revision);
+            }
+            Err(why) => {
+                error!(target: "view", event = "malformed", key = &*item.key, revision = item.revision, why = %why, "the replica's last good entry stays in force")
+            }
+        }
+    } else if &*item.key == leader::KEY {
+        match leader::read(&item) {
+            Ok(leader) => set_leader(state, Some(leader)),
+            Err(why) => {
+                error!(target: "leader", event = "malformed", why = %why, "the leader's entry cannot be read")
+            }
+        }
+    }
+}
+
+fn removed(state: &State, key: &str, revision: u64) {
+    if key.starts_with(names::REPLICAS) {
+        let now = state.now();
+        let mut table = state.table.lock();
+        let news: Vec<News> = table
+            .view
+            .remove(replica::id(key), revision, now)
+            .into_iter()
+            .collect();
+        table.apply(&news);
+        drop(table);
+        told(state, news, revision);
+    } else if key == leader::KEY {
+        set_leader(state, None);
+    }
+}
+
+fn configured(state: &State, item: &Item) {
+    let config = match config::decode(&item.value) {
+        Ok(config) => config,
+        Err(why) => {
+            error!(target: "config", event = "malformed", revision = item.revision, why = %why, "the last good configuration stays in force");
+            return;
+        }
+    };
+    let version = config.version;
+    let count = config.routes.len();
+    if state
+        .table
+        .lock()
+        .set_routes(routes::build(config, item.revision))
+    {
+        info!(target: "config", event = "in_force", version, revision = item.revision, routes = count, "a configuration is in force");
+    }
+}
+
+/// Makes known who leads.
+pub fn set_leader(state: &State, leader: Option<state::Leader>) {
+    let mut known = state.leader.lock();
+    if *known == leader {
+        return;
+    }
+    match &leader {
+        Some(leader) => {
+            info!(target: "leader", event = "known", name = &*leader.name, term = leader.term, "a leader is known")
+        }
+        None => info!(target: "leader", event = "gone", "no host leads"),
+    }
+    *known = leader;
+    drop(known);
+    state.changed.notify_waiters();
+}
+
+/// Tells what the news did to the view, and closes connections to replicas that are gone.
+pub fn told(state: &State, news: Vec<News>, revision: u64) {
+    for one in news {
+        let (event, id) = match &one {
+            News::Changed(_) => continue,
+            News::New(id) => ("seen", id),
+            News::Leaving(id) => ("leaving", id),
+            News::Missing(id) => ("missing", id),
+            News::Gone(id) => ("gone", id),
+        };
+        if matches!(one, News::Gone(_)) {
+            state.pool.forget(id);
+        }
+        state.log.notable(
+            || info!(target: "view", event, replica = &**id, revision, "news of a replica"),
+        );
+    }
+}
--- /dev/null
+++ b/crates/front/src/leader.rs
@@ -0,0 +1,205 @@
+//! Election of the one host that gives orders: a key under a lease, whose creation is the term.
+//!
+//! The revision of the key's creation is the fencing token: it is unique and rises. The holder
+//! stops by its own steady clock before its lease can have ended.
+
+use crate::follow::set_leader;
+use crate::state::{Leader, State};
+use parking_lot::Mutex;
+use platform::store::{Committed, Freshness, Item, Lease, Transaction};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tracing::{info, warn};
+use unit::{Name, rendezvous};
+
+/// Key of the leader.
+pub const KEY: &str = "coveford/leader";
+
+/// Time to live of the lease. A planner is missed for about this long when its host dies.
+const LEASE: Duration = Duration::from_millis(3_000);
+
+/// Renewals in one time to live.
+const RENEWALS: u32 = 3;
+
+/// Time before the lease's end at which its holder stops, for the way of an order that is given.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// Longest wait before a host tries for a free lease; hosts wait differently long, so that few try.
+const SPREAD: Duration = Duration::from_millis(400);
+
+/// Pause between looks whether the lease is free.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Leader's entry in the store.
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    name: Name,
+    peers: SocketAddr,
+}
+
+/// Reads the leader's entry.
+pub fn read(item: &Item) -> Result<Leader, serde_json::Error> {
+    let entry: Entry = serde_json::from_slice(&item.value)?;
+    Ok(Leader {
+        name: entry.name,
+        peers: entry.peers,
+        term: item.created,
+    })
+}
+
+/// Term of this host as the leader; clones share its end.
+#[derive(Clone)]
+pub struct Term {
+    /// Fencing token.
+    pub token: u64,
+    /// When it began.
+    pub since: Instant,
+    until: Arc<Mutex<Instant>>,
+}
+
+impl Term {
+    /// Whether the term still holds, by this host's steady clock.
+    pub fn holds(&self) -> bool {
+        Instant::now() < *self.until.lock()
+    }
+
+    /// Ends the term; no order is given after this.
+    pub fn end(&self) {
+        *self.until.lock() = Instant::now();
+    }
+}
+
+/// Tries to lead whenever nobody does; `lead` works until the term it is given ends.
+pub async fn run<F, R>(state: Arc<State>, lead: F)
+where
+    F: Fn(Term) -> R,
+    R: Future<Output = ()> + Send + 'static,
+{
+    let spread = rendezvous::hash(state.settings.name.as_bytes()) % SPREAD.as_millis() as u64;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        if !may_try(&state) {
+            continue;
+        }
+        tokio::time::sleep(Duration::from_millis(spread)).await;
+        if !may_try(&state) {
+            continue;
+        }
+        if let Some((lease, term)) = acquire(&state).await {
+            let work = tokio::spawn(lead(term.clone()));
+            hold(&state, &lease, &term).await;
+            work.abort();
+            give_up(&state, lease, &term).await;
+        }
+    }
+}
+
+fn may_try(state: &State) -> bool {
+    let table = state.table.lock();
+    let sees = table.routes.is_some() && !table.view.is_away();
+    drop(table);
+    sees && !state.is_draining() && state.leader.lock().is_none()
+}
+
+async fn acquire(state: &Arc<State>) -> Option<(Lease, Term)> {
+    let asked = Instant::now();
+    let lease = match state.store.grant(LEASE).await {
+        Ok(lease) => lease,
+        Err(why) => {
+            info!(target: "leader", event = "no_lease", why = %why, "no lease was granted");
+            return None;
+        }
+    };
+    let entry = Entry {
+        name: state.settings.name.clone(),
+        peers: state.settings.peers,
+    };
+    let value = serde_json::to_vec(&entry).expect("an entry is plain data");
+    let txn = Transaction {
+        expected: vec![(KEY.into(), 0)],
+        writes: vec![(KEY.into(), value, lease.id)],
+        removed: Vec::new(),
+    };
+    let token = match state.store.commit(&txn).await {
+        Ok(Committed::Done(revision)) => Some(revision),
+        Ok(Committed::Conflict(items)) => {
+            let found = items.iter().find(|item| item.revision > 0);
+            if let Some(Ok(leader)) = found.map(read) {
+                set_leader(state, Some(leader));
+            }
+            None
+        }
+        Err(why) => settle(state, &lease, &why.to_string()).await,
+    };
+    let Some(token) = token else {
+        let _ = state.store.end(lease.id).await;
+        return None;
+    };
+    set_leader(
+        state,
+        Some(Leader {
+            name: state.settings.name.clone(),
+            peers: state.settings.peers,
+            term: token,
+        }),
+    );
+    info!(target: "leader", event = "won", term = token, lease = lease.id, "this host leads");
+    let term = Term {
+        token,
+        since: Instant::now(),
+        until: Arc::new(Mutex::new(asked + lease.ttl.saturating_sub(MARGIN))),
+    };
+    Some((lease, term))
+}
+
+/// Reads back whether a creation whose answer was lost has taken effect.
+async fn settle(state: &State, lease: &Lease, why: &str) -> Option<u64> {
+    info!(target: "leader", event = "in_doubt", why, "the creation of the leader's entry is read back");
+    let item = state.store.get(KEY, Freshness::Newest).await.ok()??;
+    (item.lease == lease.id).then_some(item.created)
+}
+
+/// Renews the lease until it cannot be renewed in time, or the daemon stops.
+async fn hold(state: &State, lease: &Lease, term: &Term) {
+    let pause = lease.ttl / RENEWALS;
+    loop {
+        let step = Instant::now() + pause;
+        while Instant::now() < step {
+            tokio::time::sleep(LOOK).await;
+            if state.is_draining() || !term.holds() {
+                return;
+            }
+        }
+        let asked = Instant::now();
+        let left = term.until.lock().saturating_duration_since(asked);
+        match tokio::time::timeout(left, state.store.renew(lease.id)).await {
+            Ok(Ok(ttl)) => {
+                let until = asked + ttl.saturating_sub(MARGIN);
+                let mut held = term.until.lock();
+                *held = until.max(*held);
+            }
+            Ok(Err(platform::Error::LeaseEnded { lease })) => {
+                warn!(target: "leader", event = "lease_ended", lease, "the lease has ended");
+                return;
+            }
+            Ok(Err(why)) => {
+                warn!(target: "leader", event = "not_renewed", why = %why, "the lease could not be renewed yet");
+                tokio::time::sleep(LOOK).await;
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+async fn give_up(state: &State, lease: Lease, term: &Term) {
+    term.end();
+    warn!(target: "leader", event = "lost", term = term.token, "this host no longer leads");
+    let _ = state.store.end(lease.id).await;
+    let mut known = state.leader.lock();
+    if known.as_ref().is_some_and(|l| l.term == term.token) {
+        *known = None;
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,32 @@
+//! A daemon's work on a platform whose store lists the replicas: entry, view, planner.
+//!
+//! Dependencies between modules point one way: `state` holds what several parts share and names
+//! none of them; `run` starts them all. The only lock is that of [`table::Table`]; it is never held
+//! across an await.
+
+pub mod attempt;
+pub mod error;
+pub mod events;
+pub mod follow;
+
+pub mod leader;
+pub mod log;
+pub mod message;
+pub mod metrics;
+pub mod orders;
+pub mod peers;
+pub mod planner;
+pub mod pool;
+pub mod relay;
+pub mod respond;
+pub mod routes;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod state;
+pub mod table;
+pub mod view;
+
+pub use error::Error;
+pub use run::{Daemon, run, spawn};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/front/src/message.rs
@@ -0,0 +1,141 @@
+//! What daemons tell each other in datagrams.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use unit::Name;
+
+/// Ranks of urgency that sums are kept apart for; less urgent ones share the last.
+pub const RANKS: usize = 4;
+
+/// Longest datagram, in bytes, so that it fits the usual packet.
+pub const MOST_DATAGRAM: usize = 1_400;
+
+/// Datagram between daemons.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// A host's sums, to the leader.
+    Sums(Sums),
+    /// The sums of all hosts, from the leader.
+    Digest(Digest),
+    /// A host needs an adapter somewhere.
+    Want(Want),
+    /// The leader says where an adapter is.
+    Placed(Placed),
+}
+
+/// What one host has seen and has in flight.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Sums {
+    /// The host.
+    pub host: Name,
+    /// Round of telling; parts of one round add up.
+    pub round: u32,
+    /// Demand by model.
+    pub demand: Vec<Demand>,
+    /// Requests in flight by replica.
+    pub loads: Vec<(Name, Load)>,
+}
+
+/// Demand for one model at one host.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Demand {
+    /// Service that serves it.
+    pub service: Name,
+    /// The model.
+    pub model: Name,
+    /// Requests a second.
+    pub rate: f32,
+    /// Prompt tokens a second.
+    pub tokens: f32,
+}
+
+/// Requests in flight at one replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: f32,
+    /// Tokens that they need at the most.
+    pub reserved: f32,
+    /// Prompt tokens not yet read, by rank of urgency.
+    pub unread: [f32; RANKS],
+}
+
+impl Load {
+    /// Adds another load.
+    pub fn add(&mut self, other: &Load) {
+        self.requests += other.requests;
+        self.reserved += other.reserved;
+        for (sum, more) in self.unread.iter_mut().zip(other.unread) {
+            *sum += more;
+        }
+    }
+
+    /// What remains without another load; never below nothing.
+    pub fn without(&self, other: &Load) -> Load {
+        let mut rest = *self;
+        rest.requests = (rest.requests - other.requests).max(0.0);
+        rest.reserved = (rest.reserved - other.reserved).max(0.0);
+        for (left, less) in rest.unread.iter_mut().zip(other.unread) {
+            *left = (*left - less).max(0.0);
+        }
+        rest
+    }
+}
+
+/// Sums of all hosts, in one or more datagrams.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Digest {
+    /// Fencing token of the leader's term.
+    pub term: u64,
+    /// Hosts whose sums are in it.
+    pub hosts: u32,
+    /// Requests in flight by replica.
+    pub loads: Vec<(Name, Load)>,
+    /// Adapters that the leader has had loaded, by replica.
+    pub adapters: Vec<(Name, Vec<(Name, Name)>)>,
+    /// What the planner is about, in one datagram of each round.
+    pub plans: Option<Plans>,
+}
+
+/// What the planner is about.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Plans {
+    /// Models on their way, with the time left in milliseconds.
+    pub coming: Vec<(Name, u32)>,
+    /// Replicas and the model that each is about to give up: it gets no new work.
+    pub closing: Vec<(Name, Name)>,
+}
+
+/// Request for an adapter.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Want {
+    /// Service that serves the model.
+    pub service: Name,
+    /// The model.
+    pub model: Name,
+    /// Its adapter.
+    pub adapter: Name,
+    /// Where to answer.
+    pub reply: SocketAddr,
+}
+
+/// Place of an adapter.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Placed {
+    /// The model.
+    pub model: Name,
+    /// Its adapter.
+    pub adapter: Name,
+    /// Replica that holds it, or none when there is no room for it now.
+    pub replica: Option<Name>,
+}
+
+/// Reads a datagram; none when it is not one of ours.
+pub fn decode(bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
+
+/// Writes a datagram.
+pub fn encode(message: &Message) -> Vec<u8> {
+    rmp_serde::to_vec(message).expect("a message is plain data")
+}
--- /dev/null
+++ b/crates/front/src/orders.rs
@@ -0,0 +1,246 @@
+//! What the leader believes of each replica, and the orders it has in hand.
+//!
+//! Safety rests on the number of orders that a replica has taken: each order names the number under
+//! which its effect was worked out, and a replica that has taken another order meanwhile refuses
+//! it. So a late order never meets a memory other than the one it was meant for.
+
+use platform::config::Engine;
+use platform::replica::{Entry, Held, Operation, Report};
+use std::collections::{HashMap, VecDeque};
+use unit::{Name, Span, Time};
+
+/// Time for which an unanswered load may begin yet: replicas carry out orders up to 12 s late.
+const MAY_LAND: Span = Span::from_secs(13);
+
+/// Time beyond the expected one after which a replica is asked whether an order is done.
+const OVERDUE: Span = Span::from_ms(3_000);
+
+/// Order to be given.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Job {
+    /// What to do.
+    pub operation: Operation,
+    /// With which model.
+    pub model: Name,
+    /// With which adapter of it.
+    pub adapter: Option<Name>,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
+    /// Time it is expected to take.
+    pub takes: Span,
+}
+
+/// Order about a model that is under way.
+#[derive(Debug, Clone)]
+pub struct Pending {
+    /// The order.
+    pub job: Job,
+    /// When it should be done.
+    pub due: Time,
+}
+
+/// What is believed of one replica.
+#[derive(Debug, Clone, Default)]
+pub struct Known {
+    /// Orders it has taken.
+    pub orders: u64,
+    /// What it holds.
+    pub held: Vec<Held>,
+    /// Order about a model that is under way.
+    pub pending: Option<Pending>,
+    /// Orders to be given, in turn.
+    pub queue: VecDeque<Job>,
+    /// Whether an order is being given now.
+    pub calling: bool,
+    /// Whether it must be asked before the next order.
+    pub doubtful: bool,
+    /// Model that it is about to give up, and since when hosts have been told.
+    pub closing: Option<(Name, Time)>,
+    used: HashMap<(Name, Name), Time>,
+}
+
+impl Known {
+    /// Whether it takes an order about a model now.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_none() && self.queue.is_empty() && !self.calling && !self.doubtful
+    }
+
+    /// Takes its entry in, unless that is older than what is believed.
+    pub fn sync(&mut self, entry: &Entry, now: Time) {
+        if let Some(pending) = &self.pending {
+            let holds = entry.held.iter().any(|h| h.model == pending.job.model);
+            let done = holds == (pending.job.operation == Operation::Load);
+            if done {
+                let job = pending.job.clone();
+                self.pending = None;
+                self.effect(&job, now);
+            } else if now > pending.due + OVERDUE {
+                self.doubtful = true;
+            }
+        }
+        if entry.orders >= self.orders && self.pending.is_none() && !self.calling {
+            self.orders = entry.orders;
+            self.held.clone_from(&entry.held);
+        }
+    }
+
+    /// Takes a report in; it counts as newest.
+    pub fn adopt(&mut self, report: &Report) {
+        self.orders = report.orders;
+        self.held.clone_from(&report.held);
+        for (model, adapter) in &report.coming {
+            if let Some(held) = self.held.iter_mut().find(|h| h.model == *model)
+                && !held.adapters.contains(adapter)
+            {
+                held.adapters.push(adapter.clone());
+            }
+        }
+        self.doubtful = report.busy;
+        if !report.busy {
+            self.pending = None;
+        }
+    }
+
+    /// Changes what is held as an order does.
+    pub fn effect(&mut self, job: &Job, now: Time) {
+        let at = self.held.iter().position(|h| h.model == job.model);
+        match (job.operation, &job.adapter, at) {
+            (Operation::Load, None, None) => self.held.push(Held {
+                model: job.model.clone(),
+                version: 0,
+                adapters: Vec::new(),
+            }),
+            (Operation::Unload, None, Some(at)) => {
+                self.held.remove(at);
+            }
+            (Operation::Load, Some(adapter), Some(at)) => {
+                let adapters = &mut self.held[at].adapters;
+                if !adapters.contains(adapter) {
+                    adapters.push(adapter.clone());
+                }
+                self.use_adapter(&job.model, adapter, now);
+            }
+            (Operation::Unload, Some(adapter), Some(at)) => {
+                self.held[at].adapters.retain(|a| a != adapter);
+            }
+            _ => {}
+        }
+    }
+
+    /// Adapters that it holds or that are ordered, as model and adapter.
+    pub fn adapters(&self) -> Vec<(Name, Name)> {
+        let held = self.held.iter().flat_map(|h| {
+            let model = h.model.clone();
+            h.adapters.iter().map(move |a| (model.clone(), a.clone()))
+        });
+        held.collect()
+    }
+
+    /// Adapters that it will hold when its queue is done.
+    pub fn adapters_due(&self) -> usize {
+        let mut due = self.adapters();
+        for job in &self.queue {
+            let Some(adapter) = &job.adapter else { continue };
+            let key = (job.model.clone(), adapter.clone());
+            match job.operation {
+                Operation::Load if !due.contains(&key) => due.push(key),
+                Operation::Load => {}
+                Operation::Unload => due.retain(|k| *k != key),
+            }
+        }
+        due.len()
+    }
+
+    /// Notes that an adapter is used.
+    pub fn use_adapter(&mut self, model: &Name, adapter: &Name, now: Time) {
+        let key = (model.clone(), adapter.clone());
+        self.used.insert(key, now);
+    }
+
+    /// The adapter that was asked for least lately, with when; not one that is queued to go.
+    pub fn oldest_adapter(&self) -> Option<((Name, Name), Time)> {
+        let going = |key: &(Name, Name)| {
+            self.queue.iter().any(|job| {
+                job.operation == Operation::Unload
+                    && job.model == key.0
+                    && job.adapter.as_ref() == Some(&key.1)
+            })
+        };
+        let used = |key: &(Name, Name)| self.used.get(key).copied().unwrap_or_default();
+        self.adapters()
+            .into_iter()
+            .filter(|key| !going(key))
+            .map(|key| {
+                let at = used(&key);
+                (key, at)
+            })
+            .min_by_key(|(_, at)| *at)
+    }
+
+    /// Memory that nothing takes, in MB, with room kept for all adapters it may hold.
+    pub fn free_mb(&self, engine: &Engine) -> f64 {
+        let largest = engine
+            .models
+            .iter()
+            .map(|m| m.adapter_mb)
+            .fold(0.0, f64::max);
+        let size = |name: &Name| {
+            let model = engine.models.iter().find(|m| m.name == *name);
+            // A model that the configuration no longer names takes an unknown room: all of it.
+            model.map_or(engine.memory_mb, |m| m.memory_mb)
+        };
+        let held: f64 = self.held.iter().map(|h| size(&h.model)).sum();
+        let loading = self.pending.iter().map(|p| &p.job);
+        let loading = loading
+            .chain(&self.queue)
+            .filter(|j| j.operation == Operation::Load && j.adapter.is_none())
+            .filter(|j| !self.held.iter().any(|h| h.model == j.model));
+        let coming: f64 = loading.map(|j| size(&j.model)).sum();
+        engine.memory_mb - held - coming - largest * f64::from(engine.adapters)
+    }
+}
+
+/// Loads from the weight store: a bucket that fills at the store's rate.
+///
+/// It starts empty: what an earlier holder let begin in the window is not known, and an empty
+/// bucket keeps the sum of both within the bound.
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    rate: f64,
+    most: f64,
+    level: f64,
+    filled: Time,
+    unanswered: Vec<Time>,
+}
+
+impl Bucket {
+    /// Makes an empty bucket: `window` x `rate` x `overage` + 3 loads may begin in a window.
+    pub fn new(rate: f64, window: Span, overage: f64, now: Time) -> Bucket {
+        let beyond = rate * window.secs() * (overage - 1.0) + 3.0;
+        Bucket {
+            rate,
+            most: beyond.floor().max(1.0),
+            level: 0.0,
+            filled: now,
+            unanswered: Vec::new(),
+        }
+    }
+
+    /// Loads that may begin now; each unanswered one may begin at any moment and keeps its place.
+    pub fn available(&mut self, now: Time) -> usize {
+        self.level = (self.level + now.since(self.filled).secs() * self.rate).min(self.most);
+        self.filled = now;
+        self.unanswered.retain(|at| now.since(*at) < MAY_LAND);
+        (self.level - self.unanswered.len() as f64).max(0.0) as usize
+    }
+
+    /// Takes a load out.
+    pub fn take(&mut self) {
+        self.level -= 1.0;
+    }
+
+    /// Notes that a load was not answered.
+    pub fn unanswered(&mut self, now: Time) {
+        self.unanswered.push(now);
+    }
+}
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,269 @@
+//! Sums that daemons exchange over UDP: each host tells the leader, the leader tells all.
+//!
+//! A star rather than a mesh: datagrams grow with the hosts, not with their square. A lost datagram
+//! only makes a sum older; sums past their age are not used.
+
+use crate::message::{self, Digest, Load, MOST_DATAGRAM, Message, Placed, Sums, Want};
+use crate::state::{State, Wanted};
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use unit::{Name, Span, Time};
+
+/// Least pause between two rounds of sums.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Time that each host adds to the pause, so that the leader's work does not grow with them.
+const ROUND_PER_HOST: Duration = Duration::from_millis(10);
+
+/// Age at which a host's sums no longer count.
+const SUMS_AGE: Span = Span::from_ms(3_000);
+
+/// Time in which one adapter is asked for only once.
+const ASKED_ONCE: Span = Span::from_ms(60);
+
+/// Longest datagram that is received.
+const BUFFER: usize = 8 * 1_024;
+
+/// What other hosts have told the leader.
+#[derive(Default)]
+pub struct Inbox {
+    hosts: Mutex<HashMap<Name, Told>>,
+    wants: Mutex<Vec<Want>>,
+    /// Notified when an adapter is wanted.
+    pub wanted: Notify,
+}
+
+struct Told {
+    sums: Sums,
+    from: SocketAddr,
+    at: Time,
+}
+
+impl Inbox {
+    /// Sums that still count.
+    pub fn sums(&self, now: Time) -> Vec<Sums> {
+        let mut hosts = self.hosts.lock();
+        hosts.retain(|_, told| now.since(told.at) < SUMS_AGE);
+        hosts.values().map(|told| told.sums.clone()).collect()
+    }
+
+    /// Where the hosts take datagrams.
+    pub fn hosts(&self) -> Vec<SocketAddr> {
+        self.hosts.lock().values().map(|told| told.from).collect()
+    }
+
+    /// Takes out the adapters that are wanted.
+    pub fn wants(&self) -> Vec<Want> {
+        std::mem::take(&mut *self.wants.lock())
+    }
+
+    fn put(&self, sums: Sums, from: SocketAddr, now: Time) {
+        let mut hosts = self.hosts.lock();
+        match hosts.get_mut(&sums.host) {
+            Some(told) if told.sums.round == sums.round => {
+                told.sums.demand.extend(sums.demand);
+                told.sums.loads.extend(sums.loads);
+                told.at = now;
+            }
+            _ => {
+                let host = sums.host.clone();
+                let at = now;
+                hosts.insert(host, Told { sums, from, at });
+            }
+        }
+    }
+
+    fn want(&self, want: Want) {
+        self.wants.lock().push(want);
+        self.wanted.notify_one();
+    }
+}
+
+/// Exchange of sums with other daemons.
+pub struct Peers {
+    state: Arc<State>,
+    socket: UdpSocket,
+    /// What others told this host while it leads.
+    pub inbox: Inbox,
+}
+
+/// Makes the exchange over a bound socket.
+pub fn open(state: Arc<State>, socket: UdpSocket) -> Arc<Peers> {
+    Arc::new(Peers {
+        state,
+        socket,
+        inbox: Inbox::default(),
+    })
+}
+
+impl Peers {
+    /// Receives until the daemon ends.
+    pub async fn receive(self: Arc<Self>) {
+        let mut buffer = vec![0; BUFFER];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                // An earlier datagram met a closed port; the next one may arrive.
+                tokio::task::yield_now().await;
+                continue;
+            };
+            match message::decode(&buffer[..length]) {
+                Ok(message) => self.take(message, from),
+                Err(why) => self.state.log.notable(|| {
+                    tracing::warn!(target: "peers", event = "malformed", from = %from, why = %why, "a datagram cannot be read")
+                }),
+            }
+        }
+    }
+
+    fn take(&self, message: Message, from: SocketAddr) {
+        let now = self.state.now();
+        match message {
+            Message::Sums(sums) => self.inbox.put(sums, from, now),
+            Message::Want(want) => self.inbox.want(Want { reply: from, ..want }),
+            Message::Digest(digest) => self.digest(digest, now),
+            Message::Placed(placed) => self.placed(placed),
+        }
+    }
+
+    fn digest(&self, digest: Digest, now: Time) {
+        let known = self.state.leader.lock().as_ref().map(|l| l.term);
+        if known.is_some_and(|term| digest.term < term) {
+            return;
+        }
+        let mut table = self.state.table.lock();
+        table.hosts = (digest.hosts as usize).max(1);
+        table.told(&digest.loads, now);
+        for (replica, adapters) in digest.adapters {
+            table.set_adapters(&replica, adapters, now);
+        }
+        if let Some(plans) = digest.plans {
+            table.set_coming(&plans.coming, now);
+            table.set_closing(plans.closing, now);
+        }
+    }
+
+    fn placed(&self, placed: Placed) {
+        if let Some(replica) = &placed.replica {
+            let mut table = self.state.table.lock();
+            table.add_adapter(replica, &placed.model, &placed.adapter);
+        }
+        self.state.changed.notify_waiters();
+    }
+
+    /// Tells this host's sums round by round until the daemon ends.
+    pub async fn tell(self: Arc<Self>) {
+        let mut round = 0;
+        loop {
+            let hosts = self.state.table.lock().hosts as u32;
+            tokio::time::sleep(ROUND.max(ROUND_PER_HOST * hosts)).await;
+            round += 1;
+            self.tell_round(round).await;
+        }
+    }
+
+    async fn tell_round(&self, round: u32) {
+        let Some(leader) = self.state.leader.lock().clone() else {
+            return;
+        };
+        let now = self.state.now();
+        let (demand, loads) = {
+            let mut table = self.state.table.lock();
+            (table.demand(now), table.tell())
+        };
+        let sums = Sums {
+            host: self.state.settings.name.clone(),
+            round,
+            demand,
+            loads,
+        };
+        if leader.peers == self.state.settings.peers {
+            self.inbox.put(sums, leader.peers, now);
+            return;
+        }
+        for part in parts(sums) {
+            self.send(&Message::Sums(part), leader.peers).await;
+        }
+    }
+
+    /// Sends one datagram; a failure counts as a lost one.
+    pub async fn send(&self, message: &Message, to: SocketAddr) {
+        let bytes = message::encode(message);
+        if let Err(why) = self.socket.send_to(&bytes, to).await {
+            self.state.log.notable(|| {
+                tracing::warn!(target: "peers", event = "not_sent", to = %to, why = %why, "a datagram could not be sent")
+            });
+        }
+    }
+
+    /// Tells a message to all hosts; this one takes it in directly.
+    pub async fn send_all(&self, message: &Message) {
+        for host in self.inbox.hosts() {
+            match host == self.state.settings.peers {
+                true => self.take(message.clone(), host),
+                false => self.send(message, host).await,
+            }
+        }
+    }
+
+    /// Passes the adapters that requests here want on to the leader.
+    pub async fn ask(self: Arc<Self>, mut wanted: Wanted) {
+        let mut asked: HashMap<(Name, Name), Time> = HashMap::new();
+        while let Some((service, model, adapter)) = wanted.recv().await {
+            let now = self.state.now();
+            asked.retain(|_, at| now.since(*at) < ASKED_ONCE);
+            let key = (model.clone(), adapter.clone());
+            if asked.contains_key(&key) {
+                continue;
+            }
+            let Some(leader) = self.state.leader.lock().clone() else {
+                continue;
+            };
+            asked.insert(key, now);
+            let want = Want {
+                service,
+                model,
+                adapter,
+                reply: self.state.settings.peers,
+            };
+            match leader.peers == self.state.settings.peers {
+                true => self.inbox.want(want),
+                false => self.send(&Message::Want(want), leader.peers).await,
+            }
+        }
+    }
+
+    /// Sums of all hosts by replica.
+    pub fn loads(&self, now: Time) -> HashMap<Name, Load> {
+        let mut loads: HashMap<Name, Load> = HashMap::new();
+        for sums in self.inbox.sums(now) {
+            for (replica, load) in sums.loads {
+                loads.entry(replica).or_default().add(&load);
+            }
+        }
+        loads
+    }
+}
+
+/// Rows of sums that fit one datagram: each takes some 60 bytes.
+const ROWS: usize = MOST_DATAGRAM / 70;
+
+/// Cuts sums into parts that fit a datagram each.
+fn parts(sums: Sums) -> Vec<Sums> {
+    let part = |demand: &[message::Demand], loads: &[(Name, Load)]| Sums {
+        host: sums.host.clone(),
+        round: sums.round,
+        demand: demand.to_vec(),
+        loads: loads.to_vec(),
+    };
+    if sums.demand.len() + sums.loads.len() <= ROWS {
+        return vec![sums];
+    }
+    let demand = sums.demand.chunks(ROWS).map(|rows| part(rows, &[]));
+    let loads = sums.loads.chunks(ROWS).map(|rows| part(&[], rows));
+    demand.chain(loads).collect()
+}
--- /dev/null
+++ b/crates/front/src/planner.rs
@@ -0,0 +1,667 @@
+//! The leader's work: sums of demand in, orders to replicas out.
+
+use crate::leader::Term;
+use crate::message::{Digest, Load, MOST_DATAGRAM, Message, Placed, Plans, Want};
+use crate::orders::{Bucket, Job, Known, Pending};
+use crate::peers::Peers;
+use crate::state::State;
+use conn::Pool;
+use parking_lot::Mutex;
+use place::copies::{self, Step};
+use platform::config::Engine;
+use platform::replica::{self, Entry, Operation, Order, Ordered};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{info, warn};
+use unit::{Name, Span, Time};
+
+/// Pause between two plans.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Time for an order or a report to be answered.
+const CALL_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time between telling hosts that a model goes and ordering it: two rounds of sums.
+const CLOSING: Span = Span::from_ms(500);
+
+/// Time that an adapter takes to arrive; the platform says "some ms".
+const ADAPTER_ARRIVES: Duration = Duration::from_millis(25);
+
+/// Use of a replica beyond which demand counts as needing another one.
+const FULL: f64 = 0.6;
+
+/// Time over which recent demand is smoothed.
+const RECENT_OVER: Span = Span::from_secs(20);
+
+/// Time ahead for which a rise of demand is followed: about that of a load from a disk.
+const AHEAD: Span = Span::from_ms(1_500);
+
+/// Steps planned at once, for each replica.
+const STEPS_PER_REPLICA: usize = 1;
+
+/// Time after its last use before which an adapter is not given up.
+const ADAPTER_KEPT: Span = Span::from_ms(1_500);
+
+/// The leader's work in one term.
+pub struct Planner {
+    state: Arc<State>,
+    peers: Arc<Peers>,
+    term: Term,
+    pool: Pool,
+    book: Mutex<Book>,
+}
+
+/// What the leader believes and has in hand.
+struct Book {
+    known: HashMap<Name, Known>,
+    buckets: HashMap<Name, Bucket>,
+    demand: HashMap<(Name, Name), Demand>,
+    planned_at: Time,
+}
+
+/// Demand for a model, in replicas that it would keep busy.
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    now: f64,
+    recent: f64,
+}
+
+/// Works until the term ends.
+pub async fn run(state: Arc<State>, peers: Arc<Peers>, term: Term) {
+    let planner = Arc::new(Planner {
+        book: Mutex::new(Book {
+            known: HashMap::new(),
+            buckets: HashMap::new(),
+            demand: HashMap::new(),
+            planned_at: state.now(),
+        }),
+        pool: Pool::default(),
+        state,
+        peers,
+        term,
+    });
+    // An earlier holder may have given an order just now: turns within the bound are not allowed.
+    let quiet = planner.term.since + planner.state.settings.bounds.lease;
+    let mut next = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            _ = tokio::time::sleep_until(next) => {
+                next = tokio::time::Instant::now() + TICK;
+                planner.sync();
+                if tokio::time::Instant::now() >= quiet {
+                    planner.plan();
+                }
+                planner.digest().await;
+            }
+            _ = planner.peers.inbox.wanted.notified() => {
+                if tokio::time::Instant::now() >= quiet {
+                    planner.sync();
+                    planner.place_adapters();
+                }
+            }
+        }
+        if !planner.term.holds() {
+            return;
+        }
+    }
+}
+
+impl Planner {
+    /// Takes the replicas' entries in.
+    fn sync(&self) {
+        let now = self.state.now();
+        let table = self.state.table.lock();
+        let mut book = self.book.lock();
+        book.known.retain(|id, _| table.view.get(id).is_some());
+        for seen in table.view.all() {
+            let known = book.known.entry(seen.entry.id.clone()).or_default();
+            known.sync(&seen.entry, now);
+        }
+    }
+
+    /// Plans for each service whose replicas run models.
+    fn plan(self: &Arc<Self>) {
+        let routes = self.state.table.lock().routes.clone();
+        let Some(routes) = routes else { return };
+        self.measure(&routes);
+        self.order_closed();
+        for (service, engine) in routes.engines() {
+            self.plan_service(service, engine);
+        }
+        let ids: Vec<Name> = {
+            let book = self.book.lock();
+            let waiting = |k: &&Known| !k.calling && (k.doubtful || !k.queue.is_empty());
+            let known = book.known.iter().filter(|(_, k)| waiting(k));
+            known.map(|(id, _)| id.clone()).collect()
+        };
+        for id in ids {
+            self.drive(id);
+        }
+    }
+
+    /// Brings the demand up to date from all hosts' sums.
+    fn measure(&self, routes: &crate::routes::Routes) {
+        let now = self.state.now();
+        let mut sums: HashMap<(Name, Name), (f64, f64)> = HashMap::new();
+        for host in self.peers.inbox.sums(now) {
+            for demand in host.demand {
+                let sum = sums
+                    .entry((demand.service, demand.model))
+                    .or_insert((0.0, 0.0));
+                sum.0 += f64::from(demand.rate);
+                sum.1 += f64::from(demand.tokens);
+            }
+        }
+        let table = self.state.table.lock();
+        let mut book = self.book.lock();
+        let passed = now.since(book.planned_at);
+        book.planned_at = now;
+        let weight = (passed.secs() / RECENT_OVER.secs()).min(1.0);
+        for (service, engine) in routes.engines() {
+            for model in &engine.models {
+                let key = (service.clone(), model.name.clone());
+                let (rate, tokens) = sums.get(&key).copied().unwrap_or_default();
+                let (speed, run) = table.pace_of(service, &model.name);
+                let reading = tokens / (speed * 1_000.0);
+                let places = rate * run.secs() / f64::from(engine.slots);
+                let need = reading.max(places) / FULL;
+                let demand = book.demand.entry(key).or_default();
+                let rise = (need - demand.now).max(0.0) / passed.secs().max(0.05);
+                demand.recent += (need - demand.recent) * weight;
+                demand.now = need + (rise * AHEAD.secs()).min(need);
+            }
+        }
+    }
+
+    /// Queues the unloads of which hosts have known for long enough.
+    fn order_closed(&self) {
+        let now = self.state.now();
+        let mut book = self.book.lock();
+        for known in book.known.values_mut() {
+            let due = known
+                .closing
+                .as_ref()
+                .is_some_and(|(_, since)| now.since(*since) >= CLOSING);
+            if !due {
+                continue;
+            }
+            if let Some((model, _)) = known.closing.take() {
+                known.queue.push_back(Job {
+                    operation: Operation::Unload,
+                    model,
+                    adapter: None,
+                    from_store: false,
+                    takes: Span::from_secs(5),
+                });
+            }
+        }
+    }
+
+    fn plan_service(&self, service: &Name, engine: &Engine) {
+        let now = self.state.now();
+        let loads = self.peers.loads(now);
+        let entries: Vec<Entry> = {
+            let table = self.state.table.lock();
+            let seen = table.view.all().filter(|s| s.entry.service == *service);
+            seen.map(|s| s.entry.clone()).collect()
+        };
+        let mut book = self.book.lock();
+        let book = &mut *book;
+        let bounds = &self.state.settings.bounds;
+        let bucket = book.buckets.entry(service.clone()).or_insert_with(|| {
+            let window = bounds.load_window.into();
+            Bucket::new(engine.loads_per_second, window, bounds.load_overage, now)
+        });
+        let models: Vec<copies::Model> = engine
+            .models
+            .iter()
+            .map(|m| {
+                let key = (service.clone(), m.name.clone());
+                let demand = book.demand.get(&key).copied().unwrap_or_default();
+                copies::Model {
+                    memory_mb: m.memory_mb,
+                    demand: demand.now,
+                    recent: demand.recent,
+                }
+            })
+            .collect();
+        let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
+        let replicas: Vec<copies::Replica> = entries
+            .iter()
+            .map(|entry| {
+                let nothing = Known::default();
+                let known = book.known.get(&entry.id).unwrap_or(&nothing);
+                seen_by_plan(entry, known, engine, &loads, &index)
+            })
+            .collect();
+        let most = entries.len() * STEPS_PER_REPLICA;
+        let available = bucket.available(now);
+        let steps = copies::plan(&replicas, &models, available, most);
+        for step in steps {
+            match step {
+                Step::Load {
+                    replica,
+                    model,
+                    from_store,
+                } => {
+                    let entry = &entries[replica];
+                    let job = load_job(entry, &engine.models[model], from_store);
+                    if from_store {
+                        bucket.take();
+                    }
+                    let known = book.known.entry(entry.id.clone()).or_default();
+                    info!(target: "planner", event = "load", replica = &*entry.id, model = &*job.model, from_store, demand = models[model].demand, recent = models[model].recent, "a copy is added");
+                    known.queue.push_back(job);
+                }
+                Step::Unload {
+                    replica,
+                    model,
+                    instead,
+                } => {
+                    let entry = &entries[replica];
+                    let name = engine.models[model].name.clone();
+                    info!(target: "planner", event = "close", replica = &*entry.id, model = &*name, instead = &*engine.models[instead].name, demand = models[model].demand, wanted = models[instead].demand, "a copy makes room");
+                    let known = book.known.entry(entry.id.clone()).or_default();
+                    known.closing = Some((name, now));
+                }
+            }
+        }
+    }
+
+    /// Finds places for the adapters that hosts want.
+    fn place_adapters(self: &Arc<Self>) {
+        let now = self.state.now();
+        let loads = self.peers.loads(now);
+        for want in self.peers.inbox.wants() {
+            let target = self.place_adapter(&want, &loads, now);
+            if let Some(id) = target {
+                self.drive(id);
+            }
+        }
+    }
+
+    /// Queues the orders for one adapter; gives the replica that gets them.
+    fn place_adapter(
+        self: &Arc<Self>,
+        want: &Want,
+        loads: &HashMap<Name, Load>,
+        now: Time,
+    ) -> Option<Name> {
+        let (routes, entries) = {
+            let table = self.state.table.lock();
+            let seen = table
+                .view
+                .all()
+                .filter(|s| s.entry.service == want.service && !s.entry.leaving);
+            let entries: Vec<Entry> = seen.map(|s| s.entry.clone()).collect();
+            (table.routes.clone()?, entries)
+        };
+        let engine = routes.service(&want.service)?.engine.clone()?;
+        let mut book = self.book.lock();
+        let key = (want.model.clone(), want.adapter.clone());
+        let mut best: Option<(f64, Name)> = None;
+        for entry in &entries {
+            let Some(known) = book.known.get_mut(&entry.id) else {
+                continue;
+            };
+            if known.adapters().contains(&key) {
+                known.use_adapter(&key.0, &key.1, now);
+                let placed = Placed {
+                    model: key.0,
+                    adapter: key.1,
+                    replica: Some(entry.id.clone()),
+                };
+                self.reply(placed, want.reply, Duration::ZERO);
+                return None;
+            }
+            let queued = |j: &Job| j.model == key.0 && j.adapter.as_ref() == Some(&key.1);
+            if known.queue.iter().any(queued) {
+                return None;
+            }
+            let holds = known.held.iter().any(|h| h.model == want.model);
+            let closes = known.closing.as_ref().is_some_and(|(m, _)| *m == want.model);
+            let unloading = known
+                .pending
+                .as_ref()
+                .is_some_and(|p| p.job.operation == Operation::Unload);
+            if !holds || closes || unloading {
+                continue;
+            }
+            let full = known.adapters_due() >= engine.adapters as usize;
+            let recently = known
+                .oldest_adapter()
+                .is_none_or(|(_, at)| now.since(at) < ADAPTER_KEPT);
+            if full && recently {
+                continue;
+            }
+            let load = loads.get(&entry.id).map_or(0.0, |l| f64::from(l.requests));
+            let cost = load / f64::from(entry.slots) + f64::from(u8::from(full)) * 0.5;
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, entry.id.clone()));
+            }
+        }
+        let (_, id) = best?;
+        let known = book.known.get_mut(&id)?;
+        let job = |operation, model: &Name, adapter: &Name| Job {
+            operation,
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+            from_store: false,
+            takes: Span::ZERO,
+        };
+        if known.adapters_due() >= engine.adapters as usize {
+            let ((model, adapter), _) = known.oldest_adapter()?;
+            known
+                .queue
+                .push_back(job(Operation::Unload, &model, &adapter));
+        }
+        known.queue.push_back(job(Operation::Load, &key.0, &key.1));
+        Some(id)
+    }
+
+    /// Tells the host that asked, and then the others, where an adapter is.
+    fn reply(self: &Arc<Self>, placed: Placed, to: SocketAddr, after: Duration) {
+        let planner = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(after).await;
+            let _ = to;
+            planner.peers.send_all(&Message::Placed(placed)).await;
+        });
+    }
+
+    /// Gives a replica the orders that wait for it, one after the other.
+    fn drive(self: &Arc<Self>, id: Name) {
+        {
+            let mut book = self.book.lock();
+            let Some(known) = book.known.get_mut(&id) else {
+                return;
+            };
+            if known.calling {
+                return;
+            }
+            known.calling = true;
+        }
+        let planner = self.clone();
+        tokio::spawn(async move {
+            while planner.next(&id).await {}
+            if let Some(known) = planner.book.lock().known.get_mut(&id) {
+                known.calling = false;
+            }
+        });
+    }
+
+    /// Gives the next order to a replica; tells whether to go on.
+    async fn next(self: &Arc<Self>, id: &Name) -> bool {
+        let Some(entry) = self.entry(id) else {
+            return false;
+        };
+        let doubtful = {
+            let book = self.book.lock();
+            book.known.get(id).is_none_or(|k| k.doubtful)
+        };
+        if doubtful && !self.look(&entry).await {
+            return false;
+        }
+        let (job, expected) = {
+            let mut book = self.book.lock();
+            let Some(known) = book.known.get_mut(id) else {
+                return false;
+            };
+            let waits = |job: &Job| known.pending.is_some() && job.adapter.is_none();
+            if known.queue.front().is_none_or(waits) {
+                return false;
+            }
+            (known.queue.pop_front(), known.orders)
+        };
+        let Some(job) = job else { return false };
+        if !self.term.holds() {
+            return false;
+        }
+        self.give(&entry, job, expected).await
+    }
+
+    fn entry(&self, id: &str) -> Option<Entry> {
+        let table = self.state.table.lock();
+        let seen = table.view.get(id)?;
+        (!seen.entry.leaving).then(|| seen.entry.clone())
+    }
+
+    /// Asks a replica what it holds; tells whether orders may go on.
+    async fn look(&self, entry: &Entry) -> bool {
+        let report = replica::report(&self.pool, entry.addr, &entry.id, CALL_LIMIT).await;
+        match report {
+            Ok(report) => {
+                let mut book = self.book.lock();
+                let Some(known) = book.known.get_mut(&entry.id) else {
+                    return false;
+                };
+                known.adopt(&report);
+                info!(target: "planner", event = "looked", replica = &*entry.id, orders = report.orders, busy = report.busy, "a replica was asked what it holds");
+                !report.busy
+            }
+            Err(why) => {
+                self.state.log.notable(|| {
+                    warn!(target: "planner", event = "no_report", replica = &*entry.id, why = %why, "a replica gave no report")
+                });
+                false
+            }
+        }
+    }
+
+    /// Gives one order and notes what came of it; tells whether to go on.
+    async fn give(self: &Arc<Self>, entry: &Entry, job: Job, expected: u64) -> bool {
+        let order = Order {
+            operation: job.operation,
+            model: job.model.clone(),
+            adapter: job.adapter.clone(),
+            expected,
+            holder: self.state.settings.name.clone(),
+            fence: self.term.token,
+        };
+        let answer = replica::order(&self.pool, entry.addr, &entry.id, &order, CALL_LIMIT).await;
+        let now = self.state.now();
+        let outcome = match &answer {
+            Ok(ordered) => format!("{ordered:?}"),
+            Err(why) => why.to_string(),
+        };
+        let operation = match job.operation {
+            Operation::Load => "load",
+            Operation::Unload => "unload",
+        };
+        let labels = [("operation", operation), ("outcome", word(&answer))];
+        self.state
+            .log
+            .metrics
+            .counter("coveford_orders_total", &labels)
+            .increment(1);
+        self.state.log.notable(|| {
+            info!(target: "planner", event = "ordered", replica = &*entry.id, operation, model = &*job.model, adapter = job.adapter.as_deref(), expected, term = self.term.token, outcome, "an order was given")
+        });
+        let mut book = self.book.lock();
+        let book = &mut *book;
+        let Some(known) = book.known.get_mut(&entry.id) else {
+            return false;
+        };
+        match answer {
+            Ok(Ordered::Accepted) if job.adapter.is_none() => {
+                known.orders = expected + 1;
+                known.pending = Some(Pending {
+                    due: now + job.takes,
+                    job,
+                });
+                true
+            }
+            Ok(Ordered::Accepted) if job.operation == Operation::Unload => {
+                // It goes when its last request has ended; until then it takes its place.
+                known.orders = expected + 1;
+                known.doubtful = true;
+                known.queue.clear();
+                false
+            }
+            Ok(Ordered::Accepted | Ordered::InForce) if job.adapter.is_some() => {
+                known.orders = expected + 1;
+                known.effect(&job, now);
+                if let (Operation::Load, Some(adapter)) = (job.operation, job.adapter) {
+                    let placed = Placed {
+                        model: job.model,
+                        adapter,
+                        replica: Some(entry.id.clone()),
+                    };
+                    self.reply(placed, entry.addr, ADAPTER_ARRIVES);
+                }
+                true
+            }
+            Ok(Ordered::InForce) => {
+                known.effect(&job, now);
+                known.doubtful = true;
+                true
+            }
+            Ok(Ordered::Fenced) => {
+                warn!(target: "planner", event = "fenced", term = self.term.token, "a later holder gives orders; this term ends");
+                self.term.end();
+                false
+            }
+            Ok(_) => {
+                known.doubtful = true;
+                known.queue.clear();
+                true
+            }
+            Err(why) => {
+                known.doubtful = true;
+                known.queue.clear();
+                let lands = matches!(why, platform::Error::Unknown { .. });
+                if job.from_store && lands {
+                    for bucket in book.buckets.values_mut() {
+                        bucket.unanswered(now);
+                    }
+                }
+                false
+            }
+        }
+    }
+
+    /// Tells all hosts the sums, and what is planned.
+    async fn digest(&self) {
+        let now = self.state.now();
+        let loads = self.peers.loads(now);
+        let hosts = self.peers.inbox.hosts().len() as u32;
+        let (plans, adapters) = {
+            let book = self.book.lock();
+            (plans(&book, now), adapters(&book))
+        };
+        let mut digests = vec![Digest {
+            term: self.term.token,
+            hosts,
+            plans: Some(plans),
+            ..Digest::default()
+        }];
+        let mut rows: Vec<(Name, Option<Load>, Option<Vec<(Name, Name)>>)> = Vec::new();
+        for (id, adapters) in adapters {
+            let load = loads.get(&id).copied().unwrap_or_default();
+            rows.push((id, Some(load), Some(adapters)));
+        }
+        let mut size = 200;
+        for (id, load, adapters) in rows {
+            let row = 60 + adapters.as_ref().map_or(0, |a| a.len() * 20);
+            if size + row > MOST_DATAGRAM {
+                size = 60;
+                digests.push(Digest {
+                    term: self.term.token,
+                    hosts,
+                    ..Digest::default()
+                });
+            }
+            size += row;
+            let digest = digests.last_mut().expect("there is always one");
+            digest.loads.extend(load.map(|l| (id.clone(), l)));
+            digest.adapters.extend(adapters.map(|a| (id, a)));
+        }
+        for digest in digests {
+            self.peers.send_all(&Message::Digest(digest)).await;
+        }
+    }
+}
+
+fn word(answer: &Result<Ordered, platform::Error>) -> &'static str {
+    match answer {
+        Ok(Ordered::Accepted | Ordered::InForce) => "taken",
+        Ok(Ordered::Conflict) => "conflict",
+        Ok(Ordered::Fenced) => "fenced",
+        Ok(_) => "refused",
+        Err(platform::Error::Unknown { .. }) => "unanswered",
+        Err(_) => "not_sent",
+    }
+}
+
+fn plans(book: &Book, now: Time) -> Plans {
+    let coming = book.known.values().filter_map(|k| {
+        let pending = k.pending.as_ref()?;
+        let loads = pending.job.operation == Operation::Load;
+        let ms = pending.due.since(now).ms() as u32;
+        loads.then(|| (pending.job.model.clone(), ms))
+    });
+    let closing = book.known.iter().filter_map(|(id, k)| {
+        let closing = k.closing.as_ref().map(|(model, _)| model.clone());
+        let unloading = k.queue.iter().chain(k.pending.iter().map(|p| &p.job));
+        let mut unloading = unloading.filter(|j| j.operation == Operation::Unload);
+        let unloading = unloading.find(|j| j.adapter.is_none());
+        let model = closing.or_else(|| unloading.map(|j| j.model.clone()))?;
+        Some((id.clone(), model))
+    });
+    Plans {
+        coming: coming.collect(),
+        closing: closing.collect(),
+    }
+}
+
+fn adapters(book: &Book) -> Vec<(Name, Vec<(Name, Name)>)> {
+    let known = book.known.iter().filter(|(_, k)| !k.doubtful);
+    known.map(|(id, k)| (id.clone(), k.adapters())).collect()
+}
+
+fn load_job(entry: &Entry, model: &platform::config::Model, from_store: bool) -> Job {
+    let takes = match () {
+        _ if from_store => model.load,
+        _ if entry.in_memory.contains(&model.name) => model.load_warm,
+        _ => model.load_disk,
+    };
+    Job {
+        operation: Operation::Load,
+        model: model.name.clone(),
+        adapter: None,
+        from_store,
+        takes: takes.into(),
+    }
+}
+
+fn seen_by_plan(
+    entry: &Entry,
+    known: &Known,
+    engine: &Engine,
+    loads: &HashMap<Name, Load>,
+    index: &dyn Fn(&Name) -> Option<usize>,
+) -> copies::Replica {
+    let load = loads.get(&entry.id).map_or(0.0, |l| f64::from(l.requests));
+    let mut held: Vec<usize> = known.held.iter().filter_map(|h| index(&h.model)).collect();
+    let coming = known.pending.iter().map(|p| &p.job).chain(&known.queue);
+    let coming = coming.filter(|j| j.operation == Operation::Load && j.adapter.is_none());
+    for model in coming.filter_map(|j| index(&j.model)) {
+        if !held.contains(&model) {
+            held.push(model);
+        }
+    }
+    if let Some(model) = known.closing.as_ref().and_then(|(m, _)| index(m)) {
+        held.retain(|m| *m != model);
+    }
+    let copies = entry.in_memory.iter().chain(&entry.on_disk);
+    copies::Replica {
+        free_mb: known.free_mb(engine),
+        held,
+        at_hand: copies.filter_map(index).collect(),
+        idle: known.is_idle() && known.closing.is_none(),
+        stays: !entry.leaving,
+        load: load / f64::from(entry.slots),
+    }
+}
--- /dev/null
+++ b/crates/front/src/relay.rs
@@ -0,0 +1,286 @@
+//! Passing a replica's answer on: whole bodies at once, streams event by event.
+//!
+//! A stream that breaks is taken up at another replica behind its last whole event, if its route
+//! allows that; otherwise the client's connection breaks, so that the answer never looks whole.
+
+use crate::attempt::{Call, Failed, Place, Sent, send};
+use crate::events::Splitter;
+use crate::respond::{Body, whole};
+use crate::state::{InFlight, State};
+use bytes::Bytes;
+use conn::Line;
+use futures::stream;
+use http_body_util::{BodyExt, Limited, StreamBody};
+use hyper::Response;
+use hyper::body::{Frame, Incoming};
+use hyper::header::{self, HeaderMap};
+use hyper::http::response::Parts;
+use platform::ingress;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout_at;
+use tracing::info;
+use unit::{Name, Time};
+
+/// Longest answer that is not a stream, in bytes.
+const MOST_ANSWER: usize = 16 << 20;
+
+/// Silence of a stream that may be resumed after which its replica is given up: what a client
+/// bears at the least.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Reads an answer that is not a stream whole.
+pub async fn read_whole(
+    state: &Arc<State>,
+    call: &Call,
+    sent: Sent,
+) -> Result<Response<Body>, Failed> {
+    let Sent {
+        mut place,
+        line,
+        response,
+    } = sent;
+    let (head, body) = response.into_parts();
+    let until = state.instant(call.deadline);
+    let read = timeout_at(until, Limited::new(body, MOST_ANSWER).collect()).await;
+    let body = match read {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) => {
+            place.failed();
+            return Err(Failed::Lost(format!("its answer broke off: {e}")));
+        }
+        Err(_) => {
+            place.failed();
+            return Err(Failed::Late);
+        }
+    };
+    place.answered(head.status.is_server_error());
+    keep(state, &place, line, &head.headers);
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = ingress::returned(&head.headers);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    Ok(response)
+}
+
+fn keep(state: &State, place: &Place, line: Line, headers: &HeaderMap) {
+    if ingress::keeps_connection(headers) {
+        let keeps_for = ingress::keeps_for(headers);
+        state.pool.give(&place.replica, line, keeps_for);
+    }
+}
+
+/// Answer that comes as events.
+struct Relay {
+    state: Arc<State>,
+    call: Arc<Call>,
+    source: Option<Source>,
+    splitter: Splitter,
+    first: Option<Bytes>,
+    tried: Vec<Name>,
+    _in_flight: InFlight,
+}
+
+/// Where the events come from now.
+struct Source {
+    place: Place,
+    line: Line,
+    head: Parts,
+    body: Incoming,
+}
+
+/// Waits for the first whole event of an answer, then gives the answer that passes all on.
+pub async fn open_stream(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    sent: Sent,
+    tried: Vec<Name>,
+) -> Result<Response<Body>, Failed> {
+    let Sent {
+        place,
+        line,
+        response,
+    } = sent;
+    let (head, body) = response.into_parts();
+    let mut answer = Response::new(());
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = ingress::returned(&head.headers);
+    answer.headers_mut().remove(header::CONTENT_LENGTH);
+    let mut relay = Relay {
+        state: state.clone(),
+        call: call.clone(),
+        source: Some(Source {
+            place,
+            line,
+            head,
+            body,
+        }),
+        splitter: Splitter::default(),
+        first: None,
+        tried,
+        _in_flight: state.enter(),
+    };
+    relay.first = match relay.read().await {
+        Ok(first) => first,
+        Err(why) => {
+            if let Some(source) = relay.source.take() {
+                source.place.failed();
+            }
+            return Err(why);
+        }
+    };
+    if let Some(source) = &mut relay.source {
+        source.place.started();
+        let took = state.now().since(call.arrived);
+        state.log.metrics.first_byte(&call.route.name, took);
+    }
+    let events = stream::unfold(relay, |mut relay| async move {
+        let event = relay.step().await?;
+        Some((event, relay))
+    });
+    Ok(answer.map(|()| StreamBody::new(events).boxed_unsync()))
+}
+
+impl Relay {
+    /// Next piece for the client; none at the end.
+    async fn step(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(Frame::data(first)));
+        }
+        loop {
+            match self.read().await {
+                Ok(Some(events)) => return Some(Ok(Frame::data(events))),
+                Ok(None) => return self.end(),
+                Err(why) => match self.resume(&why).await {
+                    true => continue,
+                    false => return Some(Err(self.cut(&why))),
+                },
+            }
+        }
+    }
+
+    fn end(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
+        self.state.log.metrics.ended(&self.call.route.name, "complete");
+        let id = &self.call.id;
+        let ms = self.state.now().since(self.call.arrived).ms();
+        self.state.log.routine(id, || {
+            info!(target: "request", event = "answered", id = &**id, ms, "the stream is complete")
+        });
+        None
+    }
+
+    /// Reads whole events, or none when the answer has ended well.
+    async fn read(&mut self) -> Result<Option<Bytes>, Failed> {
+        let deadline = self.state.instant(self.call.deadline);
+        let resumable = self.call.route.kind.is_repeatable();
+        let Some(source) = &mut self.source else {
+            return Ok(None);
+        };
+        loop {
+            let silence = tokio::time::Instant::now() + SILENCE.max(self.call.route.target);
+            let until = match resumable {
+                true => deadline.min(silence),
+                false => deadline,
+            };
+            let Ok(frame) = timeout_at(until, source.body.frame()).await else {
+                return Err(match until == deadline {
+                    true => Failed::Late,
+                    false => Failed::Lost("the replica was silent".into()),
+                });
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    let events = self.splitter.push(data);
+                    let events = events.map_err(|_| Failed::Lost("an event was too long".into()))?;
+                    if let Some(events) = events {
+                        return Ok(Some(events));
+                    }
+                }
+                Some(Err(e)) => return Err(Failed::Lost(format!("its stream broke off: {e}"))),
+                None if self.splitter.is_partial() => {
+                    return Err(Failed::Lost("its stream ended inside an event".into()));
+                }
+                None => break,
+            }
+        }
+        if let Some(mut source) = self.source.take() {
+            source.place.answered(false);
+            keep(&self.state, &source.place, source.line, &source.head.headers);
+        }
+        Ok(None)
+    }
+
+    /// Takes the stream up at another replica; tells whether that was possible.
+    async fn resume(&mut self, why: &Failed) -> bool {
+        if let Some(source) = self.source.take() {
+            source.place.failed();
+            self.state.pool.forget(&source.place.replica);
+        }
+        let (state, call) = (self.state.clone(), self.call.clone());
+        if *why == Failed::Late || !call.route.kind.is_repeatable() {
+            return false;
+        }
+        self.splitter.rest();
+        let last = self.splitter.last().or(call.ask.last_event);
+        while (self.tried.len() as u32) < call.route.attempts && state.now() < call.deadline {
+            let choice = {
+                let mut table = state.table.lock();
+                let now = state.now();
+                match table.choose(&call.want(&self.tried, None), now) {
+                    Ok(choice) if table.spend(&call.service, now) => choice,
+                    _ => return false,
+                }
+            };
+            self.tried.push(choice.replica.clone());
+            let sent = send(&state, &call, &choice, last).await;
+            state.log.notable(|| {
+                let outcome = match &sent {
+                    Ok(sent) => format!("status {}", sent.response.status()),
+                    Err(failed) => failed.to_string(),
+                };
+                info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %why, outcome, "a broken stream is taken up elsewhere")
+            });
+            if let Ok(sent) = sent
+                && sent.response.status().is_success()
+            {
+                let (head, body) = sent.response.into_parts();
+                self.source = Some(Source {
+                    place: sent.place,
+                    line: sent.line,
+                    head,
+                    body,
+                });
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Breaks the answer off, so that it does not look whole.
+    fn cut(&mut self, why: &Failed) -> io::Error {
+        self.source = None;
+        let call = &self.call;
+        self.state.log.metrics.ended(&call.route.name, "broken");
+        let age = self.state.now().since(call.arrived).ms();
+        let tried = self.tried.join(",");
+        let last = self.splitter.last();
+        self.state.log.notable(|| {
+            tracing::warn!(target: "request", event = "broken", id = &*call.id, route = &*call.route.name, tried, last, ms = age, why = %why, "the stream is broken off")
+        });
+        io::Error::other(why.to_string())
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let Some(source) = &self.source else { return };
+        let call = &self.call;
+        let ms = Time::since(self.state.now(), call.arrived).ms();
+        self.state.log.metrics.ended(&call.route.name, "cancelled");
+        self.state.log.routine(&call.id, || {
+            info!(target: "request", event = "cancelled", id = &*call.id, replica = &*source.place.replica, ms, "the client left; the replica's connection is closed")
+        });
+    }
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,284 @@
+//! Starting, draining and ending a daemon on a platform.
+
+use crate::error::{Error, ListenSnafu, RuntimeSnafu};
+use crate::peers::{self, Peers};
+use crate::settings::{self, Settings};
+use crate::state::{self, State, Wanted};
+use crate::{follow, leader, log, planner, respond, serve};
+use conn::{Bounds, Server};
+use hyper::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use platform::names;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
+use tracing::{error, info, warn};
+
+/// Time for a call of the store that does not wait; the store answers in milliseconds.
+const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time after a stop is asked for in which new connections are still taken: the balancer asks each
+/// second and turns away at the second miss.
+const ACCEPTING: Duration = Duration::from_millis(3_000);
+
+/// Part of the grace at whose end the process ends itself, before it is killed.
+const GRACE_PART: f64 = 0.95;
+
+/// Part of the grace up to which [`ACCEPTING`] may reach.
+const ACCEPTING_PART: f64 = 0.4;
+
+/// Descriptors kept for files, listeners and calls of coveford's own.
+const OWN_DESCRIPTORS: usize = 300;
+
+/// Time that a connection of a client may be idle; the platform's clients reuse one for at most
+/// four fifths of the configured limit, which is not known before the first configuration.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// Longest head of a request, in bytes; a little over what the platform allows clients.
+const HEAD_BYTES: usize = 24 * 1_024;
+
+/// Connections of the balancer and of collectors of metrics.
+const OTHER_CONNECTIONS: usize = 32;
+
+/// Pause between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Pause between two upkeeps of connections, metrics and logs.
+const UPKEEP: Duration = Duration::from_secs(2);
+
+/// Running daemon.
+pub struct Daemon {
+    state: Arc<State>,
+    callers: Server,
+    _readiness: Server,
+    _metrics: Server,
+    _tasks: JoinSet<()>,
+}
+
+/// Runs a daemon by its settings until it is told to stop.
+pub fn run(path: &Path, settings: Settings) -> Result<(), Error> {
+    let guard = log::start(&settings.log_level);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let ended = runtime.block_on(until_stopped(path, settings));
+    drop(guard);
+    ended
+}
+
+async fn until_stopped(path: &Path, settings: Settings) -> Result<(), Error> {
+    let daemon = spawn(settings.clone()).await?;
+    let mut term = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    let mut known = (modified(path), settings);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path, &mut known, "signal"),
+            _ = tokio::time::sleep(SETTINGS_LOOK) => {
+                if modified(path) != known.0 {
+                    reload(path, &mut known, "file");
+                }
+            }
+        }
+    }
+    daemon.drain().await;
+    Ok(())
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+/// Reads the settings again. What a running daemon cannot change is told, not half applied.
+fn reload(path: &Path, known: &mut (Option<SystemTime>, Settings), cause: &str) {
+    known.0 = modified(path);
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(why) => {
+            error!(target: "settings", event = "unreadable", cause, why = %why, "the settings in force stay");
+            return;
+        }
+    };
+    match settings::read(&path.display().to_string(), &text) {
+        Ok(new) if new == known.1 => {
+            info!(target: "settings", event = "unchanged", cause, "the settings were read again")
+        }
+        Ok(new) => {
+            warn!(target: "settings", event = "changed", cause, "the settings have changed; they apply from the next start");
+            known.1 = new;
+        }
+        Err(problems) => {
+            let count = problems.len();
+            let first = problems.first().map(ToString::to_string);
+            error!(target: "settings", event = "wrong", cause, count, first, "the settings in force stay");
+        }
+    }
+}
+
+/// Starts a daemon and returns once it listens.
+pub async fn spawn(settings: Settings) -> Result<Daemon, Error> {
+    let callers = listen(settings.callers).await?;
+    let readiness = listen(settings.readiness).await?;
+    let metrics = listen(settings.metrics).await?;
+    let addr = settings.peers;
+    let socket = UdpSocket::bind(addr).await.context(ListenSnafu { addr })?;
+    let (state, wanted) = state::open(settings, log::open(), STORE_LIMIT);
+    let peers = peers::open(state.clone(), socket);
+    let daemon = Daemon {
+        callers: serve_callers(&state, callers)?,
+        _readiness: serve_readiness(&state, readiness)?,
+        _metrics: serve_metrics(&state, metrics)?,
+        _tasks: tasks(&state, &peers, wanted),
+        state,
+    };
+    let settings = &daemon.state.settings;
+    info!(target: "daemon", event = "started", name = &*settings.name, hall = &*settings.hall, callers = %settings.callers, version = env!("CARGO_PKG_VERSION"), "the daemon runs");
+    Ok(daemon)
+}
+
+fn tasks(state: &Arc<State>, peers: &Arc<Peers>, wanted: Wanted) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow::run(state.clone()));
+    tasks.spawn(peers.clone().receive());
+    tasks.spawn(peers.clone().tell());
+    tasks.spawn(peers.clone().ask(wanted));
+    tasks.spawn(upkeep(state.clone()));
+    let (state, peers) = (state.clone(), peers.clone());
+    tasks.spawn(async move {
+        let lead = |term| planner::run(state.clone(), peers.clone(), term);
+        leader::run(state.clone(), lead).await;
+    });
+    tasks
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.context(ListenSnafu { addr })
+}
+
+fn serve_callers(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
+    let limits = state.settings.limits;
+    let bounds = Bounds {
+        // Half of the descriptors: a request needs a connection to a replica as well.
+        connections: limits.descriptors.saturating_sub(OWN_DESCRIPTORS) / 2,
+        head_time: IDLE,
+        head_bytes: HEAD_BYTES,
+    };
+    let state = state.clone();
+    let answer = move |request| {
+        let state = state.clone();
+        async move { Ok(serve::handle(state, request).await) }
+    };
+    conn::serve_within(listener, bounds, answer).context(RuntimeSnafu)
+}
+
+fn serve_readiness(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
+    let state = state.clone();
+    let answer = move |request: Request<Incoming>| {
+        let status = match (request.uri().path(), state.is_ready()) {
+            (names::READY, true) => StatusCode::OK,
+            (names::READY, false) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        let mut response = Response::new(respond::whole(bytes::Bytes::new()));
+        *response.status_mut() = status;
+        async move { Ok(response) }
+    };
+    conn::serve(listener, OTHER_CONNECTIONS, answer).context(RuntimeSnafu)
+}
+
+fn serve_metrics(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
+    let state = state.clone();
+    let answer = move |_: Request<Incoming>| {
+        gauges(&state);
+        let text = state.log.metrics.render();
+        async move { Ok(Response::new(respond::whole(text.into()))) }
+    };
+    conn::serve(listener, OTHER_CONNECTIONS, answer).context(RuntimeSnafu)
+}
+
+/// Brings the gauges up to date before they are read.
+fn gauges(state: &State) {
+    use std::sync::atomic::Ordering::Relaxed;
+    let metrics = &state.log.metrics;
+    let set = |name, labels: &[(&'static str, &str)], value: f64| {
+        metrics.gauge(name, labels).set(value);
+    };
+    let calls = state.store.calls();
+    let kinds = [
+        ("read", &calls.reads),
+        ("watch", &calls.watches),
+        ("write", &calls.writes),
+        ("lease", &calls.leases),
+    ];
+    for (kind, count) in kinds {
+        set("coveford_store_calls", &[("kind", kind)], count.load(Relaxed) as f64);
+    }
+    set("coveford_in_flight", &[], state.in_flight() as f64);
+    let leads = state
+        .leader
+        .lock()
+        .as_ref()
+        .is_some_and(|l| l.peers == state.settings.peers);
+    set("coveford_leads", &[], f64::from(u8::from(leads)));
+    let table = state.table.lock();
+    let version = table.routes.as_ref().map_or(0, |r| r.version);
+    set("coveford_configuration_version", &[], version as f64);
+    set("coveford_replicas", &[], table.view.all().count() as f64);
+    set("coveford_hosts", &[], table.hosts as f64);
+    let away = f64::from(u8::from(table.view.is_away()));
+    set("coveford_store_away", &[], away);
+}
+
+/// Closes old connections, expires the view, and tells what the logs left out.
+async fn upkeep(state: Arc<State>) {
+    loop {
+        tokio::time::sleep(UPKEEP / 4).await;
+        let now = state.now();
+        let news = {
+            let mut table = state.table.lock();
+            let news = table.view.expire(now);
+            table.apply(&news);
+            news
+        };
+        follow::told(&state, news, 0);
+        state.pool.tidy();
+        state.log.metrics.tidy();
+        state.log.tell_left_out();
+    }
+}
+
+impl Daemon {
+    /// Its shared state.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Where it answers callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.addr
+    }
+
+    /// Ends without cutting a request: readiness fails, new connections are taken until the
+    /// balancer has gone elsewhere, then what runs is ended.
+    pub async fn drain(self) {
+        let state = &self.state;
+        let grace = state.settings.bounds.grace;
+        state.set_draining();
+        let in_flight = state.in_flight();
+        info!(target: "daemon", event = "draining", in_flight, "readiness fails; connections are taken a while longer");
+        let accepting = ACCEPTING.min(grace.mul_f64(ACCEPTING_PART));
+        tokio::time::sleep(accepting).await;
+        let left = grace.mul_f64(GRACE_PART).saturating_sub(accepting);
+        let cut = self.callers.drain(left).await;
+        info!(target: "daemon", event = "stopped", cut, "the daemon ends");
+    }
+}
--- /dev/null
+++ b/crates/front/src/state.rs
@@ -0,0 +1,132 @@
+//! What the parts of a daemon share.
+
+use crate::log::Log;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::table::Table;
+use parking_lot::Mutex;
+use platform::store::Store;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::Instant;
+use unit::{Name, Span, Time};
+
+/// Part of the process's memory that request bodies may take.
+const BODIES_PART: usize = 4;
+
+/// Shared state of one daemon.
+pub struct State {
+    /// Its settings.
+    pub settings: Settings,
+    /// Replicas, configuration, loads.
+    pub table: Mutex<Table>,
+    /// Notified when the table changed such that a waiting request may go on.
+    pub changed: Notify,
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to replicas.
+    pub pool: Pool,
+    /// Logs and metrics.
+    pub log: Log,
+    /// Memory for bodies, in KB.
+    pub bodies: Arc<Semaphore>,
+    /// Who leads, if that is known.
+    pub leader: Mutex<Option<Leader>>,
+    /// Adapters wanted here, to be sent to the leader.
+    pub wanted: tokio::sync::mpsc::UnboundedSender<(Name, Name, Name)>,
+    draining: AtomicBool,
+    in_flight: AtomicUsize,
+    start: Instant,
+}
+
+/// Host that holds the lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leader {
+    /// Its name.
+    pub name: Name,
+    /// Where it takes datagrams.
+    pub peers: SocketAddr,
+    /// Revision at which its term began, which is its fencing token.
+    pub term: u64,
+}
+
+/// First time a clock shows, so that "long ago" is before it.
+const FIRST: u64 = 3_600_000_000;
+
+/// Receiver of the adapters wanted at this host: service, model, adapter.
+pub type Wanted = tokio::sync::mpsc::UnboundedReceiver<(Name, Name, Name)>;
+
+/// Makes the shared state.
+pub fn open(settings: Settings, log: Log, store_limit: std::time::Duration) -> (Arc<State>, Wanted) {
+    let seed = unit::rendezvous::hash(settings.name.as_bytes());
+    let bodies = settings.limits.memory_mb * 1_024 / BODIES_PART;
+    let (wanted, receiver) = tokio::sync::mpsc::unbounded_channel();
+    let state = State {
+        table: Mutex::new(Table::new(settings.hall.clone(), seed)),
+        changed: Notify::new(),
+        store: platform::store::open(settings.store, store_limit),
+        pool: Pool::default(),
+        log,
+        bodies: Arc::new(Semaphore::new(bodies)),
+        leader: Mutex::default(),
+        wanted,
+        draining: AtomicBool::new(false),
+        in_flight: AtomicUsize::new(0),
+        start: Instant::now(),
+        settings,
+    };
+    (Arc::new(state), receiver)
+}
+
+impl State {
+    /// Time now, on this process's steady clock.
+    pub fn now(&self) -> Time {
+        Time(FIRST + self.start.elapsed().as_micros() as u64)
+    }
+
+    /// The runtime's instant of a time.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + Span(time.0.saturating_sub(FIRST)).std()
+    }
+
+    /// Whether this daemon has been told to stop.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Starts the drain.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether requests can be routed.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.table.lock().routes.is_some()
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        InFlight {
+            state: self.clone(),
+        }
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+}
+
+/// Request in flight; dropping it counts it out.
+pub struct InFlight {
+    state: Arc<State>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.state.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/place/src/copies.rs
@@ -0,0 +1,212 @@
+//! Which models each replica of a service should hold, and the next orders towards that.
+//!
+//! Pure: counts and demand in, steps out. Every model keeps a copy on a replica that stays. Memory
+//! left over is filled, since copies that are there before the demand comes cost least; demand that
+//! no copy covers goes first. Loads from copies at hand go before loads from the weight store, which
+//! allows only so many a second.
+
+/// Value of the first copy of a model; nothing else comes near it.
+const ONLY_COPY: f64 = 1_000.0;
+
+/// Value of covering demand worth one replica.
+const COVERED: f64 = 100.0;
+
+/// Least weight of a model that nobody asks for now, so that leftover memory is spread.
+const UNASKED: f64 = 0.05;
+
+/// Part of a model's value that a load from the weight store keeps: it takes several times as long.
+const FROM_STORE: f64 = 0.6;
+
+/// Factor by which a copy gained must exceed those given up, so that copies do not move to and fro.
+const HYSTERESIS: f64 = 1.5;
+
+/// Least gain of a swap; a move costs two orders, and the evicted prompts.
+const LEAST_GAIN: f64 = 0.05;
+
+/// Model as the plan sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Model {
+    /// Memory of its weights, in MB.
+    pub memory_mb: f64,
+    /// Demand in replicas that it would keep busy.
+    pub demand: f64,
+    /// Demand of the last while, more slowly smoothed.
+    pub recent: f64,
+}
+
+/// Replica as the plan sees it; models by index.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    /// Memory that nothing takes, in MB, with room kept for its adapters.
+    pub free_mb: f64,
+    /// Models that it holds or is loading.
+    pub held: Vec<usize>,
+    /// Models of which it keeps a copy outside the accelerator.
+    pub at_hand: Vec<usize>,
+    /// Whether it takes an order now.
+    pub idle: bool,
+    /// Whether it stays.
+    pub stays: bool,
+    /// Share of its places that are taken.
+    pub load: f64,
+}
+
+/// Order that the plan wants given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Load a model on a replica.
+    Load {
+        /// Index of the replica.
+        replica: usize,
+        /// Index of the model.
+        model: usize,
+        /// Whether it comes from the weight store.
+        from_store: bool,
+    },
+    /// Unload a model, to make room for another.
+    Unload {
+        /// Index of the replica.
+        replica: usize,
+        /// Index of the model.
+        model: usize,
+        /// Index of the model that is to come.
+        instead: usize,
+    },
+}
+
+/// Plans at most `most` steps, of which at most `store_loads` load from the weight store.
+pub fn plan(replicas: &[Replica], models: &[Model], store_loads: usize, most: usize) -> Vec<Step> {
+    let mut replicas = replicas.to_vec();
+    let mut counts = counts(&replicas, models.len());
+    let mut store_loads = store_loads;
+    let mut steps = Vec::new();
+    while steps.len() < most {
+        let Some((step, _)) = best(&replicas, models, &counts, store_loads) else {
+            break;
+        };
+        match step {
+            Step::Load {
+                replica,
+                model,
+                from_store,
+            } => {
+                counts[model] += 1;
+                store_loads -= usize::from(from_store);
+                replicas[replica].held.push(model);
+                replicas[replica].idle = false;
+            }
+            Step::Unload {
+                replica,
+                model,
+                instead,
+            } => {
+                counts[model] -= 1;
+                // The room is meant for that model, so no other replica loads it on top.
+                counts[instead] += 1;
+                replicas[replica].held.retain(|m| *m != model);
+                replicas[replica].idle = false;
+            }
+        }
+        steps.push(step);
+    }
+    steps
+}
+
+/// Copies of each model on replicas that stay.
+fn counts(replicas: &[Replica], models: usize) -> Vec<usize> {
+    let mut counts = vec![0; models];
+    for replica in replicas.iter().filter(|r| r.stays) {
+        for model in &replica.held {
+            counts[*model] += 1;
+        }
+    }
+    counts
+}
+
+/// Value of one more copy where there are `count`.
+fn value(model: &Model, count: usize) -> f64 {
+    if count == 0 {
+        return ONLY_COPY + model.demand;
+    }
+    let n = count as f64;
+    let uncovered = (model.demand - n).clamp(0.0, 1.0);
+    let weight = UNASKED + model.demand + model.recent;
+    uncovered * COVERED + weight / (n * (n + 1.0))
+}
+
+fn best(
+    replicas: &[Replica],
+    models: &[Model],
+    counts: &[usize],
+    store_loads: usize,
+) -> Option<(Step, f64)> {
+    let mut best: Option<(Step, f64)> = None;
+    for (r, replica) in replicas.iter().enumerate() {
+        if !replica.idle || !replica.stays {
+            continue;
+        }
+        for (m, model) in models.iter().enumerate() {
+            if replica.held.contains(&m) {
+                continue;
+            }
+            let from_store = !replica.at_hand.contains(&m);
+            if from_store && store_loads == 0 {
+                continue;
+            }
+            let part = if from_store { FROM_STORE } else { 1.0 };
+            let gain = value(model, counts[m]) * part * (1.0 - 0.3 * replica.load.min(1.0));
+            let found = match model.memory_mb <= replica.free_mb {
+                true => Some((
+                    Step::Load {
+                        replica: r,
+                        model: m,
+                        from_store,
+                    },
+                    gain,
+                )),
+                false => swap(replica, models, counts, m).map(|(out, loss)| {
+                    let step = Step::Unload {
+                        replica: r,
+                        model: out,
+                        instead: m,
+                    };
+                    (step, gain - loss * HYSTERESIS - LEAST_GAIN)
+                }),
+            };
+            if let Some((step, score)) = found
+                && score > 0.0
+                && best.is_none_or(|(_, most)| score > most)
+            {
+                best = Some((step, score));
+            }
+        }
+    }
+    best
+}
+
+/// The first model to give up for another, and the value of all that must go; none when what may
+/// go does not make room.
+fn swap(
+    replica: &Replica,
+    models: &[Model],
+    counts: &[usize],
+    wanted: usize,
+) -> Option<(usize, f64)> {
+    let mut loose: Vec<(usize, f64)> = replica
+        .held
+        .iter()
+        .filter(|m| counts[**m] >= 2)
+        .map(|m| (*m, value(&models[*m], counts[*m] - 1)))
+        .collect();
+    loose.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let mut free = replica.free_mb;
+    let mut loss = 0.0;
+    for (model, worth) in &loose {
+        free += models[*model].memory_mb;
+        loss += worth;
+        if free >= models[wanted].memory_mb {
+            return Some((loose[0].0, loss));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/route/src/batch.rs
@@ -0,0 +1,105 @@
+//! Choice among replicas that run many requests in one batch, and whether a request is admitted.
+//!
+//! Cost = expected time to the first token there, from the prompts that wait before it, the free
+//! places of the batch and the prompt's parts that are kept; with a small charge for another hall.
+
+use rand::{Rng, RngExt};
+use unit::Span;
+
+/// Charge for a replica in another hall: bytes between halls are paid for.
+const OTHER_HALL: Span = Span::from_ms(4);
+
+/// Width of the random part of a cost, so that hosts with equal tables do not choose alike.
+const JITTER: Span = Span::from_ms(2);
+
+/// Share of failures above which a replica is chosen only when no other is left.
+const FAILING: f64 = 0.3;
+
+/// Replica that could take the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests in flight there, as far as they are known here.
+    pub in_flight: f64,
+    /// Prompt tokens sent there whose first token has not come.
+    pub unread: f64,
+    /// Tokens that the requests in flight there need at the most.
+    pub reserved: f64,
+    /// Tokens that its memory holds; 0 when it is not limited.
+    pub memory: f64,
+    /// Prompt tokens of this request that it likely keeps.
+    pub kept: f64,
+    /// Prompt tokens that it reads in a millisecond for this model.
+    pub speed: f64,
+    /// Time of one request there from its first token to its last.
+    pub run: Span,
+    /// Whether it stands in this host's hall.
+    pub near: bool,
+    /// Smoothed share of its answers that failed.
+    pub failing: f64,
+}
+
+/// What is asked of a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// Prompt tokens.
+    pub prompt: f64,
+    /// Tokens that prompt and answer need together.
+    pub tokens: f64,
+}
+
+impl Candidate {
+    /// Expected time to the first token.
+    pub fn first_token(&self, ask: &Ask) -> Span {
+        let read = (self.unread + (ask.prompt - self.kept).max(0.0)) / self.speed.max(0.001);
+        Span((read * 1e3) as u64) + self.place_wait(ask)
+    }
+
+    /// Time until the batch and the memory have room.
+    fn place_wait(&self, ask: &Ask) -> Span {
+        let slots = f64::from(self.slots.max(1));
+        let beyond = (self.in_flight + 1.0 - slots).max(0.0);
+        let places = self.run * (beyond / slots);
+        if self.memory <= 0.0 {
+            return places;
+        }
+        let over = (self.reserved + ask.tokens - self.memory).max(0.0);
+        places.max(self.run * (over / self.memory))
+    }
+
+    /// Whether a place of the batch is free, so that a request would not wait for one.
+    pub fn has_place(&self) -> bool {
+        self.in_flight + 1.0 <= f64::from(self.slots)
+    }
+
+    fn cost(&self, ask: &Ask, rng: &mut impl Rng) -> Span {
+        let distance = match self.near {
+            true => Span::ZERO,
+            false => OTHER_HALL,
+        };
+        let jitter = Span(rng.random_range(0..=JITTER.0));
+        let failing = 1.0 + 4.0 * self.failing;
+        (self.first_token(ask) + distance + jitter) * failing
+    }
+}
+
+/// Index of the cheapest candidate, and its expected time to the first token.
+pub fn choose(
+    ask: &Ask,
+    candidates: &[Candidate],
+    rng: &mut impl Rng,
+) -> Option<(usize, Span)> {
+    let sound = candidates.iter().any(|c| c.failing < FAILING);
+    let mut best: Option<(usize, Span)> = None;
+    for (i, candidate) in candidates.iter().enumerate() {
+        if sound && candidate.failing >= FAILING {
+            continue;
+        }
+        let cost = candidate.cost(ask, rng);
+        if best.is_none_or(|(_, least)| cost < least) {
+            best = Some((i, cost));
+        }
+    }
+    best.map(|(i, _)| (i, candidates[i].first_token(ask)))
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here awaits, logs or reads a clock; the time and a seeded generator
 //! are arguments.
 
+pub mod batch;
 pub mod budget;
 pub mod choose;
 pub mod demand;
@@ -10,4 +11,6 @@
 pub mod limit;
 pub mod queue;
 pub mod retry;
+pub mod routing;
 pub mod service;
+pub mod window;
--- a/crates/standin/src/experiment/overhead.rs
+++ b/crates/standin/src/experiment/overhead.rs
@@ -9,7 +9,7 @@
 use conn::{Pool, Reuse};
 use hyper::Request;
 use hyper::header::{AUTHORIZATION, HOST};
-use platform::hosts::{Host, Kind};
+use backing::hosts::{Host, Kind};
 use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/standin/src/experiment/slopes.rs
+++ b/crates/standin/src/experiment/slopes.rs
@@ -11,7 +11,7 @@
 use place::homes::{Hall, Homes};
 use place::plan::{Need, Situation, Starts, Want, plan};
 use place::{Fleet, Ledger, Upstream};
-use platform::hosts::{Host, Kind};
+use backing::hosts::{Host, Kind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::choose::{Ask, Candidate, choose, weigh};
--- a/crates/standin/src/experiment/spread.rs
+++ b/crates/standin/src/experiment/spread.rs
@@ -10,7 +10,7 @@
 use daemon::core::{self, Core};
 use daemon::{operator, spread};
 use futures::FutureExt;
-use platform::hosts::{Host, Kind};
+use backing::hosts::{Host, Kind};
 use serde_json::json;
 use std::io;
 use std::sync::Arc;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -11,7 +11,7 @@
 use daemon::settings::{self, Settings};
 use daemon::{Daemon, spawn};
 use ed25519_dalek::SigningKey;
-use platform::hosts::{Host, Kind};
+use backing::hosts::{Host, Kind};
 use std::fmt::Write;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
-use platform::hosts::{Changes, Host};
+use backing::hosts::{Changes, Host};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -115,7 +115,7 @@
     if state.down {
         return Err(Cut);
     }
-    if request.uri().path() != platform::hosts::PATH {
+    if request.uri().path() != backing::hosts::PATH {
         return Ok(web::not_found());
     }
     let query = request.uri().query().unwrap_or("");
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
-use platform::kv::{Answer, Call, MOST_VALUE, Versioned, WATCH_LIMIT};
+use backing::kv::{Answer, Call, MOST_VALUE, Versioned, WATCH_LIMIT};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -155,7 +155,7 @@
     if faults.down {
         return Err(Cut);
     }
-    if request.uri().path() != platform::kv::PATH {
+    if request.uri().path() != backing::kv::PATH {
         return Ok(web::not_found());
     }
     let Some(call) = web::read::<Call>(request).await else {
--- a/crates/standin/tests/bundles.rs
+++ b/crates/standin/tests/bundles.rs
@@ -6,7 +6,7 @@
 use bundle::{Draft, Head, part};
 use cli::{Error, bundles};
 use common::{PATIENCE, quick, system};
-use platform::keys;
+use backing::keys;
 use standin::fleet::{self, Fleet, Plan};
 use standin::kv::Faults;
 use std::collections::HashMap;
--- a/crates/standin/tests/linearizable.rs
+++ b/crates/standin/tests/linearizable.rs
@@ -6,7 +6,7 @@
 use bundle::Head;
 use cli::{Error, bundles};
 use common::{quick, system};
-use platform::kv::{self, Error as KvError, Kv, Swapped};
+use backing::kv::{self, Error as KvError, Kv, Swapped};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use standin::fleet::Plan;
