Replicas count orders only in their reports; an order is checked for room when it is given

Cause: 'sequence' counts writings in an entry and orders in a report; orders named the former and were refused (2,415 of 2,452).

--- a/crates/cli/src/bundles.rs
+++ b/crates/cli/src/bundles.rs
@@ -2,6 +2,9 @@
 
 use crate::error::Error;
 use crate::platform_tool::Tool;
+use backing::hosts::Kind;
+use backing::keys;
+use backing::kv::{Error as KvError, Swapped};
 use bundle::diff::{Diff, diff};
 use bundle::key::{Act, public, sign};
 use bundle::part::{self, Part};
@@ -11,9 +14,6 @@
 use ed25519_dalek::SigningKey;
 use place::fit::{self, Fit, Room};
 use place::homes::Kept;
-use backing::hosts::Kind;
-use backing::keys;
-use backing::kv::{Error as KvError, Swapped};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/cli/src/platform_tool.rs
+++ b/crates/cli/src/platform_tool.rs
@@ -1,11 +1,11 @@
 //! The platform's services and the daemons, as the tool reaches them.
 
 use crate::error::Error;
+use backing::hosts::{Host, Hosts, Kind};
+use backing::kv::Kv;
 use conn::{Pool, Reply};
 use daemon::settings::{self, Tool as Settings};
 use hyper::StatusCode;
-use backing::hosts::{Host, Hosts, Kind};
-use backing::kv::Kv;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
--- a/crates/cli/src/state.rs
+++ b/crates/cli/src/state.rs
@@ -2,9 +2,9 @@
 
 use crate::error::Error;
 use crate::platform_tool::Tool;
+use backing::hosts::Host;
 use daemon::operator::Status;
 use futures::future::join_all;
-use backing::hosts::Host;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -3,13 +3,13 @@
 use crate::error::Error;
 use crate::platform_tool::Tool;
 use crate::state;
+use backing::keys;
 use daemon::operator::Status;
 use daemon::planner::State as Planner;
 use daemon::shelf;
 use daemon::teller::Record;
 use place::Ledger;
 use place::ledger::Move;
-use backing::keys;
 use unit::Name;
 use unit::engine::{Action, State, Weights};
 
--- a/crates/conn/src/line.rs
+++ b/crates/conn/src/line.rs
@@ -9,11 +9,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
--- a/crates/conn/src/serve.rs
+++ b/crates/conn/src/serve.rs
@@ -97,7 +97,11 @@
 }
 
 /// Listens on `listener` within `bounds` and answers each request by `answer`.
-pub fn serve_within<F, R, B>(listener: TcpListener, bounds: Bounds, answer: F) -> std::io::Result<Server>
+pub fn serve_within<F, R, B>(
+    listener: TcpListener,
+    bounds: Bounds,
+    answer: F,
+) -> std::io::Result<Server>
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<B>, Cut>> + Send + 'static,
--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -9,10 +9,10 @@
 use crate::core::Core;
 use crate::entry::Fault;
 use crate::shelf;
-use hyper::StatusCode;
-use parking_lot::Mutex;
 use backing::keys;
 use backing::kv::{Error, Swapped};
+use hyper::StatusCode;
+use parking_lot::Mutex;
 use route::retry::Outcome;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,8 +10,8 @@
 pub use placed::Placed;
 
 use crate::clock::Clock;
-use parking_lot::Mutex;
 use backing::hosts::Host;
+use parking_lot::Mutex;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use route::choose::Ask;
--- a/crates/daemon/src/planner/book.rs
+++ b/crates/daemon/src/planner/book.rs
@@ -3,10 +3,10 @@
 use crate::core::Core;
 use crate::settings::Settings;
 use crate::shelf::{self, At, Error};
-use place::plan::Plan;
-use place::{Homes, Ledger};
 use backing::keys;
 use backing::kv::{Error as KvError, Swapped};
+use place::plan::Plan;
+use place::{Homes, Ledger};
 use serde::Serialize;
 use unit::Name;
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of a daemon, read from INI and checked whole.
 
 use crate::error::{Error, ReadSettingsSnafu};
+use backing::store::Bounds;
 use bundle::ini::{self, Document, Fields, Problem, Problems, Section};
 use bundle::key::{Trust, read_public};
-use backing::store::Bounds;
 use snafu::ResultExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/daemon/src/shelf.rs
+++ b/crates/daemon/src/shelf.rs
@@ -1,9 +1,9 @@
 //! Heads and parts of bundles in the key-value service.
 
-use bundle::part::{self, Part, Ref};
-use bundle::{Draft, Head};
 use backing::keys;
 use backing::kv::{Error as KvError, Kv, Swapped};
+use bundle::part::{self, Part, Ref};
+use bundle::{Draft, Head};
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use std::collections::HashMap;
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -1,8 +1,8 @@
 //! Watching the host list and the upstreams' reports.
 
 use crate::core::{Core, is_daemon};
-use parking_lot::Mutex;
 use backing::hosts::Host;
+use parking_lot::Mutex;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -270,12 +270,7 @@
 /// Time taken off what is left, for the way back of the answer.
 const WAY_BACK: Span = Span::from_ms(5);
 
-fn request(
-    state: &State,
-    call: &Call,
-    choice: &Choice,
-    last_event: Option<u64>,
-) -> Request<Body> {
+fn request(state: &State, call: &Call, choice: &Choice, last_event: Option<u64>) -> Request<Body> {
     let left = Span::from(call.left(state.now())).saturating_sub(WAY_BACK);
     let mut request = Request::new(Body::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -58,7 +58,10 @@
 
 /// End of the last whole event: behind its empty line.
 fn end_of_last(bytes: &[u8]) -> Option<usize> {
-    let newline = bytes.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
+    let newline = bytes
+        .windows(2)
+        .rposition(|w| w == b"\n\n")
+        .map(|at| at + 2);
     let crlf = bytes
         .windows(4)
         .rposition(|w| w == b"\r\n\r\n")
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -39,8 +39,15 @@
     pub due: Time,
 }
 
+/// Time after an order in which an entry may be older than the order's effect.
+const SETTLES: Span = Span::from_ms(3_000);
+
+/// Time in which a report is older than what it is asked after, and in which a busy replica is not
+/// asked again.
+const REPORT_LAG: Span = Span::from_ms(250);
+
 /// What is believed of one replica.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Known {
     /// Orders it has taken.
     pub orders: u64,
@@ -52,40 +59,72 @@
     pub queue: VecDeque<Job>,
     /// Whether an order is being given now.
     pub calling: bool,
-    /// Whether it must be asked before the next order.
-    pub doubtful: bool,
+    /// Whether it must be asked before the next order, and not before when.
+    pub doubtful: Option<Time>,
     /// Model that it is about to give up, and since when hosts have been told.
     pub closing: Option<(Name, Time)>,
     used: HashMap<(Name, Name), Time>,
+    ordered: Time,
+}
+
+impl Default for Known {
+    fn default() -> Known {
+        Known {
+            orders: 0,
+            held: Vec::new(),
+            pending: None,
+            queue: VecDeque::new(),
+            calling: false,
+            doubtful: Some(Time(0)),
+            closing: None,
+            used: HashMap::new(),
+            ordered: Time(0),
+        }
+    }
 }
 
 impl Known {
     /// Whether it takes an order about a model now.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_none() && self.queue.is_empty() && !self.calling && !self.doubtful
+        self.pending.is_none() && self.queue.is_empty() && !self.calling && self.doubtful.is_none()
     }
 
-    /// Takes its entry in, unless that is older than what is believed.
+    /// Whether it may be asked for a report now.
+    pub fn wants_look(&self, now: Time) -> bool {
+        self.doubtful.is_some_and(|at| now >= at)
+    }
+
+    /// Notes that it must be asked what it holds before the next order.
+    pub fn doubt(&mut self, now: Time) {
+        self.doubtful = Some(now + REPORT_LAG);
+        self.queue.clear();
+    }
+
+    /// Notes that an order is being given.
+    pub fn ordering(&mut self, now: Time) {
+        self.ordered = now;
+    }
+
+    /// Takes its entry in where that cannot be older than the orders given.
     pub fn sync(&mut self, entry: &Entry, now: Time) {
         if let Some(pending) = &self.pending {
             let holds = entry.held.iter().any(|h| h.model == pending.job.model);
-            let done = holds == (pending.job.operation == Operation::Load);
-            if done {
+            if holds == (pending.job.operation == Operation::Load) {
                 let job = pending.job.clone();
                 self.pending = None;
                 self.effect(&job, now);
-            } else if now > pending.due + OVERDUE {
-                self.doubtful = true;
+            } else if now > pending.due + OVERDUE && self.doubtful.is_none() {
+                self.doubt(now);
             }
         }
-        if entry.orders >= self.orders && self.pending.is_none() && !self.calling {
-            self.orders = entry.orders;
+        let settled = now.since(self.ordered) > SETTLES;
+        if settled && self.pending.is_none() && !self.calling && self.held != entry.held {
             self.held.clone_from(&entry.held);
         }
     }
 
     /// Takes a report in; it counts as newest.
-    pub fn adopt(&mut self, report: &Report) {
+    pub fn adopt(&mut self, report: &Report, now: Time) {
         self.orders = report.orders;
         self.held.clone_from(&report.held);
         for (model, adapter) in &report.coming {
@@ -95,7 +134,7 @@
                 held.adapters.push(adapter.clone());
             }
         }
-        self.doubtful = report.busy;
+        self.doubtful = report.busy.then(|| now + REPORT_LAG);
         if !report.busy {
             self.pending = None;
         }
@@ -140,7 +179,9 @@
     pub fn adapters_due(&self) -> usize {
         let mut due = self.adapters();
         for job in &self.queue {
-            let Some(adapter) = &job.adapter else { continue };
+            let Some(adapter) = &job.adapter else {
+                continue;
+            };
             let key = (job.model.clone(), adapter.clone());
             match job.operation {
                 Operation::Load if !due.contains(&key) => due.push(key),
@@ -177,6 +218,26 @@
             .min_by_key(|(_, at)| *at)
     }
 
+    /// Whether there is room for what an order loads, by what is believed now.
+    pub fn has_room(&self, job: &Job, engine: &Engine) -> bool {
+        if job.operation == Operation::Unload {
+            return true;
+        }
+        match &job.adapter {
+            Some(adapter) => {
+                let adapters = self.adapters();
+                let there = adapters
+                    .iter()
+                    .any(|(m, a)| *m == job.model && a == adapter);
+                there || adapters.len() < engine.adapters as usize
+            }
+            None => {
+                let model = engine.models.iter().find(|m| m.name == job.model);
+                model.is_some_and(|m| m.memory_mb <= self.free_mb(engine))
+            }
+        }
+    }
+
     /// Memory that nothing takes, in MB, with room kept for all adapters it may hold.
     pub fn free_mb(&self, engine: &Engine) -> f64 {
         let largest = engine
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -124,7 +124,10 @@
         let now = self.state.now();
         match message {
             Message::Sums(sums) => self.inbox.put(sums, from, now),
-            Message::Want(want) => self.inbox.want(Want { reply: from, ..want }),
+            Message::Want(want) => self.inbox.want(Want {
+                reply: from,
+                ..want
+            }),
             Message::Digest(digest) => self.digest(digest, now),
             Message::Placed(placed) => self.placed(placed),
         }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -132,7 +132,9 @@
         }
         let ids: Vec<Name> = {
             let book = self.book.lock();
-            let waiting = |k: &&Known| !k.calling && (k.doubtful || !k.queue.is_empty());
+            let now = self.state.now();
+            let waits = |k: &Known| k.doubtful.is_none() && !k.queue.is_empty();
+            let waiting = |k: &&Known| !k.calling && (k.wants_look(now) || waits(k));
             let known = book.known.iter().filter(|(_, k)| waiting(k));
             known.map(|(id, _)| id.clone()).collect()
         };
@@ -321,7 +323,10 @@
                 return None;
             }
             let holds = known.held.iter().any(|h| h.model == want.model);
-            let closes = known.closing.as_ref().is_some_and(|(m, _)| *m == want.model);
+            let closes = known
+                .closing
+                .as_ref()
+                .is_some_and(|(m, _)| *m == want.model);
             let unloading = known
                 .pending
                 .as_ref()
@@ -397,13 +402,21 @@
         let Some(entry) = self.entry(id) else {
             return false;
         };
-        let doubtful = {
+        let now = self.state.now();
+        let (doubtful, looks) = {
             let book = self.book.lock();
-            book.known.get(id).is_none_or(|k| k.doubtful)
+            let known = book.known.get(id);
+            let looks = known.is_some_and(|k| k.wants_look(now));
+            (known.is_none_or(|k| k.doubtful.is_some()), looks)
         };
-        if doubtful && !self.look(&entry).await {
+        if doubtful && !(looks && self.look(&entry).await) {
             return false;
         }
+        let routes = self.state.table.lock().routes.clone();
+        let service = routes.as_ref().and_then(|r| r.service(&entry.service));
+        let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
+            return false;
+        };
         let (job, expected) = {
             let mut book = self.book.lock();
             let Some(known) = book.known.get_mut(id) else {
@@ -413,9 +426,12 @@
             if known.queue.front().is_none_or(waits) {
                 return false;
             }
-            (known.queue.pop_front(), known.orders)
+            let job = known.queue.pop_front();
+            let job = job.filter(|job| known.has_room(job, engine));
+            known.ordering(now);
+            (job, known.orders)
         };
-        let Some(job) = job else { return false };
+        let Some(job) = job else { return true };
         if !self.term.holds() {
             return false;
         }
@@ -437,7 +453,7 @@
                 let Some(known) = book.known.get_mut(&entry.id) else {
                     return false;
                 };
-                known.adopt(&report);
+                known.adopt(&report, self.state.now());
                 info!(target: "planner", event = "looked", replica = &*entry.id, orders = report.orders, busy = report.busy, "a replica was asked what it holds");
                 !report.busy
             }
@@ -496,8 +512,7 @@
             Ok(Ordered::Accepted) if job.operation == Operation::Unload => {
                 // It goes when its last request has ended; until then it takes its place.
                 known.orders = expected + 1;
-                known.doubtful = true;
-                known.queue.clear();
+                known.doubt(now);
                 false
             }
             Ok(Ordered::Accepted | Ordered::InForce) if job.adapter.is_some() => {
@@ -515,8 +530,8 @@
             }
             Ok(Ordered::InForce) => {
                 known.effect(&job, now);
-                known.doubtful = true;
-                true
+                known.doubt(now);
+                false
             }
             Ok(Ordered::Fenced) => {
                 warn!(target: "planner", event = "fenced", term = self.term.token, "a later holder gives orders; this term ends");
@@ -524,13 +539,11 @@
                 false
             }
             Ok(_) => {
-                known.doubtful = true;
-                known.queue.clear();
-                true
+                known.doubt(now);
+                false
             }
             Err(why) => {
-                known.doubtful = true;
-                known.queue.clear();
+                known.doubt(now);
                 let lands = matches!(why, platform::Error::Unknown { .. });
                 if job.from_store && lands {
                     for bucket in book.buckets.values_mut() {
@@ -617,7 +630,7 @@
 }
 
 fn adapters(book: &Book) -> Vec<(Name, Vec<(Name, Name)>)> {
-    let known = book.known.iter().filter(|(_, k)| !k.doubtful);
+    let known = book.known.iter().filter(|(_, k)| k.doubtful.is_none());
     known.map(|(id, k)| (id.clone(), k.adapters())).collect()
 }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -161,7 +161,10 @@
     }
 
     fn end(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
-        self.state.log.metrics.ended(&self.call.route.name, "complete");
+        self.state
+            .log
+            .metrics
+            .ended(&self.call.route.name, "complete");
         let id = &self.call.id;
         let ms = self.state.now().since(self.call.arrived).ms();
         self.state.log.routine(id, || {
@@ -191,9 +194,12 @@
             };
             match frame {
                 Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
                     let events = self.splitter.push(data);
-                    let events = events.map_err(|_| Failed::Lost("an event was too long".into()))?;
+                    let events =
+                        events.map_err(|_| Failed::Lost("an event was too long".into()))?;
                     if let Some(events) = events {
                         return Ok(Some(events));
                     }
@@ -207,7 +213,12 @@
         }
         if let Some(mut source) = self.source.take() {
             source.place.answered(false);
-            keep(&self.state, &source.place, source.line, &source.head.headers);
+            keep(
+                &self.state,
+                &source.place,
+                source.line,
+                &source.head.headers,
+            );
         }
         Ok(None)
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -6,8 +6,8 @@
 use crate::state::{self, State, Wanted};
 use crate::{follow, leader, log, planner, respond, serve};
 use conn::{Bounds, Server};
-use hyper::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 use platform::names;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -220,7 +220,11 @@
         ("lease", &calls.leases),
     ];
     for (kind, count) in kinds {
-        set("coveford_store_calls", &[("kind", kind)], count.load(Relaxed) as f64);
+        set(
+            "coveford_store_calls",
+            &[("kind", kind)],
+            count.load(Relaxed) as f64,
+        );
     }
     set("coveford_in_flight", &[], state.in_flight() as f64);
     let leads = state
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -100,11 +100,7 @@
     uri.host().or(named).unwrap_or_default().to_owned()
 }
 
-fn find(
-    state: &State,
-    routes: &Routes,
-    request: &Request<Incoming>,
-) -> Result<Arc<Route>, Fault> {
+fn find(state: &State, routes: &Routes, request: &Request<Incoming>) -> Result<Arc<Route>, Fault> {
     let host = host(request.uri(), request.headers());
     if let Some(route) = routes.find(&host, request.uri().path()) {
         return Ok(route.clone());
@@ -149,7 +145,11 @@
         service,
         route,
         method: head.method,
-        uri: head.uri.path_and_query().cloned().map_or(head.uri, |p| p.as_str().parse().expect("a path was read")),
+        uri: head
+            .uri
+            .path_and_query()
+            .cloned()
+            .map_or(head.uri, |p| p.as_str().parse().expect("a path was read")),
         headers: head.headers,
         body,
         ask,
@@ -171,10 +171,14 @@
     let most = routes.limits.body;
     let hint = body.size_hint().upper().unwrap_or(0).min(most as u64);
     let kb = (hint / 1_024) as u32 + 1;
-    let _room = state.bodies.clone().try_acquire_many_owned(kb).map_err(|_| {
-        let message = "This host holds as many request bodies as it may.";
-        Fault::not_run("bodies_full", message, RETURN_LATER)
-    })?;
+    let _room = state
+        .bodies
+        .clone()
+        .try_acquire_many_owned(kb)
+        .map_err(|_| {
+            let message = "This host holds as many request bodies as it may.";
+            Fault::not_run("bodies_full", message, RETURN_LATER)
+        })?;
     let read = Limited::new(body, most).collect();
     match timeout_at(state.instant(deadline), read).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -197,10 +201,7 @@
 }
 
 /// Sends a request until it is answered, or nothing more may be done for it.
-async fn attempts(
-    state: &Arc<State>,
-    call: &Arc<Call>,
-) -> Result<Response<Body>, Fault> {
+async fn attempts(state: &Arc<State>, call: &Arc<Call>) -> Result<Response<Body>, Fault> {
     let mut tried: Vec<Name> = Vec::new();
     let mut may_have_run = false;
     let mut last = Failed::Unsent("no replica was tried".into());
@@ -283,7 +284,11 @@
 fn give_up(state: &State, call: &Call, last: &Failed, may_have_run: bool) -> Fault {
     if !may_have_run {
         let wait = RETURN_RANGE.0;
-        return Fault::not_run("refused_by_replicas", format!("No replica took the request ({last})."), wait);
+        return Fault::not_run(
+            "refused_by_replicas",
+            format!("No replica took the request ({last})."),
+            wait,
+        );
     }
     match state.now() >= call.deadline || *last == Failed::Late {
         true => Fault::late("The replica did not answer in time."),
@@ -307,7 +312,9 @@
         let chosen = state.table.lock().choose(&want, now);
         let (until, fault) = match chosen {
             Ok(choice) => return admit(state, call, choice, sending),
-            Err(Nowhere::NoModel(Some(coming))) if now.since(call.arrived) + coming < target * COMING_PART => {
+            Err(Nowhere::NoModel(Some(coming)))
+                if now.since(call.arrived) + coming < target * COMING_PART =>
+            {
                 let message = "The model is being loaded.";
                 let until = call.arrived + target * COMING_PART;
                 (until, Fault::not_run("model_loading", message, coming))
@@ -323,7 +330,10 @@
                     let _ = state.wanted.send(wanted);
                 }
                 let message = "The adapter is on no replica yet.";
-                (held_until, Fault::not_run("no_adapter", message, RETURN_FOR_ADAPTER))
+                (
+                    held_until,
+                    Fault::not_run("no_adapter", message, RETURN_FOR_ADAPTER),
+                )
             }
             Err(Nowhere::NoReplica) => {
                 let message = "No replica of the service is there.";
@@ -339,12 +349,7 @@
 }
 
 /// Admits a request where it can meet its target, or refuses it at once.
-fn admit(
-    state: &State,
-    call: &Call,
-    choice: Choice,
-    sending: usize,
-) -> Result<Choice, Fault> {
+fn admit(state: &State, call: &Call, choice: Choice, sending: usize) -> Result<Choice, Fault> {
     let now = state.now();
     let waited = now.since(call.arrived);
     let target = Span::from(call.route.target);
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -164,7 +164,9 @@
     let mut fields = Fields::new(section, problems);
     let level = fields.text("level").unwrap_or_else(|| "info".into());
     if tracing_subscriber::EnvFilter::try_new(&*level).is_err() {
-        let text = format!("'{level}' is not allowed; give error, warn, info, debug or trace, or PART=LEVEL pairs.");
+        let text = format!(
+            "'{level}' is not allowed; give error, warn, info, debug or trace, or PART=LEVEL pairs."
+        );
         fields.refuse("level", text);
     }
     fields.finish();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -59,7 +59,11 @@
 pub type Wanted = tokio::sync::mpsc::UnboundedReceiver<(Name, Name, Name)>;
 
 /// Makes the shared state.
-pub fn open(settings: Settings, log: Log, store_limit: std::time::Duration) -> (Arc<State>, Wanted) {
+pub fn open(
+    settings: Settings,
+    log: Log,
+    store_limit: std::time::Duration,
+) -> (Arc<State>, Wanted) {
     let seed = unit::rendezvous::hash(settings.name.as_bytes());
     let bodies = settings.limits.memory_mb * 1_024 / BODIES_PART;
     let (wanted, receiver) = tokio::sync::mpsc::unbounded_channel();
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -5,8 +5,8 @@
 use crate::view::{News, View};
 use platform::ingress::Ask;
 use platform::replica::Entry;
-use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use route::batch::{self, Candidate};
 use route::window::Window;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -91,7 +91,11 @@
     fn kept(&self, model: &Name, ask: &Ask) -> u64 {
         let mut tokens = 0;
         for part in &ask.parts {
-            if !self.parts.iter().any(|(m, id)| *id == part.id && m == model) {
+            if !self
+                .parts
+                .iter()
+                .any(|(m, id)| *id == part.id && m == model)
+            {
                 break;
             }
             tokens += part.tokens;
@@ -517,9 +521,7 @@
     /// Notes that a replica turned a request for an adapter away: it is not there.
     pub fn drop_adapter(&mut self, replica: &str, model: &Name, adapter: &Name) {
         if let Some(state) = self.state.get_mut(replica) {
-            state
-                .adapters
-                .retain(|(m, a)| m != model || a != adapter);
+            state.adapters.retain(|(m, a)| m != model || a != adapter);
         }
     }
 
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -96,6 +96,12 @@
         if seen.revision >= revision {
             return None;
         }
+        if entry.beat < seen.entry.beat {
+            // An old writing that came late: it shows that the replica is there, and nothing else.
+            seen.revision = revision;
+            seen.missing = None;
+            return None;
+        }
         let leaves = entry.leaving && !seen.entry.leaving;
         // A replica that has announced its leaving does not take that back.
         let leaving = entry.leaving || seen.entry.leaving;
--- a/crates/route/src/batch.rs
+++ b/crates/route/src/batch.rs
@@ -85,11 +85,7 @@
 }
 
 /// Index of the cheapest candidate, and its expected time to the first token.
-pub fn choose(
-    ask: &Ask,
-    candidates: &[Candidate],
-    rng: &mut impl Rng,
-) -> Option<(usize, Span)> {
+pub fn choose(ask: &Ask, candidates: &[Candidate], rng: &mut impl Rng) -> Option<(usize, Span)> {
     let sound = candidates.iter().any(|c| c.failing < FAILING);
     let mut best: Option<(usize, Span)> = None;
     for (i, candidate) in candidates.iter().enumerate() {
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -49,18 +49,16 @@
             self.steps.pop_front();
         }
         let step = Span(length.0 / STEPS);
-        if self
-            .steps
-            .back()
-            .is_none_or(|s| now.since(s.start) >= step)
-        {
+        if self.steps.back().is_none_or(|s| now.since(s.start) >= step) {
             self.steps.push_back(Step {
                 start: now,
                 requests: 0,
                 retries: 0,
             });
         }
-        self.steps.back_mut().expect("a step was pushed if none was there")
+        self.steps
+            .back_mut()
+            .expect("a step was pushed if none was there")
     }
 
     /// Notes a request.
--- a/crates/standin/src/experiment/slopes.rs
+++ b/crates/standin/src/experiment/slopes.rs
@@ -4,6 +4,7 @@
 use super::Options;
 use super::measure::allocated;
 use crate::fleet;
+use backing::hosts::{Host, Kind};
 use bundle::key::Signed;
 use bundle::{Delta, Draft, Head, part};
 use cli::render::{json, out, table};
@@ -11,7 +12,6 @@
 use place::homes::{Hall, Homes};
 use place::plan::{Need, Situation, Starts, Want, plan};
 use place::{Fleet, Ledger, Upstream};
-use backing::hosts::{Host, Kind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::choose::{Ask, Candidate, choose, weigh};
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -1,11 +1,11 @@
 //! Stand-in of the host list, with a lag.
 
 use crate::web::{self, Body, MOST_CONNECTIONS};
+use backing::hosts::{Changes, Host};
 use conn::{Cut, Server};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
-use backing::hosts::{Changes, Host};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -1,11 +1,11 @@
 //! Stand-in of the key-value service.
 
 use crate::web::{self, Body, MOST_CONNECTIONS};
+use backing::kv::{Answer, Call, MOST_VALUE, Versioned, WATCH_LIMIT};
 use conn::{Cut, Server};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
-use backing::kv::{Answer, Call, MOST_VALUE, Versioned, WATCH_LIMIT};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
--- a/crates/standin/tests/bundles.rs
+++ b/crates/standin/tests/bundles.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
+use backing::keys;
 use bundle::key::{Act, sign};
 use bundle::{Draft, Head, part};
 use cli::{Error, bundles};
 use common::{PATIENCE, quick, system};
-use backing::keys;
 use standin::fleet::{self, Fleet, Plan};
 use standin::kv::Faults;
 use std::collections::HashMap;
--- a/crates/standin/tests/linearizable.rs
+++ b/crates/standin/tests/linearizable.rs
@@ -3,10 +3,10 @@
 
 mod common;
 
+use backing::kv::{self, Error as KvError, Kv, Swapped};
 use bundle::Head;
 use cli::{Error, bundles};
 use common::{quick, system};
-use backing::kv::{self, Error as KvError, Kv, Swapped};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use standin::fleet::Plan;
