--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -115,7 +115,12 @@
         let table = self.state.table.lock();
         let mut book = self.book.lock();
         book.known.retain(|id, _| table.view.get(id).is_some());
-        for seen in table.view.all() {
+        let routes = table.routes.as_ref();
+        let runs_models = |service: &Name| {
+            let service = routes.and_then(|r| r.service(service));
+            service.is_some_and(|s| s.engine.is_some())
+        };
+        for seen in table.view.all().filter(|s| runs_models(&s.entry.service)) {
             let known = book.known.entry(seen.entry.id.clone()).or_default();
             known.sync(&seen.entry, now);
         }
@@ -492,9 +497,9 @@
             .metrics
             .counter("coveford_orders_total", &labels)
             .increment(1);
-        self.state.log.notable(|| {
+        {
             info!(target: "planner", event = "ordered", replica = &*entry.id, operation, model = &*job.model, adapter = job.adapter.as_deref(), expected, term = self.term.token, outcome, "an order was given")
-        });
+        }
         let mut book = self.book.lock();
         let book = &mut *book;
         let Some(known) = book.known.get_mut(&entry.id) else {
