Prompts are paced by the pauses of the streams that run; hosts tell each other what is in flight

Cause: most late streams had a first token in 100 ms but a pause over 300 ms: prompts are read between the tokens of the others, and hosts that do not know of each other sent several at once. Ruled out: the first token (p50 100 ms), the relay (no cpu charged).

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -50,6 +50,7 @@
             service: &self.service,
             ask: &self.ask,
             priority: self.route.priority,
+            gap: self.route.gap.map(Span::from),
             avoid,
             only,
         }
@@ -66,8 +67,8 @@
     model: Option<Name>,
     /// When the request was counted in.
     pub at: Time,
-    /// Prompt tokens that stood before it then, its own included.
-    unread: f64,
+    /// Prompt tokens to be read for it, if no other prompt stood before it then.
+    alone: Option<f64>,
     started: Option<Time>,
 }
 
@@ -76,9 +77,10 @@
     pub fn take(state: &Arc<State>, call: &Call, choice: &Choice) -> Place {
         let now = state.now();
         let mut table = state.table.lock();
+        let alone = table.alone(&choice.replica, &call.ask, now);
         let print = table.enter(&choice.replica, &call.want(&[], None));
-        let unread = table.unread(&choice.replica, call.route.priority, now);
         drop(table);
+        state.entered.notify_one();
         Place {
             state: state.clone(),
             replica: choice.replica.clone(),
@@ -86,7 +88,7 @@
             service: call.service.clone(),
             model: call.ask.model.clone(),
             at: now,
-            unread,
+            alone,
             started: None,
         }
     }
@@ -97,9 +99,11 @@
         self.started = Some(now);
         let mut table = self.state.table.lock();
         table.started(&self.replica, &mut self.print);
-        if let Some(model) = &self.model {
-            table.learn_speed(&self.service, model, self.unread, now.since(self.at));
+        if let (Some(model), Some(tokens)) = (&self.model, self.alone) {
+            table.learn_speed(&self.service, model, tokens, now.since(self.at));
         }
+        drop(table);
+        self.state.changed.notify_waiters();
     }
 
     /// Notes that the whole answer has come.
@@ -172,9 +176,9 @@
     state: &Arc<State>,
     call: &Call,
     choice: &Choice,
+    place: Place,
     last_event: Option<u64>,
 ) -> Result<Sent, Failed> {
-    let place = Place::take(state, call, choice);
     let repeatable = call.route.kind.is_repeatable();
     let kept = state.pool.take(&choice.replica, repeatable);
     let mut line = match kept {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,8 +1,8 @@
 //! A daemon's work on a platform whose store lists the replicas: entry, view, planner.
 //!
 //! Dependencies between modules point one way: `state` holds what several parts share and names
-//! none of them; `run` starts them all. The only lock is that of [`table::Table`]; it is never held
-//! across an await.
+//! none of them; `run` starts them all. Locks are taken in this order: [`waiting::Waiting`], then
+//! [`table::Table`]; none is held across an await.
 
 pub mod attempt;
 pub mod error;
@@ -26,6 +26,7 @@
 pub mod state;
 pub mod table;
 pub mod view;
+pub mod waiting;
 
 pub use error::Error;
 pub use run::{Daemon, run, spawn};
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -15,6 +15,8 @@
 pub enum Message {
     /// A host's sums, to the leader.
     Sums(Sums),
+    /// A host's requests in flight, to every other host.
+    Direct(Sums),
     /// The sums of all hosts, from the leader.
     Digest(Digest),
     /// A host needs an adapter somewhere.
@@ -56,7 +58,7 @@
     pub requests: f32,
     /// Tokens that they need at the most.
     pub reserved: f32,
-    /// Prompt tokens not yet read, by rank of urgency.
+    /// Time to read the prompts that are not read yet, in milliseconds, by rank of urgency.
     pub unread: [f32; RANKS],
 }
 
@@ -104,6 +106,8 @@
     pub coming: Vec<(Name, u32)>,
     /// Replicas and the model that each is about to give up: it gets no new work.
     pub closing: Vec<(Name, Name)>,
+    /// Where all hosts take datagrams, while they are few enough to tell each other directly.
+    pub peers: Vec<SocketAddr>,
 }
 
 /// Request for an adapter.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -29,6 +29,15 @@
 /// Longest datagram that is received.
 const BUFFER: usize = 8 * 1_024;
 
+/// Hosts up to which each tells all others directly; beyond, the leader's sums must do.
+const MOST_DIRECT: usize = 16;
+
+/// Pause in which requests that are counted in are told together.
+const DIRECT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time after which sums are told directly although nothing was counted in.
+const DIRECT_IDLE: Duration = Duration::from_millis(300);
+
 /// What other hosts have told the leader.
 #[derive(Default)]
 pub struct Inbox {
@@ -90,6 +99,8 @@
     socket: UdpSocket,
     /// What others told this host while it leads.
     pub inbox: Inbox,
+    /// Other hosts, while they are few enough to be told directly.
+    others: Mutex<Vec<SocketAddr>>,
 }
 
 /// Makes the exchange over a bound socket.
@@ -98,6 +109,7 @@
         state,
         socket,
         inbox: Inbox::default(),
+        others: Mutex::default(),
     })
 }
 
@@ -124,6 +136,12 @@
         let now = self.state.now();
         match message {
             Message::Sums(sums) => self.inbox.put(sums, from, now),
+            Message::Direct(sums) => {
+                let mut table = self.state.table.lock();
+                table.told_by(&sums.host, &sums.loads, now);
+                drop(table);
+                self.state.changed.notify_waiters();
+            }
             Message::Want(want) => self.inbox.want(Want {
                 reply: from,
                 ..want
@@ -145,6 +163,9 @@
             table.set_adapters(&replica, adapters, now);
         }
         if let Some(plans) = digest.plans {
+            let own = self.state.settings.peers;
+            let others = plans.peers.into_iter().filter(|p| *p != own);
+            *self.others.lock() = others.collect();
             table.set_coming(&plans.coming, now);
             table.set_closing(plans.closing, now);
         }
@@ -169,6 +190,38 @@
         }
     }
 
+    /// Tells all other hosts directly what is in flight, as soon as a request is counted in.
+    pub async fn tell_directly(self: Arc<Self>) {
+        loop {
+            let entered = self.state.entered.notified();
+            let _ = tokio::time::timeout(DIRECT_IDLE, entered).await;
+            tokio::time::sleep(DIRECT_PAUSE).await;
+            let others = self.others.lock().clone();
+            if others.is_empty() {
+                continue;
+            }
+            let sums = Sums {
+                host: self.state.settings.name.clone(),
+                round: 0,
+                demand: Vec::new(),
+                loads: self.state.table.lock().in_flight(),
+            };
+            let message = Message::Direct(sums);
+            for other in others {
+                self.send(&message, other).await;
+            }
+        }
+    }
+
+    /// Where all hosts take datagrams, while they are few enough to tell each other directly.
+    pub fn direct(&self) -> Vec<SocketAddr> {
+        let hosts = self.inbox.hosts();
+        match hosts.len() <= MOST_DIRECT {
+            true => hosts,
+            false => Vec::new(),
+        }
+    }
+
     async fn tell_round(&self, round: u32) {
         let Some(leader) = self.state.leader.lock().clone() else {
             return;
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -567,7 +567,7 @@
         let hosts = self.peers.inbox.hosts().len() as u32;
         let (plans, adapters) = {
             let book = self.book.lock();
-            (plans(&book, now), adapters(&book))
+            (plans(&book, self.peers.direct(), now), adapters(&book))
         };
         let mut digests = vec![Digest {
             term: self.term.token,
@@ -613,7 +613,7 @@
     }
 }
 
-fn plans(book: &Book, now: Time) -> Plans {
+fn plans(book: &Book, peers: Vec<SocketAddr>, now: Time) -> Plans {
     let coming = book.known.values().filter_map(|k| {
         let pending = k.pending.as_ref()?;
         let loads = pending.job.operation == Operation::Load;
@@ -631,6 +631,7 @@
     Plans {
         coming: coming.collect(),
         closing: closing.collect(),
+        peers,
     }
 }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -26,9 +26,14 @@
 /// Longest answer that is not a stream, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
 
-/// Silence of a stream that may be resumed after which its replica is given up: what a client
-/// bears at the least.
-const SILENCE: Duration = Duration::from_millis(1_500);
+/// Silence of a stream that may be resumed after which is looked whether its replica is gone.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+fn is_there(state: &State, replica: &str) -> bool {
+    let table = state.table.lock();
+    let seen = table.view.get(replica);
+    seen.is_some_and(|s| s.missing.is_none())
+}
 
 /// Reads an answer that is not a stream whole.
 pub async fn read_whole(
@@ -181,16 +186,20 @@
             return Ok(None);
         };
         loop {
-            let silence = tokio::time::Instant::now() + SILENCE.max(self.call.route.target);
+            let silence = tokio::time::Instant::now() + SILENCE;
             let until = match resumable {
                 true => deadline.min(silence),
                 false => deadline,
             };
             let Ok(frame) = timeout_at(until, source.body.frame()).await else {
-                return Err(match until == deadline {
-                    true => Failed::Late,
-                    false => Failed::Lost("the replica was silent".into()),
-                });
+                if until == deadline {
+                    return Err(Failed::Late);
+                }
+                // Silence alone is no reason to give a replica up: it may just be slow.
+                if is_there(&self.state, &source.place.replica) {
+                    continue;
+                }
+                return Err(Failed::Lost("the replica was silent, and is gone".into()));
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -245,7 +254,8 @@
                 }
             };
             self.tried.push(choice.replica.clone());
-            let sent = send(&state, &call, &choice, last).await;
+            let place = Place::take(&state, &call, &choice);
+            let sent = send(&state, &call, &choice, place, last).await;
             state.log.notable(|| {
                 let outcome = match &sent {
                     Ok(sent) => format!("status {}", sent.response.status()),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -4,7 +4,7 @@
 use crate::peers::{self, Peers};
 use crate::settings::{self, Settings};
 use crate::state::{self, State, Wanted};
-use crate::{follow, leader, log, planner, respond, serve};
+use crate::{follow, leader, log, planner, respond, serve, waiting};
 use conn::{Bounds, Server};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -133,11 +133,15 @@
     let socket = UdpSocket::bind(addr).await.context(ListenSnafu { addr })?;
     let (state, wanted) = state::open(settings, log::open(), STORE_LIMIT);
     let peers = peers::open(state.clone(), socket);
+    let entry = serve::Entry {
+        state: state.clone(),
+        waiting: Arc::default(),
+    };
     let daemon = Daemon {
-        callers: serve_callers(&state, callers)?,
+        callers: serve_callers(&entry, callers)?,
         _readiness: serve_readiness(&state, readiness)?,
         _metrics: serve_metrics(&state, metrics)?,
-        _tasks: tasks(&state, &peers, wanted),
+        _tasks: tasks(&entry, &peers, wanted),
         state,
     };
     let settings = &daemon.state.settings;
@@ -145,8 +149,11 @@
     Ok(daemon)
 }
 
-fn tasks(state: &Arc<State>, peers: &Arc<Peers>, wanted: Wanted) -> JoinSet<()> {
+fn tasks(entry: &serve::Entry, peers: &Arc<Peers>, wanted: Wanted) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
+    let state = &entry.state;
+    tasks.spawn(waiting::run(state.clone(), entry.waiting.clone()));
+    tasks.spawn(peers.clone().tell_directly());
     tasks.spawn(follow::run(state.clone()));
     tasks.spawn(peers.clone().receive());
     tasks.spawn(peers.clone().tell());
@@ -164,18 +171,18 @@
     TcpListener::bind(addr).await.context(ListenSnafu { addr })
 }
 
-fn serve_callers(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
-    let limits = state.settings.limits;
+fn serve_callers(entry: &serve::Entry, listener: TcpListener) -> Result<Server, Error> {
+    let limits = entry.state.settings.limits;
     let bounds = Bounds {
         // Half of the descriptors: a request needs a connection to a replica as well.
         connections: limits.descriptors.saturating_sub(OWN_DESCRIPTORS) / 2,
         head_time: IDLE,
         head_bytes: HEAD_BYTES,
     };
-    let state = state.clone();
+    let entry = entry.clone();
     let answer = move |request| {
-        let state = state.clone();
-        async move { Ok(serve::handle(state, request).await) }
+        let entry = entry.clone();
+        async move { Ok(serve::handle(entry, request).await) }
     };
     conn::serve_within(listener, bounds, answer).context(RuntimeSnafu)
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,16 +1,18 @@
 //! One request of a client, from its head to its answer.
 
-use crate::attempt::{Call, Failed, send};
+use crate::attempt::{Call, Failed, Place, send};
 use crate::relay;
 use crate::respond::{Body, Fault, close};
 use crate::routes::Routes;
 use crate::state::State;
 use crate::table::{Choice, Nowhere};
+use crate::waiting::{Turn, Waiting};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response, StatusCode};
+use parking_lot::Mutex;
 use platform::config::Route;
 use platform::ingress;
 use std::sync::Arc;
@@ -49,11 +51,21 @@
 /// Part of the places of a service below which nothing is refused.
 const PLACES_FREE: f64 = 0.5;
 
+/// Where requests come in.
+#[derive(Clone)]
+pub struct Entry {
+    /// What the parts of the daemon share.
+    pub state: Arc<State>,
+    /// Requests that wait for a replica.
+    pub waiting: Arc<Mutex<Waiting>>,
+}
+
 /// Answers a request; the answer is given at once when the request is given up.
-pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(entry: Entry, request: Request<Incoming>) -> Response<Body> {
+    let state = &entry.state;
     let _in_flight = state.enter();
     let arrived = state.now();
-    let mut response = match answer(&state, request, arrived).await {
+    let mut response = match answer(&entry, request, arrived).await {
         Ok(response) => response,
         Err(fault) => fault.response(),
     };
@@ -64,10 +76,11 @@
 }
 
 async fn answer(
-    state: &Arc<State>,
+    entry: &Entry,
     request: Request<Incoming>,
     arrived: Time,
 ) -> Result<Response<Body>, Fault> {
+    let state = &entry.state;
     let routes = state.table.lock().routes.clone();
     let routes = routes.ok_or_else(|| {
         let message = "This host has no configuration yet.";
@@ -86,7 +99,7 @@
         ),
         arrived,
     );
-    let answered = attempts(state, &call).await;
+    let answered = attempts(entry, &call).await;
     match &answered {
         Ok(response) => tells.answered(response),
         Err(fault) => tells.failed(fault),
@@ -201,7 +214,8 @@
 }
 
 /// Sends a request until it is answered, or nothing more may be done for it.
-async fn attempts(state: &Arc<State>, call: &Arc<Call>) -> Result<Response<Body>, Fault> {
+async fn attempts(entry: &Entry, call: &Arc<Call>) -> Result<Response<Body>, Fault> {
+    let state = &entry.state;
     let mut tried: Vec<Name> = Vec::new();
     let mut may_have_run = false;
     let mut last = Failed::Unsent("no replica was tried".into());
@@ -219,12 +233,12 @@
             Some(_) => &[],
             None => &tried,
         };
-        let choice = match place(state, call, avoid, only.as_ref(), sending).await {
-            Ok(choice) => choice,
+        let (choice, place) = match place(entry, call, avoid, only.as_ref(), sending).await {
+            Ok(placed) => placed,
             Err(_) if sending > 0 => return Err(give_up(state, call, &last, may_have_run)),
             Err(fault) => return Err(fault),
         };
-        let sent = send(state, call, &choice, call.ask.last_event).await;
+        let sent = send(state, call, &choice, place, call.ask.last_event).await;
         if !matches!(sent, Err(Failed::Unsent(_))) && !tried.contains(&choice.replica) {
             tried.push(choice.replica.clone());
         }
@@ -298,47 +312,25 @@
 
 /// Chooses a replica; waits shortly for a model or an adapter that is on its way.
 async fn place(
-    state: &Arc<State>,
-    call: &Call,
+    entry: &Entry,
+    call: &Arc<Call>,
     avoid: &[Name],
     only: Option<&Name>,
     sending: usize,
-) -> Result<Choice, Fault> {
-    let target = Span::from(call.route.target);
-    let held_until = call.arrived + target * HELD_PART;
+) -> Result<Turn, Fault> {
+    let state = &entry.state;
+    let held_until = call.arrived + Span::from(call.route.target) * HELD_PART;
     loop {
         let now = state.now();
         let want = call.want(avoid, only);
         let chosen = state.table.lock().choose(&want, now);
         let (until, fault) = match chosen {
-            Ok(choice) => return admit(state, call, choice, sending),
-            Err(Nowhere::NoModel(Some(coming)))
-                if now.since(call.arrived) + coming < target * COMING_PART =>
-            {
-                let message = "The model is being loaded.";
-                let until = call.arrived + target * COMING_PART;
-                (until, Fault::not_run("model_loading", message, coming))
-            }
-            Err(Nowhere::NoModel(coming)) => {
-                let wait = coming.unwrap_or(RETURN_LATER).max(RETURN_RANGE.0);
-                let message = "No replica holds the model at the moment.";
-                (now, Fault::not_run("no_model", message, wait))
-            }
-            Err(Nowhere::NoAdapter) => {
-                if let (Some(model), Some(adapter)) = (&call.ask.model, &call.ask.adapter) {
-                    let wanted = (call.service.clone(), model.clone(), adapter.clone());
-                    let _ = state.wanted.send(wanted);
-                }
-                let message = "The adapter is on no replica yet.";
-                (
-                    held_until,
-                    Fault::not_run("no_adapter", message, RETURN_FOR_ADAPTER),
-                )
-            }
-            Err(Nowhere::NoReplica) => {
-                let message = "No replica of the service is there.";
-                (now, Fault::not_run("no_replica", message, RETURN_LATER))
+            Ok(choice) if sending > 0 => {
+                let place = Place::take(state, call, &choice);
+                return Ok((choice, place));
             }
+            Ok(choice) => return admit(entry, call, choice).await,
+            Err(nowhere) => absent(state, call, nowhere, held_until, now),
         };
         if now >= until.min(call.deadline) {
             return Err(fault);
@@ -348,27 +340,91 @@
     }
 }
 
-/// Admits a request where it can meet its target, or refuses it at once.
-fn admit(state: &State, call: &Call, choice: Choice, sending: usize) -> Result<Choice, Fault> {
+/// Until when a request may wait for what is on no replica, and what it is told then.
+fn absent(
+    state: &State,
+    call: &Call,
+    nowhere: Nowhere,
+    held_until: Time,
+    now: Time,
+) -> (Time, Fault) {
+    let target = Span::from(call.route.target);
+    match nowhere {
+        Nowhere::NoModel(Some(coming))
+            if now.since(call.arrived) + coming < target * COMING_PART =>
+        {
+            let until = call.arrived + target * COMING_PART;
+            let message = "The model is being loaded.";
+            (until, Fault::not_run("model_loading", message, coming))
+        }
+        Nowhere::NoModel(coming) => {
+            let wait = coming.unwrap_or(RETURN_LATER).max(RETURN_RANGE.0);
+            let message = "No replica holds the model at the moment.";
+            (now, Fault::not_run("no_model", message, wait))
+        }
+        Nowhere::NoAdapter => {
+            if let (Some(model), Some(adapter)) = (&call.ask.model, &call.ask.adapter) {
+                let wanted = (call.service.clone(), model.clone(), adapter.clone());
+                let _ = state.wanted.send(wanted);
+            }
+            let message = "The adapter is on no replica yet.";
+            let fault = Fault::not_run("no_adapter", message, RETURN_FOR_ADAPTER);
+            (held_until, fault)
+        }
+        Nowhere::NoReplica => {
+            let message = "No replica of the service is there.";
+            (now, Fault::not_run("no_replica", message, RETURN_LATER))
+        }
+    }
+}
+
+/// Admits a request where it can meet its target: at once, or when its turn comes. Refuses it at
+/// once where it cannot.
+async fn admit(entry: &Entry, call: &Arc<Call>, choice: Choice) -> Result<Turn, Fault> {
+    let state = &entry.state;
     let now = state.now();
     let waited = now.since(call.arrived);
     let target = Span::from(call.route.target);
     let expected = waited + choice.first_token;
-    if sending > 0 || expected <= target * REFUSED_BEYOND {
-        state.log.routine(&call.id, || {
-            info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), waited_ms = waited.ms(), entry = choice.revision, "sent to the replica with the least expected time")
-        });
-        return Ok(choice);
+    let others_wait = entry.waiting.lock().is_waited_for(call);
+    if choice.paced && !others_wait {
+        return Ok(go(state, call, choice));
     }
     let taken = state.table.lock().taken(&call.want(&[], None), now);
-    if taken < PLACES_FREE && choice.free {
-        return Ok(choice);
+    if expected > target * REFUSED_BEYOND && (taken >= PLACES_FREE || !choice.free) {
+        let wait = (expected.saturating_sub(target * 0.5))
+            .max(RETURN_RANGE.0)
+            .min(RETURN_RANGE.1);
+        let message = format!("The request would wait {expected} for its first token.");
+        return Err(Fault::not_run("overloaded", message, wait));
+    }
+    let until = call.arrived + (target * WAITING_PART).saturating_sub(choice.first_token);
+    if until > now {
+        let turn = entry.waiting.lock().push(call, until, now);
+        if let Ok(Ok((choice, place))) = timeout_at(state.instant(until), turn).await {
+            tell_sent(state, call, &choice, true);
+            return Ok((choice, place));
+        }
     }
-    let wait = (expected.saturating_sub(target * 0.5))
-        .max(RETURN_RANGE.0)
-        .min(RETURN_RANGE.1);
-    let message = format!("The request would wait {expected} for its first token.");
-    Err(Fault::not_run("overloaded", message, wait))
+    let now = state.now();
+    let again = state.table.lock().choose(&call.want(&[], None), now);
+    Ok(go(state, call, again.unwrap_or(choice)))
+}
+
+/// Part of the target that a request may spend waiting here and in reading its prompt.
+const WAITING_PART: f64 = 0.8;
+
+fn go(state: &Arc<State>, call: &Arc<Call>, choice: Choice) -> Turn {
+    tell_sent(state, call, &choice, false);
+    let place = Place::take(state, call, &choice);
+    (choice, place)
+}
+
+fn tell_sent(state: &State, call: &Call, choice: &Choice, waited: bool) {
+    state.log.routine(&call.id, || {
+        let ms = state.now().since(call.arrived).ms();
+        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), paced = choice.paced, waited, ms, entry = choice.revision, "sent to the replica with the least expected time")
+    });
 }
 
 /// Telling how a request ended.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -24,6 +24,8 @@
     pub table: Mutex<Table>,
     /// Notified when the table changed such that a waiting request may go on.
     pub changed: Notify,
+    /// Notified when a request was counted in, so that other hosts are told.
+    pub entered: Notify,
     /// The platform's store.
     pub store: Store,
     /// Connections to replicas.
@@ -70,6 +72,7 @@
     let state = State {
         table: Mutex::new(Table::new(settings.hall.clone(), seed)),
         changed: Notify::new(),
+        entered: Notify::new(),
         store: platform::store::open(settings.store, store_limit),
         pool: Pool::default(),
         log,
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -21,7 +21,14 @@
 const FAILURE_HALVES: Span = Span::from_ms(1_500);
 
 /// Weight of the newest sample in a model's pace.
-const NEWEST_PACE: f64 = 0.05;
+const NEWEST_PACE: f64 = 0.1;
+
+/// Time of one step of a batch without any prompt, with the way of the answer; of the order of
+/// what accelerators take for a model of 70 GB.
+const STEP: Span = Span::from_ms(12);
+
+/// Age at which another host's own sums are no longer used.
+const DIRECT_AGE: Span = Span::from_ms(1_500);
 
 /// Prompt tokens read in a millisecond while nothing is known of a model; of the order of one
 /// accelerator with a model of 70 GB.
@@ -53,6 +60,7 @@
     coming: HashMap<Name, Time>,
     closing: Vec<(Name, Name)>,
     closing_at: Time,
+    direct_at: Time,
     /// Hosts that the leader knows of, this one included.
     pub hosts: usize,
     rng: SmallRng,
@@ -65,6 +73,7 @@
     told: Load,
     others: Load,
     others_at: Time,
+    hosts: BTreeMap<Name, (Load, Time)>,
     failing: f64,
     failed_at: Time,
     parts: VecDeque<(Name, u64)>,
@@ -74,9 +83,17 @@
 
 impl State {
     /// Load of all hosts, as far as it is known.
-    fn load(&self, now: Time) -> Load {
+    ///
+    /// What hosts tell each other directly is newer than the leader's sums, and goes first.
+    fn load(&self, now: Time, direct: bool) -> Load {
         let mut load = self.mine;
-        if now.since(self.others_at) < SUMS_AGE {
+        if direct {
+            for (other, at) in self.hosts.values() {
+                if now.since(*at) < DIRECT_AGE {
+                    load.add(other);
+                }
+            }
+        } else if now.since(self.others_at) < SUMS_AGE {
             load.add(&self.others);
         }
         load
@@ -130,6 +147,17 @@
     run: Span,
 }
 
+impl Pace {
+    /// Time to read what is not kept of a prompt.
+    fn reading(&self, model: Option<&Name>, ask: &Ask, kept: u64) -> Span {
+        if model.is_none() {
+            return Span::ZERO;
+        }
+        let tokens = ask.prompt.saturating_sub(kept) as f64;
+        Span((tokens / self.speed * 1e3) as u64)
+    }
+}
+
 impl Default for Pace {
     fn default() -> Self {
         Pace {
@@ -165,6 +193,8 @@
     pub ask: &'a Ask,
     /// Rank of urgency, 0 first.
     pub priority: u8,
+    /// Longest pause between events of a stream, if it has a bound.
+    pub gap: Option<Span>,
     /// Replicas it must not go to.
     pub avoid: &'a [Name],
     /// The only replica it may go to, when it has used all attempts elsewhere.
@@ -180,6 +210,8 @@
     pub addr: SocketAddr,
     /// Expected time to its first token.
     pub first_token: Span,
+    /// Whether its prompt can be read there now without a long pause for those that run.
+    pub paced: bool,
     /// Whether a place was free there.
     pub free: bool,
     /// Replicas that could have taken it.
@@ -202,7 +234,7 @@
 /// Share of a request in the table's sums.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Footprint {
-    prompt: f32,
+    reading_ms: f32,
     reserved: f32,
     rank: usize,
 }
@@ -221,6 +253,7 @@
             coming: HashMap::new(),
             closing: Vec::new(),
             closing_at: Time(0),
+            direct_at: Time(0),
             hosts: 1,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -288,30 +321,33 @@
             });
         }
         let pace = self.pace(want.service, model);
+        let direct = self.is_direct(now);
         let rank = rank(want.priority);
         let candidates: Vec<Candidate> = found
             .iter()
             .map(|seen| {
                 let nothing = State::default();
                 let state = self.state.get(&seen.entry.id).unwrap_or(&nothing);
-                let load = state.load(now);
+                let load = state.load(now, direct);
+                let kept = model.map_or(0, |m| state.kept(m, want.ask));
                 Candidate {
                     slots: seen.entry.slots,
                     in_flight: f64::from(load.requests),
-                    unread: f64::from(load.unread[..=rank].iter().sum::<f32>()),
+                    ahead: ms(load.unread[..=rank].iter().sum()),
+                    backlog: ms(load.unread.iter().sum()),
+                    reading: pace.reading(model, want.ask, kept),
                     reserved: f64::from(load.reserved),
                     memory,
-                    kept: model.map_or(0, |m| state.kept(m, want.ask)) as f64,
-                    speed: pace.speed,
                     run: pace.run,
                     near: seen.entry.hall == self.hall,
                     failing: state.failing(now),
                 }
             })
             .collect();
+        let stride = engine.as_ref().map_or(1, |e| e.stride);
         let ask = batch::Ask {
-            prompt: want.ask.prompt as f64,
             tokens: tokens(want.ask) as f64,
+            pace: want.gap.map(|gap| step_pace(gap, stride)),
         };
         let (at, first_token) =
             batch::choose(&ask, &candidates, &mut self.rng).ok_or(Nowhere::NoReplica)?;
@@ -320,12 +356,18 @@
             replica: seen.entry.id.clone(),
             addr: seen.entry.addr,
             first_token,
+            paced: candidates[at].is_paced(&ask),
             free: candidates.iter().any(Candidate::has_place),
             candidates: candidates.len(),
             revision: seen.revision,
         })
     }
 
+    /// Whether other hosts tell their sums directly.
+    fn is_direct(&self, now: Time) -> bool {
+        now.since(self.direct_at) < DIRECT_AGE
+    }
+
     /// Whether a replica is about to give up a model.
     fn is_closing(&self, replica: &Name, model: &Name, now: Time) -> bool {
         now.since(self.closing_at) < SUMS_AGE
@@ -347,12 +389,13 @@
     /// Share of the places of a service's replicas for a model that are taken.
     pub fn taken(&self, want: &Want, now: Time) -> f64 {
         let model = want.ask.model.as_ref();
+        let direct = self.is_direct(now);
         let (mut taken, mut places) = (0.0, 0.0);
         for seen in self.view.all() {
             let entry = &seen.entry;
             let holds = model.is_none_or(|m| entry.held.iter().any(|h| h.model == *m));
             if entry.service == *want.service && !entry.leaving && holds {
-                let load = self.state.get(&entry.id).map(|s| s.load(now));
+                let load = self.state.get(&entry.id).map(|s| s.load(now, direct));
                 taken += f64::from(load.unwrap_or_default().requests);
                 places += f64::from(entry.slots);
             }
@@ -362,23 +405,21 @@
 
     /// Counts a request in at a replica.
     pub fn enter(&mut self, replica: &Name, want: &Want) -> Footprint {
+        let model = want.ask.model.as_ref();
+        let pace = self.pace(want.service, model);
         let state = self.state.entry(replica.clone()).or_default();
-        let kept = want
-            .ask
-            .model
-            .as_ref()
-            .map_or(0, |m| state.kept(m, want.ask));
+        let kept = model.map_or(0, |m| state.kept(m, want.ask));
         let print = Footprint {
-            prompt: want.ask.prompt.saturating_sub(kept) as f32,
+            reading_ms: pace.reading(model, want.ask, kept).ms() as f32,
             reserved: tokens(want.ask) as f32,
             rank: rank(want.priority),
         };
-        if let Some(model) = &want.ask.model {
+        if let Some(model) = model {
             state.keep(model, want.ask);
         }
         state.mine.requests += 1.0;
         state.mine.reserved += print.reserved;
-        state.mine.unread[print.rank] += print.prompt;
+        state.mine.unread[print.rank] += print.reading_ms;
         print
     }
 
@@ -386,9 +427,9 @@
     pub fn started(&mut self, replica: &str, print: &mut Footprint) {
         if let Some(state) = self.state.get_mut(replica) {
             let unread = &mut state.mine.unread[print.rank];
-            *unread = (*unread - print.prompt).max(0.0);
+            *unread = (*unread - print.reading_ms).max(0.0);
         }
-        print.prompt = 0.0;
+        print.reading_ms = 0.0;
     }
 
     /// Counts a request out.
@@ -397,7 +438,7 @@
             state.mine.requests = (state.mine.requests - 1.0).max(0.0);
             state.mine.reserved = (state.mine.reserved - print.reserved).max(0.0);
             let unread = &mut state.mine.unread[print.rank];
-            *unread = (*unread - print.prompt).max(0.0);
+            *unread = (*unread - print.reading_ms).max(0.0);
         }
     }
 
@@ -409,14 +450,14 @@
         state.failed_at = now;
     }
 
-    /// Learns how fast prompts are read: `unread` tokens had to be read in `took`.
-    pub fn learn_speed(&mut self, service: &Name, model: &Name, unread: f64, took: Span) {
-        let ms = took.ms().max(1.0);
+    /// Learns how fast prompts are read, from one that none stood before: it took that time.
+    pub fn learn_speed(&mut self, service: &Name, model: &Name, tokens: f64, took: Span) {
+        let ms = took.saturating_sub(STEP).ms().max(1.0);
         let pace = self
             .paces
             .entry((service.clone(), model.clone()))
             .or_default();
-        let sample = (unread / ms).clamp(0.5, 1_000.0);
+        let sample = (tokens / ms).clamp(0.5, 1_000.0);
         pace.speed += (sample - pace.speed) * NEWEST_PACE;
     }
 
@@ -429,11 +470,14 @@
         pace.run = pace.run * (1.0 - NEWEST_PACE) + run * NEWEST_PACE;
     }
 
-    /// Prompt tokens that stand before a newcomer at a replica.
-    pub fn unread(&self, replica: &str, priority: u8, now: Time) -> f64 {
-        let load = self.state.get(replica).map(|s| s.load(now));
-        let unread = load.unwrap_or_default().unread;
-        f64::from(unread[..=rank(priority)].iter().sum::<f32>())
+    /// Prompt tokens to be read for a request at a replica, if none stands before it there.
+    pub fn alone(&self, replica: &str, ask: &Ask, now: Time) -> Option<f64> {
+        let model = ask.model.as_ref()?;
+        let state = self.state.get(replica);
+        let load = state.map(|s| s.load(now, self.is_direct(now)));
+        let unread: f32 = load.unwrap_or_default().unread.iter().sum();
+        let kept = state.map_or(0, |s| s.kept(model, ask));
+        (unread <= 0.0).then(|| ask.prompt.saturating_sub(kept) as f64)
     }
 
     /// Notes the arrival of a request, for the demand and for the retry budget.
@@ -477,16 +521,18 @@
             .collect()
     }
 
+    /// What this host has in flight.
+    pub fn in_flight(&self) -> Vec<(Name, Load)> {
+        let busy = self.state.iter().filter(|(_, s)| s.mine.requests > 0.0);
+        busy.map(|(id, s)| (id.clone(), s.mine)).collect()
+    }
+
     /// What this host has in flight, remembered as told.
     pub fn tell(&mut self) -> Vec<(Name, Load)> {
-        let mut loads = Vec::new();
-        for (id, state) in &mut self.state {
+        for state in self.state.values_mut() {
             state.told = state.mine;
-            if state.mine.requests > 0.0 {
-                loads.push((id.clone(), state.mine));
-            }
         }
-        loads
+        self.in_flight()
     }
 
     /// Takes in the sums of all hosts.
@@ -501,6 +547,20 @@
         }
     }
 
+    /// Takes in what another host has in flight, as it tells itself.
+    pub fn told_by(&mut self, host: &Name, loads: &[(Name, Load)], now: Time) {
+        self.direct_at = now;
+        for state in self.state.values_mut() {
+            state.hosts.remove(host);
+        }
+        for (id, load) in loads {
+            if self.view.get(id).is_some() {
+                let state = self.state.entry(id.clone()).or_default();
+                state.hosts.insert(host.clone(), (*load, now));
+            }
+        }
+    }
+
     /// Takes in where adapters are, by the leader.
     pub fn set_adapters(&mut self, replica: &Name, adapters: Vec<(Name, Name)>, now: Time) {
         if self.view.get(replica).is_some() {
@@ -565,6 +625,17 @@
     ask.prompt + output.min(ask.most_output.max(output))
 }
 
+/// Time of reading that may stand before the streams of a replica in one step.
+///
+/// An event holds `stride` tokens, which take a step each; each step may have to read prompts.
+fn step_pace(gap: Span, stride: u32) -> Span {
+    (gap * (1.0 / f64::from(stride.max(1)))).saturating_sub(STEP)
+}
+
+fn ms(ms: f32) -> Span {
+    Span((f64::from(ms) * 1e3) as u64)
+}
+
 fn rank(priority: u8) -> usize {
     usize::from(priority).min(RANKS - 1)
 }
--- a/crates/route/src/batch.rs
+++ b/crates/route/src/batch.rs
@@ -22,16 +22,16 @@
     pub slots: u32,
     /// Requests in flight there, as far as they are known here.
     pub in_flight: f64,
-    /// Prompt tokens sent there whose first token has not come.
-    pub unread: f64,
+    /// Time to read the prompts sent there that are as urgent or more, and not read yet.
+    pub ahead: Span,
+    /// Time to read all prompts sent there and not read yet.
+    pub backlog: Span,
+    /// Time to read what it does not keep of this prompt.
+    pub reading: Span,
     /// Tokens that the requests in flight there need at the most.
     pub reserved: f64,
     /// Tokens that its memory holds; 0 when it is not limited.
     pub memory: f64,
-    /// Prompt tokens of this request that it likely keeps.
-    pub kept: f64,
-    /// Prompt tokens that it reads in a millisecond for this model.
-    pub speed: f64,
     /// Time of one request there from its first token to its last.
     pub run: Span,
     /// Whether it stands in this host's hall.
@@ -43,17 +43,17 @@
 /// What is asked of a replica.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
-    /// Prompt tokens.
-    pub prompt: f64,
     /// Tokens that prompt and answer need together.
     pub tokens: f64,
+    /// Time of reading that a replica may have before it at once, so that the streams which run
+    /// there make no longer pauses than they may; none when there is no such bound.
+    pub pace: Option<Span>,
 }
 
 impl Candidate {
     /// Expected time to the first token.
     pub fn first_token(&self, ask: &Ask) -> Span {
-        let read = (self.unread + (ask.prompt - self.kept).max(0.0)) / self.speed.max(0.001);
-        Span((read * 1e3) as u64) + self.place_wait(ask)
+        self.ahead + self.reading + self.place_wait(ask)
     }
 
     /// Time until the batch and the memory have room.
@@ -73,14 +73,24 @@
         self.in_flight + 1.0 <= f64::from(self.slots)
     }
 
+    /// Whether the prompt can be read there now without a long pause for those that run.
+    pub fn is_paced(&self, ask: &Ask) -> bool {
+        let fits = |pace| self.backlog + self.reading <= pace;
+        self.backlog == Span::ZERO || ask.pace.is_none_or(fits)
+    }
+
     fn cost(&self, ask: &Ask, rng: &mut impl Rng) -> Span {
         let distance = match self.near {
             true => Span::ZERO,
             false => OTHER_HALL,
         };
+        let late = match self.is_paced(ask) {
+            true => Span::ZERO,
+            false => self.backlog,
+        };
         let jitter = Span(rng.random_range(0..=JITTER.0));
         let failing = 1.0 + 4.0 * self.failing;
-        (self.first_token(ask) + distance + jitter) * failing
+        (self.first_token(ask) + late + distance + jitter) * failing
     }
 }
 
