--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -42,10 +42,12 @@
 /// Time after an order in which an entry may be older than the order's effect.
 const SETTLES: Span = Span::from_ms(3_000);
 
-/// Time in which a report is older than what it is asked after, and in which a busy replica is not
-/// asked again.
+/// Time in which a report is older than what it is asked after.
 const REPORT_LAG: Span = Span::from_ms(250);
 
+/// Pause between two reports of a replica that is busy; each is priced as a probe.
+const BUSY_PAUSE: Span = Span::from_ms(600);
+
 /// What is believed of one replica.
 #[derive(Debug, Clone)]
 pub struct Known {
@@ -105,26 +107,43 @@
         self.ordered = now;
     }
 
-    /// Takes its entry in where that cannot be older than the orders given.
+    /// Compares with its entry, which may be older than what is believed.
+    ///
+    /// An entry can show that a load is done, and can raise doubt; that memory is free again is
+    /// believed of a report only.
     pub fn sync(&mut self, entry: &Entry, now: Time) {
         if let Some(pending) = &self.pending {
             let holds = entry.held.iter().any(|h| h.model == pending.job.model);
-            if holds == (pending.job.operation == Operation::Load) {
+            let loads = pending.job.operation == Operation::Load;
+            let overdue = now > pending.due + OVERDUE;
+            if loads && holds {
                 let job = pending.job.clone();
                 self.pending = None;
                 self.effect(&job, now);
-            } else if now > pending.due + OVERDUE && self.doubtful.is_none() {
+            } else if (overdue || !loads && !holds) && self.doubtful.is_none() {
                 self.doubt(now);
             }
+            return;
         }
-        let settled = now.since(self.ordered) > SETTLES;
-        if settled && self.pending.is_none() && !self.calling && self.held != entry.held {
-            self.held.clone_from(&entry.held);
+        let settled = now.since(self.ordered) > SETTLES && !self.calling;
+        if settled && self.doubtful.is_none() && self.differs(entry) {
+            self.doubt(now);
         }
     }
 
+    /// Whether an entry names other models than are believed to be held.
+    fn differs(&self, entry: &Entry) -> bool {
+        let names = |held: &[Held]| {
+            let mut names: Vec<Name> = held.iter().map(|h| h.model.clone()).collect();
+            names.sort();
+            names
+        };
+        names(&self.held) != names(&entry.held)
+    }
+
     /// Takes a report in; it counts as newest.
     pub fn adopt(&mut self, report: &Report, now: Time) {
+        self.ordered = now;
         self.orders = report.orders;
         self.held.clone_from(&report.held);
         for (model, adapter) in &report.coming {
@@ -134,7 +153,7 @@
                 held.adapters.push(adapter.clone());
             }
         }
-        self.doubtful = report.busy.then(|| now + REPORT_LAG);
+        self.doubtful = report.busy.then(|| now + BUSY_PAUSE);
         if !report.busy {
             self.pending = None;
         }
