--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -23,8 +23,8 @@
 const STORE_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Time after a stop is asked for in which new connections are still taken: the balancer asks each
-/// second and turns away at the second miss.
-const ACCEPTING: Duration = Duration::from_millis(3_000);
+/// second and turns away at the second miss. What comes later has less than the grace to end.
+const ACCEPTING: Duration = Duration::from_millis(2_400);
 
 /// Part of the grace at whose end the process ends itself, before it is killed.
 const GRACE_PART: f64 = 0.95;
--- /dev/null
+++ b/crates/front/tests/orders.rs
@@ -0,0 +1,169 @@
+//! What the leader believes of a replica, and the rate of loads.
+
+use front::orders::{Bucket, Job, Known, Pending};
+use platform::config::{Engine, Model};
+use platform::replica::{Entry, Held, Operation, Report};
+use std::time::Duration;
+use unit::{Span, Time};
+
+fn held(models: &[&str]) -> Vec<Held> {
+    let held = models.iter().map(|m| Held {
+        model: (*m).into(),
+        version: 1,
+        adapters: Vec::new(),
+    });
+    held.collect()
+}
+
+fn entry(models: &[&str]) -> Entry {
+    Entry {
+        id: "i-1".into(),
+        service: "llm".into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        hall: "a".into(),
+        slots: 8,
+        leaving: false,
+        leaves_in: None,
+        held: held(models),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        beat: 1,
+    }
+}
+
+fn report(models: &[&str], orders: u64, busy: bool) -> Report {
+    Report {
+        held: held(models),
+        coming: Vec::new(),
+        busy,
+        orders,
+        waiting: 0,
+        running: 0,
+        tokens_used: 0,
+        leaving: false,
+    }
+}
+
+fn engine() -> Engine {
+    let model = |name: &str| Model {
+        name: name.into(),
+        memory_mb: 40.0,
+        load: Duration::from_secs(8),
+        load_warm: Duration::from_secs(1),
+        load_disk: Duration::from_secs(2),
+        adapters: 4,
+        adapter_mb: 1.0,
+    };
+    Engine {
+        slots: 8,
+        tokens: 1_000,
+        memory_mb: 100.0,
+        adapters: 2,
+        host_mb: 0.0,
+        stride: 2,
+        loads_per_second: 1.4,
+        models: ["m1", "m2", "m3"].map(model).into(),
+    }
+}
+
+fn job(operation: Operation, model: &str, adapter: Option<&str>) -> Job {
+    Job {
+        operation,
+        model: model.into(),
+        adapter: adapter.map(Into::into),
+        from_store: false,
+        takes: Span::from_secs(1),
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time(0) + Span::from_ms(100_000 + ms)
+}
+
+#[test]
+fn a_replica_takes_no_order_before_its_report() {
+    let known = Known::default();
+    assert!(!known.is_idle());
+    assert!(known.wants_look(at(0)));
+}
+
+/// ddrct-coveford trouble-3, seed 1013: a replica was told to load beyond its memory.
+#[test]
+fn an_entry_older_than_a_report_frees_no_memory() {
+    let mut known = Known::default();
+    known.adopt(&report(&["m1", "m2"], 3, false), at(0));
+    known.sync(&entry(&["m1"]), at(200));
+    let load = job(Operation::Load, "m3", None);
+    assert!(!known.has_room(&load, &engine()));
+    known.sync(&entry(&["m1"]), at(10_000));
+    assert!(
+        !known.has_room(&load, &engine()),
+        "not by an entry, however long it says so"
+    );
+    assert!(known.wants_look(at(11_000)), "but the replica is asked");
+    known.adopt(&report(&["m1"], 4, false), at(11_000));
+    assert!(known.has_room(&load, &engine()));
+}
+
+#[test]
+fn an_unload_is_done_when_a_report_says_so() {
+    let mut known = Known::default();
+    known.adopt(&report(&["m1", "m2"], 3, false), at(0));
+    known.pending = Some(Pending {
+        job: job(Operation::Unload, "m2", None),
+        due: at(5_000),
+    });
+    known.sync(&entry(&["m1"]), at(300));
+    assert!(!known.has_room(&job(Operation::Load, "m3", None), &engine()));
+    known.adopt(&report(&["m1", "m2"], 4, true), at(600));
+    assert!(!known.is_idle(), "its last requests run yet");
+    known.adopt(&report(&["m1"], 4, false), at(900));
+    assert!(known.is_idle());
+}
+
+#[test]
+fn adapters_beyond_the_places_are_refused_when_the_order_is_given() {
+    let mut known = Known::default();
+    known.adopt(&report(&["m1"], 0, false), at(0));
+    for adapter in ["a1", "a2"] {
+        let load = job(Operation::Load, "m1", Some(adapter));
+        assert!(known.has_room(&load, &engine()));
+        known.effect(&load, at(0));
+    }
+    assert!(!known.has_room(&job(Operation::Load, "m1", Some("a3")), &engine()));
+    known.effect(&job(Operation::Unload, "m1", Some("a1")), at(0));
+    assert!(known.has_room(&job(Operation::Load, "m1", Some("a3")), &engine()));
+}
+
+/// Two holders, one after the other, each with as many loads as its bucket allows.
+#[test]
+fn loads_stay_within_the_rate_over_a_change_of_holders() {
+    let (rate, window, overage) = (1.4, Span::from_secs(5), 1.1);
+    let bound = rate * window.secs() * overage + 3.0;
+    let mut begun: Vec<u64> = Vec::new();
+    let mut bucket = Bucket::new(rate, window, overage, at(0));
+    for ms in (0..60_000).step_by(100) {
+        if ms % 7_000 == 0 {
+            bucket = Bucket::new(rate, window, overage, at(ms));
+        }
+        while bucket.available(at(ms)) > 0 {
+            bucket.take();
+            begun.push(ms);
+        }
+    }
+    for start in (0..55_000).step_by(50) {
+        let span = start..start + 5_000;
+        let loads = begun.iter().filter(|ms| span.contains(*ms)).count();
+        assert!(loads as f64 <= bound, "{loads} loads from {start} ms");
+    }
+    assert!(begun.len() > 50, "the rate is used: {}", begun.len());
+}
+
+#[test]
+fn an_unanswered_load_keeps_its_place_until_it_can_no_longer_begin() {
+    let mut bucket = Bucket::new(1.4, Span::from_secs(5), 1.1, at(0));
+    let full = bucket.available(at(60_000));
+    bucket.unanswered(at(60_000));
+    assert_eq!(bucket.available(at(60_000)), full - 1);
+    assert_eq!(bucket.available(at(74_000)), full);
+}
--- /dev/null
+++ b/crates/front/tests/view.rs
@@ -0,0 +1,112 @@
+//! The view of replicas never goes backwards, and outages of the store are no departures.
+
+use front::view::{News, View};
+use platform::replica::Entry;
+use rstest::rstest;
+use unit::{Span, Time};
+
+fn entry(beat: u64, leaving: bool) -> Entry {
+    Entry {
+        id: "i-1".into(),
+        service: "llm".into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        hall: "a".into(),
+        slots: 8,
+        leaving,
+        leaves_in: None,
+        held: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        beat,
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time(0) + Span::from_ms(100_000 + ms)
+}
+
+#[test]
+fn older_news_change_nothing() {
+    let mut view = View::default();
+    assert_eq!(view.put(entry(5, false), 10), Some(News::New("i-1".into())));
+    assert_eq!(view.put(entry(6, true), 9), None, "an older revision");
+    assert_eq!(
+        view.put(entry(4, true), 11),
+        None,
+        "an old writing at a newer revision"
+    );
+    assert!(!view.get("i-1").unwrap().entry.leaving);
+}
+
+#[test]
+fn leaving_counts_at_once_and_is_not_taken_back() {
+    let mut view = View::default();
+    view.put(entry(1, false), 10);
+    assert_eq!(
+        view.put(entry(2, true), 11),
+        Some(News::Leaving("i-1".into()))
+    );
+    view.put(entry(3, false), 12);
+    assert!(view.get("i-1").unwrap().entry.leaving);
+}
+
+#[test]
+fn a_removal_is_a_departure_while_the_store_is_there() {
+    let mut view = View::default();
+    view.put(entry(1, false), 10);
+    assert_eq!(
+        view.remove("i-1", 11, at(0)),
+        Some(News::Gone("i-1".into()))
+    );
+    assert_eq!(
+        view.put(entry(1, false), 10),
+        None,
+        "older news bring nothing back"
+    );
+    assert!(view.get("i-1").is_none());
+}
+
+#[test]
+fn an_entry_that_lapses_in_an_outage_stays_until_after_the_return() {
+    let mut view = View::default();
+    view.put(entry(1, false), 10);
+    view.store_answers(false, at(0));
+    view.store_answers(true, at(5_000));
+    assert_eq!(
+        view.remove("i-1", 11, at(5_100)),
+        Some(News::Missing("i-1".into()))
+    );
+    assert!(view.expire(at(6_900)).is_empty());
+    assert!(view.get("i-1").is_some());
+    assert_eq!(view.expire(at(7_100)), [News::Gone("i-1".into())]);
+}
+
+#[test]
+fn an_entry_that_is_back_in_time_was_never_gone() {
+    let mut view = View::default();
+    view.put(entry(1, false), 10);
+    view.store_answers(false, at(0));
+    view.remove("i-1", 11, at(100));
+    view.store_answers(true, at(5_000));
+    view.put(entry(2, false), 12);
+    assert!(view.expire(at(9_000)).is_empty());
+    assert_eq!(view.get("i-1").unwrap().missing, None);
+}
+
+#[rstest]
+#[case::absent(&[], true)]
+#[case::present(&["i-1"], false)]
+fn a_whole_range_tells_what_left_in_the_gap(#[case] present: &[&str], #[case] gone: bool) {
+    let mut view = View::default();
+    view.put(entry(1, false), 10);
+    let present: Vec<_> = present.iter().map(|p| (*p).into()).collect();
+    let news = view.compare(&present, 20, at(0));
+    assert_eq!(!news.is_empty(), gone);
+}
+
+#[test]
+fn a_range_read_before_an_entry_was_written_does_not_remove_it() {
+    let mut view = View::default();
+    view.put(entry(1, false), 21);
+    assert!(view.compare(&[], 20, at(0)).is_empty());
+}
--- /dev/null
+++ b/crates/place/tests/copies.rs
@@ -0,0 +1,129 @@
+//! The plan of copies: reachable models first, then demand, then leftover memory.
+
+use place::copies::{Model, Replica, Step, plan};
+use proptest::prelude::*;
+
+fn model(demand: f64) -> Model {
+    Model {
+        memory_mb: 40.0,
+        demand,
+        recent: demand,
+    }
+}
+
+fn replica(held: &[usize], free_mb: f64) -> Replica {
+    Replica {
+        free_mb,
+        held: held.to_vec(),
+        at_hand: Vec::new(),
+        idle: true,
+        stays: true,
+        load: 0.0,
+    }
+}
+
+#[test]
+fn a_model_without_a_copy_goes_first() {
+    let models = [model(3.0), model(0.0), model(0.0)];
+    let replicas = [replica(&[0], 50.0), replica(&[1], 10.0)];
+    let steps = plan(&replicas, &models, 1, 1);
+    let first = Step::Load {
+        replica: 0,
+        model: 2,
+        from_store: true,
+    };
+    assert_eq!(steps, [first]);
+}
+
+#[test]
+fn demand_that_is_not_covered_takes_the_room_of_what_nobody_asks_for() {
+    let models = [model(3.0), model(0.0)];
+    let replicas = [replica(&[0, 1], 0.0), replica(&[1], 0.0)];
+    let steps = plan(&replicas, &models, 1, 4);
+    let out = Step::Unload {
+        replica: 1,
+        model: 1,
+        instead: 0,
+    };
+    assert_eq!(steps, [out]);
+}
+
+#[test]
+fn the_last_copy_stays() {
+    let models = [model(9.0), model(0.0)];
+    let replicas = [replica(&[0], 0.0), replica(&[1], 0.0)];
+    assert!(plan(&replicas, &models, 9, 9).is_empty());
+}
+
+#[test]
+fn a_copy_on_a_replica_that_leaves_does_not_count() {
+    let models = [model(0.0)];
+    let mut leaving = replica(&[0], 0.0);
+    leaving.stays = false;
+    let replicas = [leaving, replica(&[], 50.0)];
+    let steps = plan(&replicas, &models, 1, 9);
+    assert_eq!(steps.len(), 1);
+}
+
+#[test]
+fn without_a_load_from_the_store_only_copies_at_hand_are_loaded() {
+    let models = [model(0.0), model(0.0)];
+    let mut known = replica(&[0], 100.0);
+    known.at_hand = vec![1];
+    let replicas = [known, replica(&[1], 100.0)];
+    let steps = plan(&replicas, &models, 0, 9);
+    assert!(!steps.is_empty());
+    for step in steps {
+        assert!(
+            !matches!(
+                step,
+                Step::Load {
+                    from_store: true,
+                    ..
+                }
+            ),
+            "{step:?}"
+        );
+    }
+}
+
+proptest! {
+    /// However demand moves, steps taken at their word never exceed memory nor take a last copy.
+    #[test]
+    fn plans_are_safe_and_settle(
+        demands in proptest::collection::vec(0.0f64..6.0, 2..8),
+        count in 2usize..7,
+    ) {
+        let models: Vec<Model> = demands.into_iter().map(model).collect();
+        let mut replicas: Vec<Replica> = (0..count).map(|_| replica(&[], 100.0)).collect();
+        let mut quiet = false;
+        for _ in 0..80 {
+            let had: Vec<bool> = reachable(&replicas, models.len());
+            let steps = plan(&replicas, &models, 3, count);
+            quiet = steps.is_empty();
+            for step in steps {
+                match step {
+                    Step::Load { replica, model, .. } => {
+                        replicas[replica].free_mb -= models[model].memory_mb;
+                        replicas[replica].held.push(model);
+                        prop_assert!(replicas[replica].free_mb >= 0.0);
+                    }
+                    Step::Unload { replica, model, .. } => {
+                        replicas[replica].free_mb += models[model].memory_mb;
+                        replicas[replica].held.retain(|m| *m != model);
+                    }
+                }
+            }
+            let has = reachable(&replicas, models.len());
+            for (had, has) in had.iter().zip(has) {
+                prop_assert!(!had || has, "a model lost its last copy");
+            }
+        }
+        prop_assert!(quiet, "the plan goes to and fro");
+    }
+}
+
+fn reachable(replicas: &[Replica], models: usize) -> Vec<bool> {
+    let holds = |m| replicas.iter().any(|r| r.held.contains(&m));
+    (0..models).map(holds).collect()
+}
--- /dev/null
+++ b/crates/route/tests/serving.rs
@@ -0,0 +1,133 @@
+//! Decisions for replicas that batch: choice, pacing, retry budget, routes.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::batch::{Ask, Candidate, choose};
+use route::routing::{Routing, split};
+use route::window::Window;
+use unit::{Span, Time};
+
+const IDLE: Candidate = Candidate {
+    slots: 8,
+    in_flight: 0.0,
+    ahead: Span::ZERO,
+    backlog: Span::ZERO,
+    reading: Span::from_ms(70),
+    reserved: 0.0,
+    memory: 10_000.0,
+    run: Span::from_ms(2_000),
+    near: true,
+    failing: 0.0,
+};
+
+const ASK: Ask = Ask {
+    tokens: 1_600.0,
+    pace: Some(Span::from_ms(130)),
+};
+
+fn pick(candidates: &[Candidate]) -> usize {
+    let mut rng = SmallRng::seed_from_u64(1);
+    choose(&ASK, candidates, &mut rng).unwrap().0
+}
+
+#[test]
+fn a_replica_with_prompts_to_read_is_passed_over() {
+    let busy = Candidate {
+        ahead: Span::from_ms(90),
+        backlog: Span::from_ms(90),
+        ..IDLE
+    };
+    assert_eq!(pick(&[busy, IDLE]), 1);
+    assert!(!busy.is_paced(&ASK), "90 + 70 ms are more than 130");
+}
+
+#[test]
+fn an_idle_replica_takes_a_prompt_of_any_length() {
+    let long = Candidate {
+        reading: Span::from_ms(400),
+        ..IDLE
+    };
+    assert!(long.is_paced(&ASK));
+}
+
+#[test]
+fn a_full_batch_or_memory_costs_the_wait() {
+    let full = Candidate {
+        in_flight: 8.0,
+        ..IDLE
+    };
+    let crowded = Candidate {
+        reserved: 9_900.0,
+        ..IDLE
+    };
+    assert!(!full.has_place());
+    assert!(full.first_token(&ASK) > IDLE.first_token(&ASK));
+    assert!(crowded.first_token(&ASK) > IDLE.first_token(&ASK));
+}
+
+#[test]
+fn a_failing_replica_is_taken_only_when_no_other_is_left() {
+    let failing = Candidate {
+        failing: 0.5,
+        ..IDLE
+    };
+    let slow = Candidate {
+        ahead: Span::from_secs(3),
+        ..IDLE
+    };
+    assert_eq!(pick(&[failing, slow]), 1);
+    assert_eq!(pick(&[failing]), 0);
+}
+
+proptest! {
+    /// All hosts together keep within the bound, however retries and requests come.
+    #[test]
+    fn retries_of_all_hosts_stay_within_the_budget(
+        steps in proptest::collection::vec((0usize..4, 0u64..400, any::<bool>()), 1..600),
+    ) {
+        let (share, slack, length) = (0.2, 20.0, Span::from_secs(10));
+        let mut hosts = vec![Window::new(share, slack, length); 4];
+        let (mut now, mut requests, mut retries) = (Time(1), Vec::new(), Vec::new());
+        for (host, pause, retry) in steps {
+            now = now + Span::from_ms(pause);
+            match retry {
+                false => {
+                    hosts[host].arrived(now);
+                    requests.push(now);
+                }
+                true if hosts[host].spend(now, 4) => retries.push(now),
+                true => {}
+            }
+        }
+        for start in &retries {
+            let within = |at: &&Time| **at >= *start && at.since(*start) <= length;
+            let spent = retries.iter().filter(within).count() as f64;
+            let before = |at: &&Time| **at + length >= *start && at.since(*start) <= length;
+            let earned = requests.iter().filter(before).count() as f64;
+            prop_assert!(spent <= earned * share + slack, "{} of {}", spent, earned);
+        }
+    }
+
+    #[test]
+    fn weights_split_requests(hash in any::<u64>()) {
+        let alternatives = [("a", 90), ("b", 10), ("c", 0)];
+        let taken = split(&alternatives, hash).unwrap();
+        prop_assert_ne!(*taken, "c");
+        let expected = if hash % 100 < 90 { "a" } else { "b" };
+        prop_assert_eq!(*taken, expected);
+    }
+}
+
+#[test]
+fn the_longest_beginning_of_the_path_wins() {
+    let rows = [("h", "/a/", 1), ("h", "/a/b/", 2), ("g", "/", 3)];
+    let rows = rows.map(|(h, p, r)| (h.to_owned(), p.to_owned(), r));
+    let routing = Routing::new(rows);
+    let find = |host, path| routing.find(host, path).map(|r| **r);
+    assert_eq!(find("h", "/a/b/c"), Some(2));
+    assert_eq!(find("H:8080", "/a/bc"), Some(1));
+    assert_eq!(find("h", "/b/"), None);
+    assert_eq!(find("g", "/anything"), Some(3));
+    assert_eq!(find("x", "/a/"), None);
+}
