--- /dev/null
+++ b/crates/front/tests/changes.rs
@@ -0,0 +1,215 @@
+//! Changes of configuration, replicas, store and daemons while requests go on.
+
+mod site;
+
+use platform_standin::replica::Fault;
+use platform_standin::store::Mode;
+use rstest::rstest;
+use site::{ask, configuration, daemon, engine, store, until, web};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+#[tokio::test]
+async fn a_configuration_is_in_force_everywhere_in_seconds_and_never_reverts() {
+    let store = store().await;
+    let _replica = engine(&store, "i-1", &["m1"]).await;
+    let daemons = [daemon(&store, "d1").await, daemon(&store, "d2").await];
+    let newest = configuration(9, "llm");
+    store.put("op/config", &newest);
+    for daemon in &daemons {
+        let version = || {
+            let table = daemon.state().table.lock();
+            table.routes.as_ref().unwrap().version
+        };
+        let start = Instant::now();
+        until(|| version() == 9).await;
+        assert!(start.elapsed() < Duration::from_secs(2));
+    }
+    store.put(
+        "op/config",
+        &serde_json::json!({"version": 10, "routes": "none"}),
+    );
+    sleep(Duration::from_millis(600)).await;
+    for daemon in &daemons {
+        let (_, answer) = ask(daemon, "/stream/x", Some("m1")).await;
+        assert_eq!(answer.status(), 200, "the last good configuration stays");
+    }
+}
+
+#[rstest]
+#[case::announced(true)]
+#[case::silent(false)]
+#[tokio::test]
+async fn a_leaving_replica_gets_no_new_work(#[case] announced: bool) {
+    let store = store().await;
+    let leaving = web(&store, "i-1").await;
+    let _staying = web(&store, "i-2").await;
+    let daemon = daemon(&store, "d1").await;
+    match announced {
+        true => leaving.leave(),
+        false => leaving.vanish(),
+    }
+    sleep(Duration::from_millis(900)).await;
+    let before = leaving.arrivals();
+    for _ in 0..30 {
+        assert_eq!(ask(&daemon, "/again/x", None).await.1.status(), 200);
+    }
+    assert_eq!(leaving.arrivals(), before);
+}
+
+#[rstest]
+#[case::busy(Mode::Busy)]
+#[case::reset(Mode::Reset)]
+#[case::silent(Mode::Silent)]
+#[tokio::test]
+async fn requests_go_on_while_the_store_is_away(#[case] mode: Mode) {
+    let store = store().await;
+    let replica = web(&store, "i-1").await;
+    let daemon = daemon(&store, "d1").await;
+    store.set_mode(mode);
+    sleep(Duration::from_millis(600)).await;
+    replica.vanish();
+    assert_eq!(ask(&daemon, "/again/x", None).await.1.status(), 200);
+    store.set_mode(Mode::Up);
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(
+        ask(&daemon, "/again/x", None).await.1.status(),
+        200,
+        "an entry that lapsed meanwhile is no departure"
+    );
+    replica.beat();
+    sleep(Duration::from_millis(2_600)).await;
+    assert_eq!(ask(&daemon, "/again/x", None).await.1.status(), 200);
+}
+
+#[tokio::test]
+async fn a_departure_in_a_forgotten_history_is_not_missed() {
+    let store = store().await;
+    let gone = web(&store, "i-1").await;
+    let _stays = web(&store, "i-2").await;
+    let daemon = daemon(&store, "d1").await;
+    let known = || daemon.state().table.lock().view.all().count();
+    until(|| known() == 2).await;
+    store.remove_and_compact(&gone.key());
+    until(|| known() == 1).await;
+}
+
+#[tokio::test]
+async fn before_any_configuration_a_daemon_is_not_ready_and_never_says_not_found() {
+    let store = platform_standin::store::spawn().await.unwrap();
+    let daemon = front::spawn(site::settings(&store, "d1")).await.unwrap();
+    let (_, answer) = ask(&daemon, "/again/x", None).await;
+    assert_eq!(answer.status(), 503);
+    assert!(!daemon.state().is_ready());
+    store.put("op/config", &configuration(1, "llm"));
+    until(|| daemon.state().is_ready()).await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing() {
+    let store = store().await;
+    let replica = web(&store, "i-1").await;
+    let daemon = daemon(&store, "d1").await;
+    let addr = daemon.callers();
+    let state = daemon.state().clone();
+    let stop = tokio::spawn(daemon.drain());
+    let mut served = 0;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1_200) {
+        let (_, request) = site::request("/again/x", None);
+        let mut line = conn::Line::open(addr, site::PATIENCE).await.unwrap();
+        let reply = line
+            .exchange(request, site::PATIENCE, 1 << 20)
+            .await
+            .unwrap();
+        assert_eq!(reply.status.as_u16(), 200);
+        assert_eq!(reply.headers["connection"], "close");
+        served += 1;
+    }
+    assert!(!state.is_ready(), "the balancer is told at once");
+    stop.await.unwrap();
+    assert!(served > 10);
+    assert_eq!(replica.arrivals(), served);
+}
+
+#[tokio::test]
+async fn one_host_leads_and_another_takes_over_with_a_higher_token() {
+    let store = store().await;
+    let _replica = engine(&store, "i-1", &["m1"]).await;
+    let first = daemon(&store, "d1").await;
+    let leader = |daemon: &front::Daemon| daemon.state().leader.lock().clone();
+    until(|| leader(&first).is_some()).await;
+    let second = daemon(&store, "d2").await;
+    until(|| leader(&second).is_some()).await;
+    let before = leader(&second).unwrap();
+    assert_eq!(&*before.name, "d1");
+    first.drain().await;
+    until(|| leader(&second).is_some_and(|l| &*l.name == "d2")).await;
+    assert!(leader(&second).unwrap().term > before.term);
+}
+
+#[tokio::test]
+async fn a_model_that_nobody_holds_is_loaded_and_served() {
+    let store = store().await;
+    let replicas = [
+        engine(&store, "i-1", &["m1"]).await,
+        engine(&store, "i-2", &["m1"]).await,
+    ];
+    let daemon = daemon(&store, "d1").await;
+    let (_, answer) = ask(&daemon, "/stream/x", Some("m2")).await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    until(|| replicas.iter().any(|r| r.models().contains_key("m2"))).await;
+    until(|| replicas.iter().any(|r| r.models().contains_key("m3"))).await;
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(ask(&daemon, "/stream/x", Some("m2")).await.1.status(), 200);
+    assert!(replicas.iter().all(|r| !r.is_overcommitted()));
+    assert!(replicas.iter().any(|r| r.models().contains_key("m1")));
+}
+
+#[tokio::test]
+async fn adapters_are_fetched_on_demand_and_never_beyond_the_places() {
+    let store = store().await;
+    let replica = engine(&store, "i-1", &["m1"]).await;
+    let daemon = daemon(&store, "d1").await;
+    until(|| daemon.state().leader.lock().is_some()).await;
+    sleep(Duration::from_millis(1_200)).await;
+    let mut served = 0;
+    for round in 0..6 {
+        let model = format!("m1/a{}", round % 3 + 1);
+        for _ in 0..20 {
+            let (_, answer) = ask(&daemon, "/stream/x", Some(&model)).await;
+            if answer.status() == 200 {
+                served += 1;
+                break;
+            }
+            assert_eq!(answer.status(), 503);
+            sleep(Duration::from_millis(300)).await;
+        }
+    }
+    assert_eq!(served, 6);
+    assert!(!replica.is_overcommitted());
+}
+
+#[tokio::test]
+async fn the_creation_of_the_lease_survives_a_lost_answer() {
+    let store = store().await;
+    store.set_mode(Mode::Lossy);
+    let daemon = front::spawn(site::settings(&store, "d1")).await.unwrap();
+    until(|| daemon.state().leader.lock().is_some()).await;
+    assert_eq!(&*daemon.state().leader.lock().clone().unwrap().name, "d1");
+}
+
+#[tokio::test]
+async fn a_failing_replica_loses_its_share() {
+    let store = store().await;
+    let bad = web(&store, "i-1").await;
+    let good = web(&store, "i-2").await;
+    let daemon = daemon(&store, "d1").await;
+    bad.set_fault(Fault::Fails);
+    for _ in 0..60 {
+        ask(&daemon, "/once/x", None).await;
+    }
+    assert!(bad.arrivals() < 20, "{}", bad.arrivals());
+    assert!(good.arrivals() > 40);
+}
--- /dev/null
+++ b/crates/front/tests/site/mod.rs
@@ -0,0 +1,195 @@
+//! A small site on stand-ins: a store, replicas, daemons in this process, and a client.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use conn::{Line, Reply};
+use front::settings::{Bounds, Limits};
+use front::{Daemon, Settings};
+use hyper::Request;
+use platform_standin::replica::{self, Options, Replica};
+use platform_standin::store::{self, Store};
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest wait for something that must come.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Store with a configuration in it.
+pub async fn store() -> Store {
+    let store = store::spawn().await.unwrap();
+    store.put("op/config", &configuration(1, "llm"));
+    store
+}
+
+/// Configuration in which `/stream/`, `/resume/`, `/once/` and `/again/` lead to services.
+pub fn configuration(version: u64, streams: &str) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({
+            "name": name, "host": "a.example", "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 4000, "target_latency_ms": 1000, "target_gap_ms": 300, "priority": 1,
+            "service": service, "max_attempts": attempts, "resumable": resumable,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "stream", streams, 1, false),
+            route("resume", "stream", streams, 2, true),
+            route("once", "non_idempotent", "web", 2, false),
+            route("again", "idempotent", "web", 2, false),
+        ],
+        "services": [
+            {"name": "llm", "health_path": "/health", "max_conns": 100, "engine": {
+                "slots": 8, "kv_capacity": 100000, "mb": 100.0, "max_adapters": 2,
+                "loads_per_s": 5.0, "stride": 2, "models": [
+                    {"name": "m1", "mb": 40.0, "load_s": 0.2, "adapters": 4, "adapter_mb": 1.0},
+                    {"name": "m2", "mb": 40.0, "load_s": 0.2, "adapters": 0, "adapter_mb": 1.0},
+                    {"name": "m3", "mb": 40.0, "load_s": 0.2, "adapters": 0, "adapter_mb": 1.0}]}},
+            {"name": "other", "health_path": "/health", "max_conns": 100, "engine": {
+                "slots": 8, "kv_capacity": 100000, "mb": 100.0, "max_adapters": 2,
+                "loads_per_s": 5.0, "stride": 2, "models": [
+                    {"name": "m1", "mb": 40.0, "load_s": 0.2, "adapters": 4, "adapter_mb": 1.0}]}},
+            {"name": "web", "health_path": "/health", "max_conns": 100},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    })
+}
+
+/// Starts a replica of the model service.
+pub async fn engine(store: &Store, id: &str, models: &[&str]) -> Replica {
+    let options = Options {
+        id: id.into(),
+        models: models.iter().map(|m| (*m).to_owned()).collect(),
+        ..Options::default()
+    };
+    replica::spawn(store, options).await.unwrap()
+}
+
+/// Starts a replica of the plain service.
+pub async fn web(store: &Store, id: &str) -> Replica {
+    let options = Options {
+        id: id.into(),
+        service: "web".into(),
+        models: Vec::new(),
+        ..Options::default()
+    };
+    replica::spawn(store, options).await.unwrap()
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap()
+}
+
+/// Settings of a daemon on free ports.
+pub fn settings(store: &Store, name: &str) -> Settings {
+    Settings {
+        name: name.into(),
+        hall: "a".into(),
+        callers: free_tcp(),
+        readiness: free_tcp(),
+        metrics: free_tcp(),
+        peers: free_udp(),
+        store: store.addr,
+        bounds: Bounds {
+            grace: Duration::from_secs(4),
+            lease: Duration::from_millis(300),
+            configuration: Duration::from_secs(2),
+            leaving: Duration::from_secs(2),
+            retry_share: 0.2,
+            retry_slack: 20.0,
+            retry_window: Duration::from_secs(10),
+            load_window: Duration::from_secs(5),
+            load_overage: 1.1,
+        },
+        limits: Limits {
+            descriptors: 4_096,
+            memory_mb: 256,
+        },
+        log_level: "info".into(),
+    }
+}
+
+/// Starts a daemon and waits until it routes.
+pub async fn daemon(store: &Store, name: &str) -> Daemon {
+    let daemon = front::spawn(settings(store, name)).await.unwrap();
+    until(|| daemon.state().is_ready()).await;
+    daemon
+}
+
+/// Waits until something holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "it does not come to hold");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+static NEXT: AtomicU32 = AtomicU32::new(1);
+
+/// Request to a daemon, with an identity of its own.
+pub fn request(path: &str, model: Option<&str>) -> (String, Request<conn::Body>) {
+    let id = format!("r-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", "a.example")
+        .header("request-id", &id)
+        .header("deadline-ms", "3000");
+    if let Some(model) = model {
+        builder = builder
+            .header("model", model)
+            .header("token-usage", "100,20")
+            .header("prompt-prefix", "a1:60,b2:40");
+    }
+    let request = builder.body(conn::Body::new("body".into())).unwrap();
+    (id, request)
+}
+
+/// Sends a request and reads its whole answer.
+pub async fn ask(daemon: &Daemon, path: &str, model: Option<&str>) -> (String, Answer) {
+    let (id, request) = request(path, model);
+    let mut line = Line::open(daemon.callers(), PATIENCE).await.unwrap();
+    let reply = line.exchange(request, PATIENCE, 1 << 20).await;
+    (id, Answer(reply))
+}
+
+/// Answer, or the way in which it broke.
+pub struct Answer(pub Result<Reply, conn::Error>);
+
+impl Answer {
+    /// Status; 0 when the connection broke.
+    pub fn status(&self) -> u16 {
+        self.0.as_ref().map_or(0, |r| r.status.as_u16())
+    }
+
+    /// Body as text.
+    pub fn text(&self) -> String {
+        let body = self.0.as_ref().map(|r| r.body.to_vec());
+        String::from_utf8(body.unwrap_or_default()).unwrap()
+    }
+
+    /// Numbers of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let text = self.text();
+        let ids = text.lines().filter_map(|l| l.strip_prefix("id: "));
+        ids.map(|id| id.parse().unwrap()).collect()
+    }
+
+    /// Header field as text.
+    pub fn header(&self, name: &str) -> Option<String> {
+        let reply = self.0.as_ref().ok()?;
+        let value = reply.headers.get(name)?;
+        Some(value.to_str().unwrap().to_owned())
+    }
+}
