--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -625,11 +625,15 @@
     ask.prompt + output.min(ask.most_output.max(output))
 }
 
+/// Steps in a row that may be expected to read as much as is allowed.
+const FULL_STEPS: f64 = 2.0;
+
 /// Time of reading that may stand before the streams of a replica in one step.
 ///
-/// An event holds `stride` tokens, which take a step each; each step may have to read prompts.
+/// An event holds `stride` tokens, which take a step each; some of these steps read prompts.
 fn step_pace(gap: Span, stride: u32) -> Span {
-    (gap * (1.0 / f64::from(stride.max(1)))).saturating_sub(STEP)
+    let steps = f64::from(stride.max(1));
+    gap.saturating_sub(STEP * steps) * (1.0 / steps.min(FULL_STEPS))
 }
 
 fn ms(ms: f32) -> Span {
