--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -15,8 +15,12 @@
 use tracing::{error, info, warn};
 use unit::Name;
 
-/// Pause between two watches: a part of the two seconds that the bounds allow.
-const COALESCED: Duration = Duration::from_millis(250);
+/// Pause between two watches of the leader, whose orders rest on what it knows.
+const LEADER_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause between two watches, as a part of the shortest bound on following the store: two more
+/// watches may fail within the bound.
+const BOUND_PART: f64 = 1.0 / 3.0;
 
 /// Time that a watch waits for a change. A store that falls silent is noticed after it.
 const WAIT: Duration = Duration::from_millis(3_000);
@@ -47,12 +51,21 @@
             after = after.max(changes.revision);
             if !changes.found.is_empty() {
                 apply(&state, changes.found);
-                tokio::time::sleep(COALESCED).await;
+                pause(&state).await;
             }
         }
     }
 }
 
+async fn pause(state: &State) {
+    let bounds = &state.settings.bounds;
+    let pause = match state.leads() {
+        true => LEADER_PAUSE,
+        false => bounds.leaving.min(bounds.configuration).mul_f64(BOUND_PART),
+    };
+    tokio::time::sleep(pause).await;
+}
+
 /// Notes whether the store answers, and gives back what it said.
 fn heard<T>(state: &State, answer: Result<T, platform::Error>) -> Option<T> {
     let now = state.now();
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -104,6 +104,8 @@
 pub struct Plans {
     /// Models on their way, with the time left in milliseconds.
     pub coming: Vec<(Name, u32)>,
+    /// Replicas and a model that each has just loaded: its entry may not show it yet.
+    pub loaded: Vec<(Name, Name)>,
     /// Replicas and the model that each is about to give up: it gets no new work.
     pub closing: Vec<(Name, Name)>,
     /// Where all hosts take datagrams, while they are few enough to tell each other directly.
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -65,6 +65,8 @@
     pub doubtful: Option<Time>,
     /// Model that it is about to give up, and since when hosts have been told.
     pub closing: Option<(Name, Time)>,
+    /// Model that it loaded last, and when that was known.
+    pub loaded: Option<(Name, Time)>,
     used: HashMap<(Name, Name), Time>,
     ordered: Time,
 }
@@ -79,6 +81,7 @@
             calling: false,
             doubtful: Some(Time(0)),
             closing: None,
+            loaded: None,
             used: HashMap::new(),
             ordered: Time(0),
         }
@@ -119,6 +122,7 @@
             if loads && holds {
                 let job = pending.job.clone();
                 self.pending = None;
+                self.loaded = Some((job.model.clone(), now));
                 self.effect(&job, now);
             } else if (overdue || !loads && !holds) && self.doubtful.is_none() {
                 self.doubt(now);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -167,6 +167,7 @@
             let others = plans.peers.into_iter().filter(|p| *p != own);
             *self.others.lock() = others.collect();
             table.set_coming(&plans.coming, now);
+            table.set_loaded(plans.loaded, now);
             table.set_closing(plans.closing, now);
         }
     }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -38,6 +38,9 @@
 /// Time ahead for which a rise of demand is followed: about that of a load from a disk.
 const AHEAD: Span = Span::from_ms(1_500);
 
+/// Time for which hosts are told of a model that was loaded, until all have read the entry.
+const TOLD_LOADED: Span = Span::from_ms(3_000);
+
 /// Steps planned at once, for each replica.
 const STEPS_PER_REPLICA: usize = 1;
 
@@ -628,7 +631,12 @@
         let model = closing.or_else(|| unloading.map(|j| j.model.clone()))?;
         Some((id.clone(), model))
     });
+    let loaded = book.known.iter().filter_map(|(id, k)| {
+        let (model, at) = k.loaded.as_ref()?;
+        (now.since(*at) < TOLD_LOADED).then(|| (id.clone(), model.clone()))
+    });
     Plans {
+        loaded: loaded.collect(),
         coming: coming.collect(),
         closing: closing.collect(),
         peers,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -234,12 +234,7 @@
         );
     }
     set("coveford_in_flight", &[], state.in_flight() as f64);
-    let leads = state
-        .leader
-        .lock()
-        .as_ref()
-        .is_some_and(|l| l.peers == state.settings.peers);
-    set("coveford_leads", &[], f64::from(u8::from(leads)));
+    set("coveford_leads", &[], f64::from(u8::from(state.leads())));
     let table = state.table.lock();
     let version = table.routes.as_ref().map_or(0, |r| r.version);
     set("coveford_configuration_version", &[], version as f64);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -332,7 +332,8 @@
             Ok(choice) => return admit(entry, call, choice).await,
             Err(nowhere) => absent(state, call, nowhere, held_until, now),
         };
-        if now >= until.min(call.deadline) {
+        // A host that stops has no time for requests that only wait.
+        if now >= until.min(call.deadline) || state.is_draining() {
             return Err(fault);
         }
         let left = until.since(now).std().min(LOOK);
@@ -401,7 +402,11 @@
     let until = call.arrived + (target * WAITING_PART).saturating_sub(choice.first_token);
     if until > now {
         let turn = entry.waiting.lock().push(call, until, now);
-        if let Ok(Ok((choice, place))) = timeout_at(state.instant(until), turn).await {
+        let turn = tokio::select! {
+            turn = timeout_at(state.instant(until), turn) => turn.ok().and_then(Result::ok),
+            _ = state.stopping() => None,
+        };
+        if let Some((choice, place)) = turn {
             tell_sent(state, call, &choice, true);
             return Ok((choice, place));
         }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -8,8 +8,8 @@
 use platform::store::Store;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use tokio::sync::{Notify, Semaphore};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 use unit::{Name, Span, Time};
 
@@ -38,7 +38,7 @@
     pub leader: Mutex<Option<Leader>>,
     /// Adapters wanted here, to be sent to the leader.
     pub wanted: tokio::sync::mpsc::UnboundedSender<(Name, Name, Name)>,
-    draining: AtomicBool,
+    draining: watch::Sender<bool>,
     in_flight: AtomicUsize,
     start: Instant,
 }
@@ -79,7 +79,7 @@
         bodies: Arc::new(Semaphore::new(bodies)),
         leader: Mutex::default(),
         wanted,
-        draining: AtomicBool::new(false),
+        draining: watch::Sender::new(false),
         in_flight: AtomicUsize::new(0),
         start: Instant::now(),
         settings,
@@ -100,12 +100,19 @@
 
     /// Whether this daemon has been told to stop.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        *self.draining.borrow()
     }
 
     /// Starts the drain.
     pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+        self.draining.send_replace(true);
+    }
+
+    /// Waits until this daemon is told to stop.
+    pub async fn stopping(&self) {
+        let mut draining = self.draining.subscribe();
+        // The sender lives as long as this state.
+        let _ = draining.wait_for(|stops| *stops).await;
     }
 
     /// Whether requests can be routed.
@@ -113,6 +120,14 @@
         !self.is_draining() && self.table.lock().routes.is_some()
     }
 
+    /// Whether this host leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        let leader = self.leader.lock();
+        leader
+            .as_ref()
+            .is_some_and(|l| l.peers == self.settings.peers)
+    }
+
     /// Counts a request in until the guard is dropped.
     pub fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -58,6 +58,8 @@
     windows: HashMap<Name, Window>,
     demand: BTreeMap<(Name, Name), Demand>,
     coming: HashMap<Name, Time>,
+    loaded: Vec<(Name, Name)>,
+    loaded_at: Time,
     closing: Vec<(Name, Name)>,
     closing_at: Time,
     direct_at: Time,
@@ -251,6 +253,8 @@
             windows: HashMap::new(),
             demand: BTreeMap::new(),
             coming: HashMap::new(),
+            loaded: Vec::new(),
+            loaded_at: Time(0),
             closing: Vec::new(),
             closing_at: Time(0),
             direct_at: Time(0),
@@ -299,9 +303,7 @@
             some = true;
             let state = self.state.get(&entry.id);
             if let Some(model) = model {
-                if !entry.held.iter().any(|h| h.model == *model)
-                    || self.is_closing(&entry.id, model, now)
-                {
+                if !self.holds(entry, model, now) || self.is_closing(&entry.id, model, now) {
                     continue;
                 }
                 some_model = true;
@@ -368,6 +370,18 @@
         now.since(self.direct_at) < DIRECT_AGE
     }
 
+    /// Whether a replica holds a model, by its entry or by the leader's word.
+    fn holds(&self, entry: &Entry, model: &Name, now: Time) -> bool {
+        let told = || {
+            now.since(self.loaded_at) < SUMS_AGE
+                && self
+                    .loaded
+                    .iter()
+                    .any(|(r, m)| *r == entry.id && m == model)
+        };
+        entry.held.iter().any(|h| h.model == *model) || told()
+    }
+
     /// Whether a replica is about to give up a model.
     fn is_closing(&self, replica: &Name, model: &Name, now: Time) -> bool {
         now.since(self.closing_at) < SUMS_AGE
@@ -393,7 +407,7 @@
         let (mut taken, mut places) = (0.0, 0.0);
         for seen in self.view.all() {
             let entry = &seen.entry;
-            let holds = model.is_none_or(|m| entry.held.iter().any(|h| h.model == *m));
+            let holds = model.is_none_or(|m| self.holds(entry, m, now));
             if entry.service == *want.service && !entry.leaving && holds {
                 let load = self.state.get(&entry.id).map(|s| s.load(now, direct));
                 taken += f64::from(load.unwrap_or_default().requests);
@@ -585,6 +599,12 @@
         }
     }
 
+    /// Notes which replicas have just loaded which models.
+    pub fn set_loaded(&mut self, loaded: Vec<(Name, Name)>, now: Time) {
+        self.loaded = loaded;
+        self.loaded_at = now;
+    }
+
     /// Notes which replicas are about to give up which models.
     pub fn set_closing(&mut self, closing: Vec<(Name, Name)>, now: Time) {
         self.closing = closing;
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -132,6 +132,37 @@
     assert_eq!(replica.arrivals(), served);
 }
 
+/// ddrct-coveford hunt c1fb-7: a request waited for its model until its host had ended.
+#[tokio::test]
+async fn a_request_that_waits_on_a_host_that_stops_is_refused_at_once() {
+    let store = store().await;
+    let _replica = engine(&store, "i-1", &["m1"]).await;
+    let daemon = daemon(&store, "d1").await;
+    let now = daemon.state().now();
+    let coming = [("m9".into(), 500)];
+    daemon.state().table.lock().set_coming(&coming, now);
+    let addr = daemon.callers();
+    let asked = tokio::spawn(async move {
+        let (_, request) = site::request("/stream/x", Some("m9"));
+        let mut line = conn::Line::open(addr, site::PATIENCE).await.unwrap();
+        line.exchange(request, site::PATIENCE, 1 << 20)
+            .await
+            .unwrap()
+    });
+    until(|| daemon.state().in_flight() == 1).await;
+    let start = Instant::now();
+    let stop = tokio::spawn(daemon.drain());
+    let reply = asked.await.unwrap();
+    assert_eq!(reply.status.as_u16(), 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(
+        start.elapsed() < Duration::from_millis(250),
+        "{:?}",
+        start.elapsed()
+    );
+    stop.await.unwrap();
+}
+
 #[tokio::test]
 async fn one_host_leads_and_another_takes_over_with_a_higher_token() {
     let store = store().await;
