--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod render;
 mod run;
 pub mod state;
+pub mod story;
 pub mod why;
 
 pub use error::Error;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -62,6 +62,8 @@
     Status,
     /// Explains a request.
     WhyRequest {
+        /// Logs to read instead of asking the hosts.
+        logs: Vec<PathBuf>,
         /// Its id.
         request: Name,
     },
@@ -194,9 +196,13 @@
 fn why() -> OptionParser<Command> {
     let request = {
         let request = name("REQUEST");
-        construct!(Command::WhyRequest { request })
+        let logs = long("log")
+            .help("Log of a daemon on a platform, may be given several times; - is standard input")
+            .argument::<PathBuf>("FILE")
+            .many();
+        construct!(Command::WhyRequest { logs, request })
             .to_options()
-            .descr("Explains what happened to a request")
+            .descr("Explains what happened to a request, by the host that kept it or by logs")
             .command("request")
     };
     let model = {
@@ -287,7 +293,7 @@
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
     .descr("Rolls bundles of intent and asks coveford why")
-    .footer("Examples:\n  coveford --settings ops.ini bundle check b.ini --fleet\n  coveford --settings ops.ini why request d1-5f3a-2c\nExit codes: 0 done, 2 wrong use, 3 refused, 4 unreachable, 5 not known yet")
+    .footer("Examples:\n  coveford --settings ops.ini bundle check b.ini --fleet\n  coveford --settings ops.ini why request d1-5f3a-2c\n  coveford why request 9c41d07be2a35f68 --log d1.log --log d2.log\nExit codes: 0 done, 2 wrong use, 3 refused, 4 unreachable, 5 not known yet")
 }
 
 /// Reads the command line of this process; wrong use ends it with code 2.
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,7 +6,7 @@
 use crate::platform_tool::{self, Tool};
 use crate::render::{json, out, table};
 use crate::state::{self, Seen};
-use crate::{keys, why};
+use crate::{keys, story, why};
 use bundle::part;
 use daemon::shelf;
 use serde_json::json;
@@ -55,6 +55,10 @@
             ));
             Ok(())
         }
+        Command::WhyRequest { logs, request } if !logs.is_empty() => {
+            print(&story::request(request, logs)?);
+            Ok(())
+        }
         _ => with_platform(options, &platform_tool::load(&options.settings)?).await,
     }
 }
@@ -111,7 +115,7 @@
             out(bundles::text(tool, &head).await?);
         }
         Command::Status => status(options, tool).await?,
-        Command::WhyRequest { request } => {
+        Command::WhyRequest { request, .. } => {
             let record = why::request(tool, request).await?;
             match options.json {
                 true => json(&record),
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -6,9 +6,11 @@
 
 use crate::metrics::Metrics;
 use parking_lot::Mutex;
+use std::io::Write;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// One request in that many is told whole.
@@ -48,12 +50,18 @@
     }
 }
 
-/// Starts writing lines; they are flushed when the guard is dropped.
-pub fn start(level: &str) -> WorkerGuard {
-    let (writer, guard) = NonBlockingBuilder::default()
+/// Starts writing lines in the name of a host; they are flushed when the guard is dropped.
+pub fn start(host: &str, level: &str) -> WorkerGuard {
+    let (lines, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(BUFFERED_LINES)
         .lossy(true)
         .finish(std::io::stdout());
+    let start = format!("{{\"host\":{},", serde_json::Value::from(host));
+    let start: Arc<[u8]> = start.into_bytes().into();
+    let writer = move || Named {
+        start: start.clone(),
+        lines: lines.clone(),
+    };
     let _ = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
@@ -65,6 +73,28 @@
     guard
 }
 
+/// Writer that puts the host's name in front of the other fields of a line.
+struct Named {
+    start: Arc<[u8]>,
+    lines: NonBlocking,
+}
+
+impl Write for Named {
+    /// A line comes whole, as one object.
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        let fields = line.strip_prefix(b"{").unwrap_or(line);
+        let mut named = Vec::with_capacity(self.start.len() + fields.len());
+        named.extend_from_slice(&self.start);
+        named.extend_from_slice(fields);
+        self.lines.write_all(&named)?;
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.lines.flush()
+    }
+}
+
 impl Log {
     /// Tells a routine decision about a request, if the request is one of the sample.
     pub fn routine(&self, id: &str, tell: impl FnOnce()) {
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -41,6 +41,11 @@
 /// Time for which hosts are told of a model that was loaded, until all have read the entry.
 const TOLD_LOADED: Span = Span::from_ms(3_000);
 
+/// Sizes of the parts of a digest in bytes, counted generously.
+const PLANS_SIZE: usize = 400;
+const ROW_SIZE: usize = 60;
+const ADAPTER_SIZE: usize = 20;
+
 /// Steps planned at once, for each replica.
 const STEPS_PER_REPLICA: usize = 1;
 
@@ -578,16 +583,11 @@
             plans: Some(plans),
             ..Digest::default()
         }];
-        let mut rows: Vec<(Name, Option<Load>, Option<Vec<(Name, Name)>>)> = Vec::new();
+        let mut size = PLANS_SIZE;
         for (id, adapters) in adapters {
-            let load = loads.get(&id).copied().unwrap_or_default();
-            rows.push((id, Some(load), Some(adapters)));
-        }
-        let mut size = 200;
-        for (id, load, adapters) in rows {
-            let row = 60 + adapters.as_ref().map_or(0, |a| a.len() * 20);
+            let row = ROW_SIZE + adapters.len() * ADAPTER_SIZE;
             if size + row > MOST_DATAGRAM {
-                size = 60;
+                size = ROW_SIZE;
                 digests.push(Digest {
                     term: self.term.token,
                     hosts,
@@ -596,8 +596,9 @@
             }
             size += row;
             let digest = digests.last_mut().expect("there is always one");
-            digest.loads.extend(load.map(|l| (id.clone(), l)));
-            digest.adapters.extend(adapters.map(|a| (id, a)));
+            let load = loads.get(&id).copied().unwrap_or_default();
+            digest.loads.push((id.clone(), load));
+            digest.adapters.push((id, adapters));
         }
         for digest in digests {
             self.peers.send_all(&Message::Digest(digest)).await;
@@ -686,7 +687,7 @@
     copies::Replica {
         free_mb: known.free_mb(engine),
         held,
-        at_hand: copies.filter_map(index).collect(),
+        copied: copies.filter_map(index).collect(),
         idle: known.is_idle() && known.closing.is_none(),
         stays: !entry.leaving,
         load: load / f64::from(entry.slots),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -62,7 +62,7 @@
 
 /// Runs a daemon by its settings until it is told to stop.
 pub fn run(path: &Path, settings: Settings) -> Result<(), Error> {
-    let guard = log::start(&settings.log_level);
+    let guard = log::start(&settings.name, &settings.log_level);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -42,7 +42,7 @@
     /// Models that it holds or is loading.
     pub held: Vec<usize>,
     /// Models of which it keeps a copy outside the accelerator.
-    pub at_hand: Vec<usize>,
+    pub copied: Vec<usize>,
     /// Whether it takes an order now.
     pub idle: bool,
     /// Whether it stays.
@@ -149,7 +149,7 @@
             if replica.held.contains(&m) {
                 continue;
             }
-            let from_store = !replica.at_hand.contains(&m);
+            let from_store = !replica.copied.contains(&m);
             if from_store && store_loads == 0 {
                 continue;
             }
--- a/crates/place/tests/copies.rs
+++ b/crates/place/tests/copies.rs
@@ -15,7 +15,7 @@
     Replica {
         free_mb,
         held: held.to_vec(),
-        at_hand: Vec::new(),
+        copied: Vec::new(),
         idle: true,
         stays: true,
         load: 0.0,
@@ -69,7 +69,7 @@
 fn without_a_load_from_the_store_only_copies_at_hand_are_loaded() {
     let models = [model(0.0), model(0.0)];
     let mut known = replica(&[0], 100.0);
-    known.at_hand = vec![1];
+    known.copied = vec![1];
     let replicas = [known, replica(&[1], 100.0)];
     let steps = plan(&replicas, &models, 0, 9);
     assert!(!steps.is_empty());
