--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::time::timeout_at;
 use tracing::info;
-use unit::{Name, Time};
+use unit::{Name, Span, Time};
 
 /// Longest answer that is not a stream, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
@@ -29,6 +29,9 @@
 /// Silence of a stream that may be resumed after which is looked whether its replica is gone.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Part of the longest pause in time from which a pause tells that a replica is slow.
+const LONG_PART: f64 = 0.7;
+
 fn is_there(state: &State, replica: &str) -> bool {
     let table = state.table.lock();
     let seen = table.view.get(replica);
@@ -84,6 +87,7 @@
     splitter: Splitter,
     first: Option<Bytes>,
     tried: Vec<Name>,
+    last_event: Time,
     _in_flight: InFlight,
 }
 
@@ -124,6 +128,7 @@
         splitter: Splitter::default(),
         first: None,
         tried,
+        last_event: state.now(),
         _in_flight: state.enter(),
     };
     relay.first = match relay.read().await {
@@ -135,6 +140,7 @@
             return Err(why);
         }
     };
+    relay.last_event = state.now();
     if let Some(source) = &mut relay.source {
         source.place.started();
         let took = state.now().since(call.arrived);
@@ -155,7 +161,10 @@
         }
         loop {
             match self.read().await {
-                Ok(Some(events)) => return Some(Ok(Frame::data(events))),
+                Ok(Some(events)) => {
+                    self.note_pause();
+                    return Some(Ok(Frame::data(events)));
+                }
                 Ok(None) => return self.end(),
                 Err(why) => match self.resume(&why).await {
                     true => continue,
@@ -165,6 +174,19 @@
         }
     }
 
+    /// Learns from the pause before an event, if it was long.
+    fn note_pause(&mut self) {
+        let now = self.state.now();
+        let pause = now.since(self.last_event);
+        self.last_event = now;
+        let gap = self.call.route.gap.map(Span::from);
+        let long = gap.is_some_and(|gap| pause > gap * LONG_PART);
+        if let Some(source) = self.source.as_ref().filter(|_| long) {
+            let mut table = self.state.table.lock();
+            table.lag(&source.place.replica, now);
+        }
+    }
+
     fn end(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
         self.state
             .log
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -78,6 +78,8 @@
     hosts: BTreeMap<Name, (Load, Time)>,
     failing: f64,
     failed_at: Time,
+    lagging: f64,
+    lagged_at: Time,
     parts: VecDeque<(Name, u64)>,
     adapters: Vec<(Name, Name)>,
     adapters_at: Time,
@@ -102,8 +104,11 @@
     }
 
     fn failing(&self, now: Time) -> f64 {
-        let halves = now.since(self.failed_at).secs() / FAILURE_HALVES.secs();
-        self.failing * 0.5_f64.powf(halves)
+        faded(self.failing, self.failed_at, now)
+    }
+
+    fn lagging(&self, now: Time) -> f64 {
+        faded(self.lagging, self.lagged_at, now)
     }
 
     /// Tokens at the beginning of a prompt that the replica likely keeps.
@@ -142,6 +147,12 @@
     }
 }
 
+/// A share that halves in [`FAILURE_HALVES`] without news.
+fn faded(share: f64, at: Time, now: Time) -> f64 {
+    let halves = now.since(at).secs() / FAILURE_HALVES.secs();
+    share * 0.5_f64.powf(halves)
+}
+
 /// Smoothed pace of one model.
 #[derive(Debug, Clone, Copy)]
 struct Pace {
@@ -343,6 +354,7 @@
                     run: pace.run,
                     near: seen.entry.hall == self.hall,
                     failing: state.failing(now),
+                    lagging: state.lagging(now),
                 }
             })
             .collect();
@@ -464,6 +476,14 @@
         state.failed_at = now;
     }
 
+    /// Learns that a stream of a replica paused for almost longer than it may.
+    pub fn lag(&mut self, replica: &Name, now: Time) {
+        let state = self.state.entry(replica.clone()).or_default();
+        let before = state.lagging(now);
+        state.lagging = before + (1.0 - before) * NEWEST_FAILURE;
+        state.lagged_at = now;
+    }
+
     /// Learns how fast prompts are read, from one that none stood before: it took that time.
     pub fn learn_speed(&mut self, service: &Name, model: &Name, tokens: f64, took: Span) {
         let ms = took.saturating_sub(STEP).ms().max(1.0);
--- a/crates/route/src/batch.rs
+++ b/crates/route/src/batch.rs
@@ -12,6 +12,9 @@
 /// Width of the random part of a cost, so that hosts with equal tables do not choose alike.
 const JITTER: Span = Span::from_ms(2);
 
+/// Charge for a replica whose streams all pause too long: about what one more prompt costs there.
+const LAGGING: Span = Span::from_ms(150);
+
 /// Share of failures above which a replica is chosen only when no other is left.
 const FAILING: f64 = 0.3;
 
@@ -38,6 +41,8 @@
     pub near: bool,
     /// Smoothed share of its answers that failed.
     pub failing: f64,
+    /// Smoothed mark of long pauses in its streams, from 0 to 1: it is slow, or has too much to do.
+    pub lagging: f64,
 }
 
 /// What is asked of a replica.
@@ -89,8 +94,9 @@
             false => self.backlog,
         };
         let jitter = Span(rng.random_range(0..=JITTER.0));
+        let lagging = LAGGING * self.lagging;
         let failing = 1.0 + 4.0 * self.failing;
-        (self.first_token(ask) + late + distance + jitter) * failing
+        (self.first_token(ask) + late + lagging + distance + jitter) * failing
     }
 }
 
--- a/crates/route/tests/serving.rs
+++ b/crates/route/tests/serving.rs
@@ -19,6 +19,7 @@
     run: Span::from_ms(2_000),
     near: true,
     failing: 0.0,
+    lagging: 0.0,
 };
 
 const ASK: Ask = Ask {
@@ -66,6 +67,15 @@
     assert!(crowded.first_token(&ASK) > IDLE.first_token(&ASK));
 }
 
+#[test]
+fn a_replica_whose_streams_pause_is_passed_over() {
+    let lagging = Candidate {
+        lagging: 0.5,
+        ..IDLE
+    };
+    assert_eq!(pick(&[lagging, IDLE]), 1);
+}
+
 #[test]
 fn a_failing_replica_is_taken_only_when_no_other_is_left() {
     let failing = Candidate {
