Sums in a few bytes, told ten times a second; the strongest host leads; what is unloaded is told

Cause: on the grown sites hosts knew of each other once a second, the leader stood on 0.12 of a core and was starved, and hosts sent to replicas whose unload was done.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -27,8 +27,16 @@
 /// Time before the lease's end at which its holder stops, for the way of an order that is given.
 const MARGIN: Duration = Duration::from_millis(400);
 
-/// Longest wait before a host tries for a free lease; hosts wait differently long, so that few try.
-const SPREAD: Duration = Duration::from_millis(400);
+/// Longest wait of a host before it tries for a free lease, by chance; hosts wait differently long,
+/// so that few try.
+const SPREAD: Duration = Duration::from_millis(200);
+
+/// Wait of a host with next to no processor beside one with [`ENOUGH_CORES`]: the leader's work
+/// takes some hundredths of a core in a large fleet.
+const WEAK_WAIT: Duration = Duration::from_millis(600);
+
+/// Processor, in cores, from which a host leads as well as any.
+const ENOUGH_CORES: f64 = 0.5;
 
 /// Pause between looks whether the lease is free.
 const LOOK: Duration = Duration::from_millis(100);
@@ -78,13 +86,13 @@
     F: Fn(Term) -> R,
     R: Future<Output = ()> + Send + 'static,
 {
-    let spread = rendezvous::hash(state.settings.name.as_bytes()) % SPREAD.as_millis() as u64;
+    let wait = wait(&state);
     loop {
         tokio::time::sleep(LOOK).await;
         if !may_try(&state) {
             continue;
         }
-        tokio::time::sleep(Duration::from_millis(spread)).await;
+        tokio::time::sleep(wait).await;
         if !may_try(&state) {
             continue;
         }
@@ -97,6 +105,13 @@
     }
 }
 
+/// Time that this host leaves to others that are stronger, or before it by chance.
+fn wait(state: &State) -> Duration {
+    let spread = rendezvous::hash(state.settings.name.as_bytes()) % SPREAD.as_millis() as u64;
+    let lack = 1.0 - (state.settings.limits.cores / ENOUGH_CORES).min(1.0);
+    Duration::from_millis(spread) + WEAK_WAIT.mul_f64(lack)
+}
+
 fn may_try(state: &State) -> bool {
     let table = state.table.lock();
     let sees = table.routes.is_some() && !table.view.is_away();
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -35,7 +35,7 @@
     /// Demand by model.
     pub demand: Vec<Demand>,
     /// Requests in flight by replica.
-    pub loads: Vec<(Name, Load)>,
+    pub loads: Vec<Row>,
 }
 
 /// Demand for one model at one host.
@@ -51,8 +51,46 @@
     pub tokens: f32,
 }
 
+/// Requests in flight at one replica, in the few bytes that a large fleet allows.
+///
+/// A replica is named by 32 bits of its identity's hash; that two of some thousands share them is
+/// unlikely, and costs no more than a worse choice.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Row(u32, u16, u16, [u16; RANKS]);
+
+/// Tokens that one step of a row's reserved memory stands for.
+const TOKEN_STEP: f32 = 64.0;
+
+/// Short name of a replica in a row.
+pub fn short(replica: &str) -> u32 {
+    (unit::rendezvous::hash(replica.as_bytes()) >> 32) as u32
+}
+
+impl Row {
+    /// Row of a replica's load.
+    pub fn new(replica: &str, load: &Load) -> Row {
+        let reserved = (load.reserved / TOKEN_STEP).round() as u16;
+        let unread = load.unread.map(|ms| ms.ceil() as u16);
+        Row(short(replica), load.requests as u16, reserved, unread)
+    }
+
+    /// Short name of the replica.
+    pub fn replica(&self) -> u32 {
+        self.0
+    }
+
+    /// The load.
+    pub fn load(&self) -> Load {
+        Load {
+            requests: f32::from(self.1),
+            reserved: f32::from(self.2) * TOKEN_STEP,
+            unread: self.3.map(f32::from),
+        }
+    }
+}
+
 /// Requests in flight at one replica.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
     /// Requests.
     pub requests: f32,
@@ -92,7 +130,7 @@
     /// Hosts whose sums are in it.
     pub hosts: u32,
     /// Requests in flight by replica.
-    pub loads: Vec<(Name, Load)>,
+    pub loads: Vec<Row>,
     /// Adapters that the leader has had loaded, by replica.
     pub adapters: Vec<(Name, Vec<(Name, Name)>)>,
     /// What the planner is about, in one datagram of each round.
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -67,6 +67,8 @@
     pub closing: Option<(Name, Time)>,
     /// Model that it loaded last, and when that was known.
     pub loaded: Option<(Name, Time)>,
+    /// Model that it gave up last, and when that was ordered.
+    pub unloaded: Option<(Name, Time)>,
     used: HashMap<(Name, Name), Time>,
     ordered: Time,
 }
@@ -82,6 +84,7 @@
             doubtful: Some(Time(0)),
             closing: None,
             loaded: None,
+            unloaded: None,
             used: HashMap::new(),
             ordered: Time(0),
         }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -3,7 +3,7 @@
 //! A star rather than a mesh: datagrams grow with the hosts, not with their square. A lost datagram
 //! only makes a sum older; sums past their age are not used.
 
-use crate::message::{self, Digest, Load, MOST_DATAGRAM, Message, Placed, Sums, Want};
+use crate::message::{self, Digest, Load, MOST_DATAGRAM, Message, Placed, Row, Sums, Want};
 use crate::state::{State, Wanted};
 use parking_lot::Mutex;
 use std::collections::HashMap;
@@ -14,11 +14,14 @@
 use tokio::sync::Notify;
 use unit::{Name, Span, Time};
 
-/// Least pause between two rounds of sums.
+/// Longest pause between two rounds of sums.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// Pause between two rounds while requests are counted in, where hosts cannot tell each other.
+const STAR_ROUND: Duration = Duration::from_millis(100);
+
 /// Time that each host adds to the pause, so that the leader's work does not grow with them.
-const ROUND_PER_HOST: Duration = Duration::from_millis(10);
+const ROUND_PER_HOST: Duration = Duration::from_micros(1_500);
 
 /// Age at which a host's sums no longer count.
 const SUMS_AGE: Span = Span::from_ms(3_000);
@@ -184,13 +187,21 @@
     pub async fn tell(self: Arc<Self>) {
         let mut round = 0;
         loop {
-            let hosts = self.state.table.lock().hosts as u32;
-            tokio::time::sleep(ROUND.max(ROUND_PER_HOST * hosts)).await;
+            tokio::time::sleep(self.round()).await;
             round += 1;
             self.tell_round(round).await;
         }
     }
 
+    /// Pause between two rounds.
+    pub fn round(&self) -> Duration {
+        let hosts = self.state.table.lock().hosts;
+        match hosts <= MOST_DIRECT {
+            true => ROUND,
+            false => STAR_ROUND.max(ROUND_PER_HOST * hosts as u32),
+        }
+    }
+
     /// Tells all other hosts directly what is in flight, as soon as a request is counted in.
     pub async fn tell_directly(self: Arc<Self>) {
         loop {
@@ -294,24 +305,24 @@
         }
     }
 
-    /// Sums of all hosts by replica.
-    pub fn loads(&self, now: Time) -> HashMap<Name, Load> {
-        let mut loads: HashMap<Name, Load> = HashMap::new();
+    /// Sums of all hosts by replica's short name.
+    pub fn loads(&self, now: Time) -> HashMap<u32, Load> {
+        let mut loads: HashMap<u32, Load> = HashMap::new();
         for sums in self.inbox.sums(now) {
-            for (replica, load) in sums.loads {
-                loads.entry(replica).or_default().add(&load);
+            for row in sums.loads {
+                loads.entry(row.replica()).or_default().add(&row.load());
             }
         }
         loads
     }
 }
 
-/// Rows of sums that fit one datagram: each takes some 60 bytes.
-const ROWS: usize = MOST_DATAGRAM / 70;
+/// Rows of sums that fit one datagram: each takes at most 40 bytes.
+const ROWS: usize = MOST_DATAGRAM / 40;
 
 /// Cuts sums into parts that fit a datagram each.
 fn parts(sums: Sums) -> Vec<Sums> {
-    let part = |demand: &[message::Demand], loads: &[(Name, Load)]| Sums {
+    let part = |demand: &[message::Demand], loads: &[Row]| Sums {
         host: sums.host.clone(),
         round: sums.round,
         demand: demand.to_vec(),
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -1,7 +1,7 @@
 //! The leader's work: sums of demand in, orders to replicas out.
 
 use crate::leader::Term;
-use crate::message::{Digest, Load, MOST_DATAGRAM, Message, Placed, Plans, Want};
+use crate::message::{Digest, Load, MOST_DATAGRAM, Message, Placed, Plans, Row, Want, short};
 use crate::orders::{Bucket, Job, Known, Pending};
 use crate::peers::Peers;
 use crate::state::State;
@@ -41,14 +41,19 @@
 /// Time for which hosts are told of a model that was loaded, until all have read the entry.
 const TOLD_LOADED: Span = Span::from_ms(3_000);
 
-/// Sizes of the parts of a digest in bytes, counted generously.
-const PLANS_SIZE: usize = 400;
-const ROW_SIZE: usize = 60;
+/// Sizes of a row of a digest and of an adapter in it, in bytes, counted generously.
+const ROW_SIZE: usize = 32;
 const ADAPTER_SIZE: usize = 20;
 
+/// Rounds in which the adapters of all replicas are told once.
+const ADAPTER_ROUNDS: usize = 8;
+
 /// Steps planned at once, for each replica.
 const STEPS_PER_REPLICA: usize = 1;
 
+/// Most of the present demand that a rise may add to it.
+const MOST_RISE: f64 = 0.5;
+
 /// Time after its last use before which an adapter is not given up.
 const ADAPTER_KEPT: Span = Span::from_ms(1_500);
 
@@ -92,26 +97,30 @@
     });
     // An earlier holder may have given an order just now: turns within the bound are not allowed.
     let quiet = planner.term.since + planner.state.settings.bounds.lease;
-    let mut next = tokio::time::Instant::now();
-    loop {
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut next_digest = tokio::time::Instant::now();
+    let mut round = 0;
+    while planner.term.holds() {
+        let acts = tokio::time::Instant::now() >= quiet;
         tokio::select! {
-            _ = tokio::time::sleep_until(next) => {
-                next = tokio::time::Instant::now() + TICK;
+            _ = tick.tick() => {
                 planner.sync();
-                if tokio::time::Instant::now() >= quiet {
+                if acts {
                     planner.plan();
                 }
-                planner.digest().await;
             }
             _ = planner.peers.inbox.wanted.notified() => {
-                if tokio::time::Instant::now() >= quiet {
+                if acts {
                     planner.sync();
                     planner.place_adapters();
                 }
             }
-        }
-        if !planner.term.holds() {
-            return;
+            _ = tokio::time::sleep_until(next_digest) => {
+                next_digest = tokio::time::Instant::now() + planner.peers.round();
+                round += 1;
+                planner.digest(round).await;
+            }
         }
     }
 }
@@ -185,7 +194,7 @@
                 let demand = book.demand.entry(key).or_default();
                 let rise = (need - demand.now).max(0.0) / passed.secs().max(0.05);
                 demand.recent += (need - demand.recent) * weight;
-                demand.now = need + (rise * AHEAD.secs()).min(need);
+                demand.now = need + (rise * AHEAD.secs()).min(need * MOST_RISE);
             }
         }
     }
@@ -301,7 +310,7 @@
     fn place_adapter(
         self: &Arc<Self>,
         want: &Want,
-        loads: &HashMap<Name, Load>,
+        loads: &HashMap<u32, Load>,
         now: Time,
     ) -> Option<Name> {
         let (routes, entries) = {
@@ -354,7 +363,9 @@
             if full && recently {
                 continue;
             }
-            let load = loads.get(&entry.id).map_or(0.0, |l| f64::from(l.requests));
+            let load = loads
+                .get(&short(&entry.id))
+                .map_or(0.0, |l| f64::from(l.requests));
             let cost = load / f64::from(entry.slots) + f64::from(u8::from(full)) * 0.5;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, entry.id.clone()));
@@ -516,6 +527,9 @@
         match answer {
             Ok(Ordered::Accepted) if job.adapter.is_none() => {
                 known.orders = expected + 1;
+                if job.operation == Operation::Unload {
+                    known.unloaded = Some((job.model.clone(), now));
+                }
                 known.pending = Some(Pending {
                     due: now + job.takes,
                     job,
@@ -569,41 +583,73 @@
     }
 
     /// Tells all hosts the sums, and what is planned.
-    async fn digest(&self) {
+    async fn digest(&self, round: usize) {
         let now = self.state.now();
         let loads = self.peers.loads(now);
-        let hosts = self.peers.inbox.hosts().len() as u32;
         let (plans, adapters) = {
             let book = self.book.lock();
-            (plans(&book, self.peers.direct(), now), adapters(&book))
+            let plans = plans(&book, self.peers.direct(), now);
+            (plans, adapters(&book, round))
         };
-        let mut digests = vec![Digest {
+        let hosts = self.peers.inbox.hosts().len() as u32;
+        let first = Digest {
             term: self.term.token,
             hosts,
             plans: Some(plans),
             ..Digest::default()
-        }];
-        let mut size = PLANS_SIZE;
+        };
+        let mut parts = Parts::new(first);
+        for id in self.replicas() {
+            let load = loads.get(&short(&id)).copied().unwrap_or_default();
+            parts.room(ROW_SIZE).loads.push(Row::new(&id, &load));
+        }
         for (id, adapters) in adapters {
-            let row = ROW_SIZE + adapters.len() * ADAPTER_SIZE;
-            if size + row > MOST_DATAGRAM {
-                size = ROW_SIZE;
-                digests.push(Digest {
-                    term: self.term.token,
-                    hosts,
-                    ..Digest::default()
-                });
-            }
-            size += row;
-            let digest = digests.last_mut().expect("there is always one");
-            let load = loads.get(&id).copied().unwrap_or_default();
-            digest.loads.push((id.clone(), load));
-            digest.adapters.push((id, adapters));
+            let size = ROW_SIZE + adapters.len() * ADAPTER_SIZE;
+            parts.room(size).adapters.push((id, adapters));
         }
-        for digest in digests {
+        for digest in parts.all {
             self.peers.send_all(&Message::Digest(digest)).await;
         }
     }
+
+    /// Replicas that run models.
+    fn replicas(&self) -> Vec<Name> {
+        self.book.lock().known.keys().cloned().collect()
+    }
+}
+
+/// Parts of a digest that fit a datagram each.
+struct Parts {
+    all: Vec<Digest>,
+    size: usize,
+}
+
+impl Parts {
+    fn new(first: Digest) -> Parts {
+        let plans = first.plans.as_ref().map_or(0, |p| {
+            p.coming.len() + p.loaded.len() + p.closing.len() + p.peers.len()
+        });
+        Parts {
+            all: vec![first],
+            size: ROW_SIZE * (plans + 1),
+        }
+    }
+
+    /// The part that has room for so many bytes more.
+    fn room(&mut self, size: usize) -> &mut Digest {
+        self.size += size;
+        if self.size > MOST_DATAGRAM {
+            self.size = ROW_SIZE + size;
+            let first = &self.all[0];
+            let next = Digest {
+                term: first.term,
+                hosts: first.hosts,
+                ..Digest::default()
+            };
+            self.all.push(next);
+        }
+        self.all.last_mut().expect("there is always one")
+    }
 }
 
 fn word(answer: &Result<Ordered, platform::Error>) -> &'static str {
@@ -624,13 +670,18 @@
         let ms = pending.due.since(now).ms() as u32;
         loads.then(|| (pending.job.model.clone(), ms))
     });
-    let closing = book.known.iter().filter_map(|(id, k)| {
-        let closing = k.closing.as_ref().map(|(model, _)| model.clone());
-        let unloading = k.queue.iter().chain(k.pending.iter().map(|p| &p.job));
-        let mut unloading = unloading.filter(|j| j.operation == Operation::Unload);
-        let unloading = unloading.find(|j| j.adapter.is_none());
-        let model = closing.or_else(|| unloading.map(|j| j.model.clone()))?;
-        Some((id.clone(), model))
+    let closing = book.known.iter().flat_map(|(id, k)| {
+        let closing = k.closing.iter().map(|(model, _)| model.clone());
+        let orders = k.queue.iter().chain(k.pending.iter().map(|p| &p.job));
+        let unloads = orders.filter(|j| j.operation == Operation::Unload && j.adapter.is_none());
+        let done = k.unloaded.iter();
+        let done = done.filter(|(_, at)| now.since(*at) < TOLD_LOADED);
+        let done = done.filter(|(model, _)| !k.held.iter().any(|h| h.model == *model));
+        closing
+            .chain(unloads.map(|j| j.model.clone()))
+            .chain(done.map(|(model, _)| model.clone()))
+            .map(|model| (id.clone(), model))
+            .collect::<Vec<_>>()
     });
     let loaded = book.known.iter().filter_map(|(id, k)| {
         let (model, at) = k.loaded.as_ref()?;
@@ -644,9 +695,14 @@
     }
 }
 
-fn adapters(book: &Book) -> Vec<(Name, Vec<(Name, Name)>)> {
-    let known = book.known.iter().filter(|(_, k)| k.doubtful.is_none());
-    known.map(|(id, k)| (id.clone(), k.adapters())).collect()
+/// Adapters of the replicas whose turn it is in a round; changes are told when they are made.
+fn adapters(book: &Book, round: usize) -> Vec<(Name, Vec<(Name, Name)>)> {
+    let turn = |id: &Name| short(id) as usize % ADAPTER_ROUNDS == round % ADAPTER_ROUNDS;
+    book.known
+        .iter()
+        .filter(|(id, k)| turn(id) && k.doubtful.is_none())
+        .map(|(id, k)| (id.clone(), k.adapters()))
+        .collect()
 }
 
 fn load_job(entry: &Entry, model: &platform::config::Model, from_store: bool) -> Job {
@@ -668,10 +724,12 @@
     entry: &Entry,
     known: &Known,
     engine: &Engine,
-    loads: &HashMap<Name, Load>,
+    loads: &HashMap<u32, Load>,
     index: &dyn Fn(&Name) -> Option<usize>,
 ) -> copies::Replica {
-    let load = loads.get(&entry.id).map_or(0.0, |l| f64::from(l.requests));
+    let load = loads
+        .get(&short(&entry.id))
+        .map_or(0.0, |l| f64::from(l.requests));
     let mut held: Vec<usize> = known.held.iter().filter_map(|h| index(&h.model)).collect();
     let coming = known.pending.iter().map(|p| &p.job).chain(&known.queue);
     let coming = coming.filter(|j| j.operation == Operation::Load && j.adapter.is_none());
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -60,6 +60,8 @@
     pub descriptors: usize,
     /// Memory that it may use, in MB.
     pub memory_mb: usize,
+    /// Processor that it may use, in cores.
+    pub cores: f64,
 }
 
 /// Sections a settings file may have.
@@ -155,6 +157,7 @@
     let limits = Limits {
         descriptors: fields.value("descriptors", 4_096, 256..=10_000_000),
         memory_mb: fields.value("memory_mb", 256, 32..=1_000_000),
+        cores: fields.value("cores", 1.0, 0.001..=1_024.0),
     };
     fields.finish();
     limits
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -1,6 +1,6 @@
 //! Replicas, the configuration in force, and what is in flight where: one table under one lock.
 
-use crate::message::{Load, RANKS};
+use crate::message::{Load, RANKS, Row, short};
 use crate::routes::Routes;
 use crate::view::{News, View};
 use platform::ingress::Ask;
@@ -43,8 +43,8 @@
 /// Age at which the sums of other hosts are no longer used.
 const SUMS_AGE: Span = Span::from_ms(3_000);
 
-/// Window in which demand is counted.
-const DEMAND_OVER: Span = Span::from_ms(1_000);
+/// Window in which demand is counted: long enough that chance moves few copies.
+const DEMAND_OVER: Span = Span::from_ms(1_500);
 
 /// Table of one daemon.
 pub struct Table {
@@ -556,13 +556,13 @@
     }
 
     /// What this host has in flight.
-    pub fn in_flight(&self) -> Vec<(Name, Load)> {
+    pub fn in_flight(&self) -> Vec<Row> {
         let busy = self.state.iter().filter(|(_, s)| s.mine.requests > 0.0);
-        busy.map(|(id, s)| (id.clone(), s.mine)).collect()
+        busy.map(|(id, s)| Row::new(id, &s.mine)).collect()
     }
 
     /// What this host has in flight, remembered as told.
-    pub fn tell(&mut self) -> Vec<(Name, Load)> {
+    pub fn tell(&mut self) -> Vec<Row> {
         for state in self.state.values_mut() {
             state.told = state.mine;
         }
@@ -570,31 +570,34 @@
     }
 
     /// Takes in the sums of all hosts.
-    pub fn told(&mut self, loads: &[(Name, Load)], now: Time) {
-        for (id, load) in loads {
-            if self.view.get(id).is_none() {
-                continue;
-            }
-            let state = self.state.entry(id.clone()).or_default();
+    pub fn told(&mut self, rows: &[Row], now: Time) {
+        for (id, load) in self.named(rows) {
+            let state = self.state.entry(id).or_default();
             state.others = load.without(&state.told);
             state.others_at = now;
         }
     }
 
     /// Takes in what another host has in flight, as it tells itself.
-    pub fn told_by(&mut self, host: &Name, loads: &[(Name, Load)], now: Time) {
+    pub fn told_by(&mut self, host: &Name, rows: &[Row], now: Time) {
         self.direct_at = now;
         for state in self.state.values_mut() {
             state.hosts.remove(host);
         }
-        for (id, load) in loads {
-            if self.view.get(id).is_some() {
-                let state = self.state.entry(id.clone()).or_default();
-                state.hosts.insert(host.clone(), (*load, now));
-            }
+        for (id, load) in self.named(rows) {
+            let state = self.state.entry(id).or_default();
+            state.hosts.insert(host.clone(), (load, now));
         }
     }
 
+    /// Rows of replicas that are known, with their identities.
+    fn named(&self, rows: &[Row]) -> Vec<(Name, Load)> {
+        let rows: HashMap<u32, &Row> = rows.iter().map(|r| (r.replica(), r)).collect();
+        let ids = self.view.all().map(|s| &s.entry.id);
+        ids.filter_map(|id| rows.get(&short(id)).map(|row| (id.clone(), row.load())))
+            .collect()
+    }
+
     /// Takes in where adapters are, by the leader.
     pub fn set_adapters(&mut self, replica: &Name, adapters: Vec<(Name, Name)>, now: Time) {
         if self.view.get(replica).is_some() {
@@ -608,7 +611,10 @@
     pub fn add_adapter(&mut self, replica: &Name, model: &Name, adapter: &Name) {
         if self.view.get(replica).is_some() {
             let state = self.state.entry(replica.clone()).or_default();
-            state.adapters.push((model.clone(), adapter.clone()));
+            let key = (model.clone(), adapter.clone());
+            if !state.adapters.contains(&key) {
+                state.adapters.push(key);
+            }
         }
     }
 
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -114,6 +114,7 @@
         limits: Limits {
             descriptors: 4_096,
             memory_mb: 256,
+            cores: 0.25,
         },
         log_level: "info".into(),
     }
