--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -30,7 +30,7 @@
 const ADAPTER_ARRIVES: Duration = Duration::from_millis(25);
 
 /// Use of a replica beyond which demand counts as needing another one.
-const FULL: f64 = 0.6;
+const FULL: f64 = 0.4;
 
 /// Time over which recent demand is smoothed.
 const RECENT_OVER: Span = Span::from_secs(20);
