--- /dev/null
+++ b/crates/cli/tests/story.rs
@@ -0,0 +1,45 @@
+//! The walks of docs/OPERATIONS.md rest on these lines of a real day.
+
+use cli::story::{read, tell};
+
+const DAY: &str = r#"
+  10.5 front-hall-c-1 {"host":"c1","timestamp":"2026-08-12T10:31:52.877873Z","level":"INFO","message":"news of a replica","event":"leaving","replica":"i-9f7c29cb8a","revision":61,"target":"view"}
+{"host":"c1","timestamp":"2026-08-12T10:31:52.900000Z","level":"INFO","message":"news of a replica","event":"leaving","replica":"i-other","revision":62,"target":"view"}
+{"host":"c1","timestamp":"2026-08-12T10:31:54.523873Z","level":"WARN","message":"the stream is broken off","event":"broken","id":"cfcd9a653bd04f86","route":"r-pdu6vcr","tried":"i-9f7c29cb8a","last":48,"ms":2319.068,"why":"lost: its stream broke off","target":"request"}
+{"host":"b3","timestamp":"2026-08-12T10:31:44.682705Z","level":"INFO","message":"a sending brought no answer","event":"failed","id":"a12038f8ce540c5a","replica":"i-94c4785f64","addr":"10.2.64.32:8784","entry":12,"candidates":3,"why":"lost: it broke","target":"request"}
+{"host":"b3","timestamp":"2026-08-12T10:31:44.682805Z","level":"WARN","message":"the request is given up","event":"refused","id":"a12038f8ce540c5a","route":"r-jpn73r9","status":502,"reason":"lost","ms":1.176,"why":"The answer could not be had","target":"request"}
+{"host":"a1","timestamp":"2026-08-12T10:31:59.682805Z","level":"WARN","message":"the request is given up","event":"refused","id":"e3d534c64079d1c7","route":"r-jpn73r9","status":503,"reason":"overloaded","retry_after_ms":810.0,"ms":0.2,"why":"The request would wait 1.31 s for its first token.","target":"request"}
+not a line of a log
+"#;
+
+#[test]
+fn a_stream_broken_midway_leads_to_its_replica_that_left() {
+    let story = tell("cfcd9a653bd04f86", &read(DAY));
+    assert_eq!(story.len(), 2, "{story:#?}");
+    assert!(
+        story[0].contains("-1646 ms  c1: [view leaving]"),
+        "{}",
+        story[0]
+    );
+    assert!(story[1].contains("behind event 48"), "{}", story[1]);
+    assert!(story[1].contains("i-9f7c29cb8a"));
+}
+
+#[test]
+fn an_unknown_outcome_leads_to_the_replica_that_can_tell() {
+    let story = tell("a12038f8ce540c5a", &read(DAY));
+    assert!(story[0].contains("i-94c4785f64 at 10.2.64.32:8784 gave no answer"));
+    assert!(story[1].contains("Whether it ran is not known."));
+}
+
+#[test]
+fn a_refusal_says_why_and_when_to_come_back() {
+    let story = tell("e3d534c64079d1c7", &read(DAY));
+    assert!(story[0].contains("overloaded"));
+    assert!(story[0].contains("come back in 810 ms"));
+}
+
+#[test]
+fn an_unknown_request_has_no_story() {
+    assert!(tell("nobody", &read(DAY)).is_empty());
+}
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -14,7 +14,7 @@
     let store = store().await;
     let _replica = engine(&store, "i-1", &["m1"]).await;
     let daemons = [daemon(&store, "d1").await, daemon(&store, "d2").await];
-    let newest = configuration(9, "llm");
+    let newest = configuration(9);
     store.put("op/config", &newest);
     for daemon in &daemons {
         let version = || {
@@ -101,7 +101,7 @@
     let (_, answer) = ask(&daemon, "/again/x", None).await;
     assert_eq!(answer.status(), 503);
     assert!(!daemon.state().is_ready());
-    store.put("op/config", &configuration(1, "llm"));
+    store.put("op/config", &configuration(1));
     until(|| daemon.state().is_ready()).await;
 }
 
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -6,9 +6,11 @@
 use front::settings::{Bounds, Limits};
 use front::{Daemon, Settings};
 use hyper::Request;
+use platform::config::Kind;
+use platform_standin::Route;
 use platform_standin::replica::{self, Options, Replica};
 use platform_standin::store::{self, Store};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -20,43 +22,22 @@
 /// Store with a configuration in it.
 pub async fn store() -> Store {
     let store = store::spawn().await.unwrap();
-    store.put("op/config", &configuration(1, "llm"));
+    store.put("op/config", &configuration(1));
     store
 }
 
 /// Configuration in which `/stream/`, `/resume/`, `/once/` and `/again/` lead to services.
-pub fn configuration(version: u64, streams: &str) -> Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        json!({
-            "name": name, "host": "a.example", "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 4000, "target_latency_ms": 1000, "target_gap_ms": 300, "priority": 1,
-            "service": service, "max_attempts": attempts, "resumable": resumable,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("stream", "stream", streams, 1, false),
-            route("resume", "stream", streams, 2, true),
-            route("once", "non_idempotent", "web", 2, false),
-            route("again", "idempotent", "web", 2, false),
-        ],
-        "services": [
-            {"name": "llm", "health_path": "/health", "max_conns": 100, "engine": {
-                "slots": 8, "kv_capacity": 100000, "mb": 100.0, "max_adapters": 2,
-                "loads_per_s": 5.0, "stride": 2, "models": [
-                    {"name": "m1", "mb": 40.0, "load_s": 0.2, "adapters": 4, "adapter_mb": 1.0},
-                    {"name": "m2", "mb": 40.0, "load_s": 0.2, "adapters": 0, "adapter_mb": 1.0},
-                    {"name": "m3", "mb": 40.0, "load_s": 0.2, "adapters": 0, "adapter_mb": 1.0}]}},
-            {"name": "other", "health_path": "/health", "max_conns": 100, "engine": {
-                "slots": 8, "kv_capacity": 100000, "mb": 100.0, "max_adapters": 2,
-                "loads_per_s": 5.0, "stride": 2, "models": [
-                    {"name": "m1", "mb": 40.0, "load_s": 0.2, "adapters": 4, "adapter_mb": 1.0}]}},
-            {"name": "web", "health_path": "/health", "max_conns": 100},
+pub fn configuration(version: u64) -> Value {
+    let stream = |resumable| Kind::Stream { resumable };
+    platform_standin::configuration(
+        version,
+        &[
+            Route::new("stream", stream(false), "llm", 1),
+            Route::new("resume", stream(true), "llm", 2),
+            Route::new("once", Kind::Unrepeatable, "web", 2),
+            Route::new("again", Kind::Repeatable, "web", 2),
         ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-    })
+    )
 }
 
 /// Starts a replica of the model service.
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,101 @@
+//! The promises, checked from what callers and replicas saw.
+
+use crate::client::{HELD, PATIENCE, Told};
+use crate::site::Site;
+use platform_standin::replica::Replica;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time within which a leaving replica must get no new work.
+const LEAVING: Duration = Duration::from_millis(2_000);
+
+/// Time without any disturbance before its leaving for which that bound counts.
+const UNDISTURBED: Duration = Duration::from_millis(3_000);
+
+/// Share of the requests in peace that must be answered whole.
+const RECOVERED: f64 = 0.9;
+
+/// All violations of a play; `peace` is when all faults were over and recovery had its time.
+pub fn all(told: &[Told], site: &Site, peace: Instant) -> Vec<String> {
+    let replicas = &site.replicas;
+    let mut violations = Vec::new();
+    for one in told {
+        let ran: u32 = replicas.iter().map(|r| r.seen(&one.id).ran).sum();
+        violations.extend(request(one, ran));
+    }
+    violations.extend(replicas.iter().filter_map(memory));
+    violations.extend(replicas.iter().filter_map(|r| leaving(r, &site.disturbed)));
+    violations.extend(tokens(replicas));
+    violations.extend(recovery(told, peace));
+    violations
+}
+
+/// What is broken about one request that ran so many times.
+pub fn request(told: &Told, ran: u32) -> Vec<String> {
+    let mut violations = Vec::new();
+    let Told { id, kind, .. } = told;
+    if let Some(wrong) = &told.wrong {
+        violations.push(format!("request {id} ({kind:?}) got {wrong}"));
+    }
+    if told.status == 503 && ran > 0 {
+        violations.push(format!(
+            "request {id} ({kind:?}) ran, and was told not to have"
+        ));
+    }
+    if !kind.is_repeatable() && ran > 1 {
+        violations.push(format!("request {id} ({kind:?}) ran {ran} times"));
+    }
+    if told.connected && told.took > PATIENCE + HELD {
+        let ms = told.took.as_millis();
+        violations.push(format!("request {id} ({kind:?}) was held for {ms} ms"));
+    }
+    violations
+}
+
+/// Whether a replica got new work long after it announced its leaving, with nothing in the way.
+fn leaving(replica: &Replica, disturbed: &[Instant]) -> Option<String> {
+    let left = replica.left()?;
+    let in_the_way = |at: Instant| {
+        let from = left.checked_sub(UNDISTURBED).unwrap_or(left);
+        disturbed.iter().any(|d| (from..=at).contains(d))
+    };
+    let late = replica
+        .arrived_after(left + LEAVING)
+        .into_iter()
+        .filter(|at| !in_the_way(*at))
+        .count();
+    let id = &replica.options.id;
+    (late > 0).then(|| format!("{late} requests reached replica {id} long after it left"))
+}
+
+fn memory(replica: &Replica) -> Option<String> {
+    let id = &replica.options.id;
+    replica
+        .is_overcommitted()
+        .then(|| format!("replica {id} was told to hold more than it can"))
+}
+
+/// A fencing token is one holder's only.
+fn tokens(replicas: &[Replica]) -> Vec<String> {
+    let mut holders: HashMap<u64, String> = HashMap::new();
+    let mut violations = Vec::new();
+    for order in replicas.iter().flat_map(Replica::orders) {
+        let (token, holder) = platform_standin::replica::giver(&order);
+        let first = holders.entry(token).or_insert_with(|| holder.clone());
+        if *first != holder {
+            violations.push(format!(
+                "{first} and {holder} gave orders under token {token}"
+            ));
+        }
+    }
+    violations
+}
+
+fn recovery(told: &[Told], peace: Instant) -> Option<String> {
+    let after: Vec<&Told> = told.iter().filter(|t| t.sent > peace).collect();
+    let whole = after.iter().filter(|t| t.status == 200).count();
+    let enough = whole as f64 >= after.len() as f64 * RECOVERED && !after.is_empty();
+    let count = after.len();
+    (!enough).then(|| format!("after all faults {whole} of {count} requests were answered whole"))
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,171 @@
+//! Faults from outside, in series that overlap, by a seed.
+
+use crate::error::Error;
+use crate::proxy::Mode as Way;
+use crate::site::Site;
+use nix::sys::signal::Signal;
+use platform_standin::replica::Fault;
+use platform_standin::store::Mode;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Pause between two steps.
+const STEP_MS: std::ops::Range<u64> = 80..500;
+
+/// Time for which a disturbance lasts.
+const LASTS_MS: std::ops::Range<u64> = 300..2_500;
+
+/// What is to be undone, and when.
+struct Undo {
+    at: Instant,
+    what: What,
+}
+
+enum What {
+    Store,
+    Way(usize),
+    Wake(usize),
+    Start(usize),
+    Heal(usize),
+}
+
+/// Injects faults for a time, then undoes them all; tells how many there were.
+pub async fn inject(site: &mut Site, seed: u64, length: Duration) -> Result<usize, Error> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let end = Instant::now() + length;
+    let mut undos: Vec<Undo> = Vec::new();
+    let mut faults = 0;
+    while Instant::now() < end {
+        let pause = rng.random_range(STEP_MS);
+        sleep(Duration::from_millis(pause)).await;
+        undo_due(site, &mut undos, false).await?;
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+        if let Some(what) = strike(site, &mut rng).await? {
+            let at = Instant::now() + lasts;
+            undos.push(Undo { at, what });
+        }
+        faults += 1;
+    }
+    undo_due(site, &mut undos, true).await?;
+    for host in &mut site.hosts {
+        host.signal(Signal::SIGCONT);
+        host.store.set(Way::Pass);
+    }
+    site.store.set_mode(Mode::Up);
+    let stopped = Instant::now();
+    // A host that was told to stop needs its grace before it can start again.
+    while stopped.elapsed() < Duration::from_secs(7) {
+        for host in &mut site.hosts {
+            host.start()?;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    Ok(faults)
+}
+
+/// Does one thing; gives what is to be undone later.
+async fn strike(site: &mut Site, rng: &mut SmallRng) -> Result<Option<What>, Error> {
+    let host = rng.random_range(0..site.hosts.len());
+    let replica = rng.random_range(0..site.replicas.len());
+    Ok(match rng.random_range(0..16) {
+        0 => {
+            let modes = [Mode::Busy, Mode::Reset, Mode::Silent, Mode::Lossy];
+            site.disturb();
+            site.store.set_mode(modes[rng.random_range(0..modes.len())]);
+            Some(What::Store)
+        }
+        1 => {
+            site.disturb();
+            site.store.end_leases();
+            None
+        }
+        2 | 3 => {
+            let delay = Way::Delay(Duration::from_millis(rng.random_range(20..400)));
+            let ways = [delay, Way::Reset, Way::DeafTarget, Way::MuteTarget];
+            site.disturb();
+            site.hosts[host]
+                .store
+                .set(ways[rng.random_range(0..ways.len())]);
+            Some(What::Way(host))
+        }
+        4 => signal(site, host, Signal::SIGKILL),
+        5 | 6 => signal(site, host, Signal::SIGTERM),
+        7 => {
+            signal(site, host, Signal::SIGSTOP);
+            Some(What::Wake(host))
+        }
+        8 => {
+            site.hosts[host].signal(Signal::SIGHUP);
+            None
+        }
+        9 | 10 => {
+            site.configure();
+            None
+        }
+        11 | 12 => {
+            let faults = [
+                Fault::Sheds,
+                Fault::LosesAnswers,
+                Fault::Crosses,
+                Fault::Unsigned,
+                Fault::CutsEvents,
+                Fault::Fails,
+                Fault::Hangs,
+            ];
+            site.replicas[replica].set_fault(faults[rng.random_range(0..faults.len())]);
+            Some(What::Heal(replica))
+        }
+        13 | 14 => leave(site, replica).await?,
+        _ => {
+            site.replicas[replica].crash();
+            site.replicas[replica].vanish();
+            replace(site, replica).await?;
+            None
+        }
+    })
+}
+
+fn signal(site: &mut Site, host: usize, signal: Signal) -> Option<What> {
+    site.disturb();
+    site.hosts[host].signal(signal);
+    Some(What::Start(host))
+}
+
+/// A replica announces that it leaves; another takes its place.
+async fn leave(site: &mut Site, replica: usize) -> Result<Option<What>, Error> {
+    if site.replicas[replica].left().is_none() {
+        site.replicas[replica].leave();
+        replace(site, replica).await?;
+    }
+    Ok(None)
+}
+
+async fn replace(site: &mut Site, replica: usize) -> Result<(), Error> {
+    let gone = &site.replicas[replica].options;
+    let (service, models) = (gone.service.clone(), gone.models.clone());
+    let models: Vec<&str> = models.iter().map(String::as_str).collect();
+    site.add_replica(&service, &models).await
+}
+
+async fn undo_due(site: &mut Site, undos: &mut Vec<Undo>, all: bool) -> Result<(), Error> {
+    let now = Instant::now();
+    let (due, rest): (Vec<Undo>, Vec<Undo>) = std::mem::take(undos)
+        .into_iter()
+        .partition(|u| all || u.at <= now);
+    *undos = rest;
+    for undo in due {
+        if !matches!(undo.what, What::Heal(_)) {
+            site.disturb();
+        }
+        match undo.what {
+            What::Store => site.store.set_mode(Mode::Up),
+            What::Way(host) => site.hosts[host].store.set(Way::Pass),
+            What::Wake(host) => site.hosts[host].signal(Signal::SIGCONT),
+            What::Start(host) => site.hosts[host].start()?,
+            What::Heal(replica) => site.replicas[replica].set_fault(Fault::None),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/host.rs
@@ -0,0 +1,124 @@
+//! One daemon as a process of its own, behind a proxy to the store.
+
+use crate::error::{Error, StartSnafu, SystemSnafu};
+use crate::proxy::{self, Proxy};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use snafu::ResultExt;
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// Daemon that the soak has started.
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Where it answers callers.
+    pub callers: SocketAddr,
+    /// Its way to the store.
+    pub store: Proxy,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+fn port() -> Result<SocketAddr, Error> {
+    let what = "a free port";
+    let listener = TcpListener::bind("127.0.0.1:0").context(SystemSnafu { what })?;
+    listener.local_addr().context(SystemSnafu { what })
+}
+
+fn udp_port() -> Result<SocketAddr, Error> {
+    let what = "a free port";
+    let socket = UdpSocket::bind("127.0.0.1:0").context(SystemSnafu { what })?;
+    socket.local_addr().context(SystemSnafu { what })
+}
+
+/// Starts a daemon with its settings and log in a folder.
+pub async fn spawn(
+    program: &Path,
+    folder: &Path,
+    name: &str,
+    store: SocketAddr,
+) -> Result<Host, Error> {
+    let what = "a proxy";
+    let store = proxy::spawn(store).await.context(SystemSnafu { what })?;
+    let callers = port()?;
+    let text = format!(
+        "[daemon]\nname = {name}\nhall = a\ncallers = {callers}\nreadiness = {}\nmetrics = {}\npeers = {}\n\
+         [store]\naddress = {}\n[bounds]\ngrace_seconds = 6\nlease_ms = 1000\n",
+        port()?,
+        port()?,
+        udp_port()?,
+        store.addr
+    );
+    let settings = folder.join(format!("{name}.ini"));
+    let what = settings.display().to_string();
+    std::fs::write(&settings, text).context(SystemSnafu { what })?;
+    let mut host = Host {
+        name: name.to_owned(),
+        callers,
+        store,
+        program: program.to_owned(),
+        log: folder.join(format!("{name}.log")),
+        settings,
+        child: None,
+    };
+    host.start()?;
+    Ok(host)
+}
+
+impl Host {
+    /// Starts its process, unless one runs.
+    pub fn start(&mut self) -> Result<(), Error> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let what = self.log.display().to_string();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .context(SystemSnafu { what })?;
+        let program = self.program.clone();
+        let child = Command::new(&program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .context(StartSnafu { program })?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether its process runs.
+    pub fn is_running(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => matches!(child.try_wait(), Ok(None)),
+            None => false,
+        }
+    }
+
+    /// Sends its process a signal; only ever to the process that this soak started.
+    pub fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        if let Some(child) = &self.child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,62 @@
+//! Fault soak: real daemons as processes, stand-ins of the platform, faults from outside, and checks
+//! of what callers and replicas see.
+
+pub mod check;
+pub mod client;
+pub mod error;
+pub mod faults;
+pub mod host;
+pub mod options;
+pub mod proxy;
+pub mod site;
+
+pub use error::Error;
+
+use crate::error::SystemSnafu;
+use crate::options::Options;
+use comfy_table::{Table, presets::NOTHING};
+use snafu::ResultExt;
+
+/// Plays all seeds and prints a table; tells whether no promise was broken.
+pub fn run(options: &Options) -> Result<bool, Error> {
+    let what = "a runtime";
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(SystemSnafu { what })?;
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header([
+        "seed",
+        "requests",
+        "whole",
+        "not run",
+        "lost",
+        "faults",
+        "violations",
+    ]);
+    let mut violations = Vec::new();
+    for seed in options.seeds.clone() {
+        let played = runtime.block_on(site::play(options, seed))?;
+        table.add_row([
+            seed.to_string(),
+            played.requests.to_string(),
+            played.whole.to_string(),
+            played.not_run.to_string(),
+            played.lost.to_string(),
+            played.faults.to_string(),
+            played.violations.len().to_string(),
+        ]);
+        let named = played.violations.into_iter();
+        violations.extend(named.map(|v| format!("seed {seed}: {v}")));
+    }
+    println!("{table}");
+    for violation in &violations {
+        println!("{violation}");
+    }
+    if let Some(first) = violations.first().and_then(|v| v.split(':').next()) {
+        let hosts = options.hosts;
+        println!("Again: soak --hosts {hosts} --{first}");
+    }
+    Ok(violations.is_empty())
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,14 @@
+//! `soak`: runs the real daemons under faults and checks what callers and replicas see.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match soak::run(&soak::options::read()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/options.rs
@@ -0,0 +1,71 @@
+//! Command line of the soak.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use std::ops::Range;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Seeds to play, one after the other.
+    pub seeds: Range<u64>,
+    /// Time that faults are injected for, for each seed.
+    pub length: Duration,
+    /// Daemons.
+    pub hosts: usize,
+    /// The daemon's program.
+    pub program: PathBuf,
+}
+
+fn range(text: String) -> Result<Range<u64>, String> {
+    let wrong = || format!("'{text}' is not a range of seeds; write one such as 1..51");
+    let (first, end) = text.split_once("..").ok_or_else(wrong)?;
+    let first = first.parse().map_err(|_| wrong())?;
+    let end = end.parse().map_err(|_| wrong())?;
+    Ok(first..end)
+}
+
+fn parser() -> OptionParser<Options> {
+    let seed = long("seed")
+        .help("Seed to play")
+        .argument::<u64>("N")
+        .map(|seed| seed..seed + 1);
+    let seeds = long("seeds")
+        .help("Seeds to play, one after the other")
+        .argument::<String>("A..B")
+        .parse(range);
+    let seeds = construct!([seed, seeds]).fallback(1..2);
+    let length = long("seconds")
+        .help("Time of faults for each seed")
+        .argument::<u64>("S")
+        .fallback(15)
+        .map(Duration::from_secs);
+    let hosts = long("hosts")
+        .help("Daemons")
+        .argument::<usize>("N")
+        .guard(|n| (1..=100).contains(n), "give 1 to 100 hosts")
+        .fallback(4);
+    let program = long("program")
+        .help("The daemon's program; by default the one beside this program")
+        .argument::<PathBuf>("FILE")
+        .fallback_with(beside);
+    construct!(Options {
+        seeds,
+        length,
+        hosts,
+        program
+    })
+    .to_options()
+    .descr("Runs covefordd as processes against stand-ins, injects faults, and checks what callers and replicas see")
+    .footer("Example: cargo build --release && cargo run --release --bin soak -- --seeds 1..51\nExit codes: 0 no violation, 1 violations, 2 wrong use")
+}
+
+fn beside() -> Result<PathBuf, std::io::Error> {
+    Ok(std::env::current_exe()?.with_file_name("covefordd"))
+}
+
+/// Reads the command line of this process.
+pub fn read() -> Options {
+    parser().run()
+}
