--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -11,6 +11,7 @@
 use platform::store::{Change, Freshness, Item, Listing};
 use platform::{config, replica};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tracing::{error, info, warn};
 use unit::Name;
@@ -194,6 +195,9 @@
     if *known == leader {
         return;
     }
+    if leader.is_some() {
+        state.has_led.store(true, Ordering::Relaxed);
+    }
     match &leader {
         Some(leader) => {
             info!(target: "leader", event = "known", name = &*leader.name, term = leader.term, "a leader is known")
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -18,6 +19,9 @@
 /// Key of the leader.
 pub const KEY: &str = "coveford/leader";
 
+/// Key that the first leader of all leaves behind, so that a later one knows that it is not the first.
+const LED: &str = "coveford/led";
+
 /// Time to live of the lease. A planner is missed for about this long when its host dies.
 const LEASE: Duration = Duration::from_millis(3_000);
 
@@ -65,6 +69,8 @@
     pub token: u64,
     /// When it began.
     pub since: Instant,
+    /// Whether no host has ever led before, so that no order can be under way.
+    pub is_first: bool,
     until: Arc<Mutex<Instant>>,
 }
 
@@ -133,22 +139,38 @@
         peers: state.settings.peers,
     };
     let value = serde_json::to_vec(&entry).expect("an entry is plain data");
-    let txn = Transaction {
+    let is_first = !state.has_led.load(Ordering::Relaxed);
+    let mut txn = Transaction {
         expected: vec![(KEY.into(), 0)],
         writes: vec![(KEY.into(), value, lease.id)],
         removed: Vec::new(),
     };
+    if is_first {
+        txn.expected.push((LED.into(), 0));
+        txn.writes.push((LED.into(), Vec::new(), 0));
+    }
+    let mut answered = true;
     let token = match state.store.commit(&txn).await {
         Ok(Committed::Done(revision)) => Some(revision),
         Ok(Committed::Conflict(items)) => {
-            let found = items.iter().find(|item| item.revision > 0);
+            if items
+                .iter()
+                .any(|item| &*item.key == LED && item.revision > 0)
+            {
+                state.has_led.store(true, Ordering::Relaxed);
+            }
+            let found = items.iter().find(|i| &*i.key == KEY && i.revision > 0);
             if let Some(Ok(leader)) = found.map(read) {
                 set_leader(state, Some(leader));
             }
             None
         }
-        Err(why) => settle(state, &lease, &why.to_string()).await,
+        Err(why) => {
+            answered = false;
+            settle(state, &lease, &why.to_string()).await
+        }
     };
+    state.has_led.store(true, Ordering::Relaxed);
     let Some(token) = token else {
         let _ = state.store.end(lease.id).await;
         return None;
@@ -165,6 +187,8 @@
     let term = Term {
         token,
         since: Instant::now(),
+        // An outcome that had to be read back says nothing of who wrote the mark.
+        is_first: is_first && answered,
         until: Arc::new(Mutex::new(asked + lease.ttl.saturating_sub(MARGIN))),
     };
     Some((lease, term))
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -65,6 +65,8 @@
     pub doubtful: Option<Time>,
     /// Model that it is about to give up, and since when hosts have been told.
     pub closing: Option<(Name, Time)>,
+    /// Load that is to follow when the room for it is free.
+    pub follows: Option<Job>,
     /// Model that it loaded last, and when that was known.
     pub loaded: Option<(Name, Time)>,
     /// Model that it gave up last, and when that was ordered.
@@ -83,6 +85,7 @@
             calling: false,
             doubtful: Some(Time(0)),
             closing: None,
+            follows: None,
             loaded: None,
             unloaded: None,
             used: HashMap::new(),
@@ -301,6 +304,11 @@
 }
 
 impl Bucket {
+    /// Fills the bucket: nobody can have loaded anything before.
+    pub fn fill(&mut self) {
+        self.level = self.most;
+    }
+
     /// Makes an empty bucket: `window` x `rate` x `overage` + 3 loads may begin in a window.
     pub fn new(rate: f64, window: Span, overage: f64, now: Time) -> Bucket {
         let beyond = rate * window.secs() * (overage - 1.0) + 3.0;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -411,9 +411,13 @@
             return Ok((choice, place));
         }
     }
+    // Much may have changed in the wait: the first choice may have left.
     let now = state.now();
     let again = state.table.lock().choose(&call.want(&[], None), now);
-    Ok(go(state, call, again.unwrap_or(choice)))
+    match again {
+        Ok(choice) => Ok(go(state, call, choice)),
+        Err(nowhere) => Err(absent(state, call, nowhere, now, now).1),
+    }
 }
 
 /// Part of the target that a request may spend waiting here and in reading its prompt.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -8,7 +8,7 @@
 use platform::store::Store;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 use unit::{Name, Span, Time};
@@ -34,6 +34,8 @@
     pub log: Log,
     /// Memory for bodies, in KB.
     pub bodies: Arc<Semaphore>,
+    /// Whether any host has ever led, as far as this one knows.
+    pub has_led: AtomicBool,
     /// Who leads, if that is known.
     pub leader: Mutex<Option<Leader>>,
     /// Adapters wanted here, to be sent to the leader.
@@ -77,6 +79,7 @@
         pool: Pool::default(),
         log,
         bodies: Arc::new(Semaphore::new(bodies)),
+        has_led: AtomicBool::new(false),
         leader: Mutex::default(),
         wanted,
         draining: watch::Sender::new(false),
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -2,6 +2,7 @@
 
 mod site;
 
+use front::message::{Load, Row};
 use platform_standin::replica::Fault;
 use platform_standin::store::Mode;
 use rstest::rstest;
@@ -163,6 +164,44 @@
     stop.await.unwrap();
 }
 
+/// ddrct-coveford scale-2, seed 12: a request waited for its turn and then went to a replica that had
+/// left meanwhile.
+#[tokio::test]
+async fn a_request_that_waited_does_not_go_to_a_replica_that_left_meanwhile() {
+    let store = store().await;
+    let replica = engine(&store, "i-1", &["m1"]).await;
+    let daemon = daemon(&store, "d1").await;
+    let state = daemon.state().clone();
+    let busy = tokio::spawn(async move {
+        // Another host has prompts there that are less urgent, so that this one waits its turn.
+        let load = Load {
+            requests: 1.0,
+            reserved: 100.0,
+            unread: [0.0, 0.0, 0.0, 5_000.0],
+        };
+        loop {
+            let (row, now) = (Row::new("i-1", &load), state.now());
+            state.table.lock().told_by(&"d2".into(), &[row], now);
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    sleep(Duration::from_millis(100)).await;
+    let addr = daemon.callers();
+    let asked = tokio::spawn(async move {
+        let (_, request) = site::request("/stream/x", Some("m1"));
+        let mut line = conn::Line::open(addr, site::PATIENCE).await.unwrap();
+        line.exchange(request, site::PATIENCE, 1 << 20)
+            .await
+            .unwrap()
+    });
+    until(|| daemon.state().in_flight() == 1).await;
+    replica.leave();
+    let reply = asked.await.unwrap();
+    busy.abort();
+    assert_eq!(replica.arrivals(), 0);
+    assert_eq!(reply.status.as_u16(), 503);
+}
+
 #[tokio::test]
 async fn one_host_leads_and_another_takes_over_with_a_higher_token() {
     let store = store().await;
