Revert: copies are not spread in the place of idle models, nor loads tied to the room made for them

Expected: faster reaction to a shift by loads from copies at hand. The swaps take places that requests use.

--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -65,8 +65,6 @@
     pub doubtful: Option<Time>,
     /// Model that it is about to give up, and since when hosts have been told.
     pub closing: Option<(Name, Time)>,
-    /// Load that is to follow when the room for it is free.
-    pub follows: Option<Job>,
     /// Model that it loaded last, and when that was known.
     pub loaded: Option<(Name, Time)>,
     /// Model that it gave up last, and when that was ordered.
@@ -85,7 +83,6 @@
             calling: false,
             doubtful: Some(Time(0)),
             closing: None,
-            follows: None,
             loaded: None,
             unloaded: None,
             used: HashMap::new(),
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -247,7 +247,6 @@
             }
             bucket
         });
-        follow_up(&mut book.known, &entries, engine, bucket, now);
         let models: Vec<copies::Model> = engine
             .models
             .iter()
@@ -299,9 +298,6 @@
                     info!(target: "planner", event = "close", replica = &*entry.id, model = &*name, instead = &*engine.models[instead].name, demand = models[model].demand, wanted = models[instead].demand, "a copy makes room");
                     let known = book.known.entry(entry.id.clone()).or_default();
                     known.closing = Some((name, now));
-                    let wanted = &engine.models[instead];
-                    let from_store = !replicas[replica].copied.contains(&instead);
-                    known.follows = Some(load_job(entry, wanted, from_store));
                 }
             }
         }
@@ -665,40 +661,6 @@
     }
 }
 
-/// Queues the loads whose room has become free, as far as the store's rate allows.
-fn follow_up(
-    known: &mut HashMap<Name, Known>,
-    entries: &[Entry],
-    engine: &Engine,
-    bucket: &mut Bucket,
-    now: Time,
-) {
-    for entry in entries.iter().filter(|e| !e.leaving) {
-        let Some(known) = known.get_mut(&entry.id) else {
-            continue;
-        };
-        if known.closing.is_some() || !known.is_idle() {
-            continue;
-        }
-        let Some(job) = known.follows.take() else {
-            continue;
-        };
-        let held = known.held.iter().any(|h| h.model == job.model);
-        if held || !known.has_room(&job, engine) {
-            continue;
-        }
-        if job.from_store && bucket.available(now) == 0 {
-            known.follows = Some(job);
-            continue;
-        }
-        if job.from_store {
-            bucket.take();
-        }
-        info!(target: "planner", event = "load", replica = &*entry.id, model = &*job.model, from_store = job.from_store, "a copy takes the room that was made");
-        known.queue.push_back(job);
-    }
-}
-
 fn word(answer: &Result<Ordered, platform::Error>) -> &'static str {
     match answer {
         Ok(Ordered::Accepted | Ordered::InForce) => "taken",
@@ -793,8 +755,7 @@
         free_mb: known.free_mb(engine),
         held,
         copied: copies.filter_map(index).collect(),
-        copies_mb: engine.disk_mb,
-        idle: known.is_idle() && known.closing.is_none() && known.follows.is_none(),
+        idle: known.is_idle() && known.closing.is_none(),
         stays: !entry.leaving,
         load: load / f64::from(entry.slots),
     }
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -43,8 +43,6 @@
     pub held: Vec<usize>,
     /// Models of which it keeps a copy outside the accelerator.
     pub copied: Vec<usize>,
-    /// Memory for such copies, in MB; beyond it the oldest go.
-    pub copies_mb: f64,
     /// Whether it takes an order now.
     pub idle: bool,
     /// Whether it stays.
@@ -76,12 +74,6 @@
     },
 }
 
-/// Demand, in replicas, up to which a copy may make room for one that is only meant to be at hand.
-const IDLE: f64 = 0.02;
-
-/// Loads from the weight store that are kept for demand while copies are spread.
-const KEPT_LOADS: usize = 1;
-
 /// Plans at most `most` steps, of which at most `store_loads` load from the weight store.
 pub fn plan(replicas: &[Replica], models: &[Model], store_loads: usize, most: usize) -> Vec<Step> {
     let mut replicas = replicas.to_vec();
@@ -89,9 +81,9 @@
     let mut store_loads = store_loads;
     let mut steps = Vec::new();
     while steps.len() < most {
-        let found = best(&replicas, models, &counts, store_loads).map(|(step, _)| step);
-        let found = found.or_else(|| spread(&replicas, models, &counts, store_loads));
-        let Some(step) = found else { break };
+        let Some((step, _)) = best(&replicas, models, &counts, store_loads) else {
+            break;
+        };
         match step {
             Step::Load {
                 replica,
@@ -108,9 +100,6 @@
                 model,
                 instead,
             } => {
-                if !replicas[replica].copied.contains(&instead) {
-                    store_loads = store_loads.saturating_sub(1);
-                }
                 counts[model] -= 1;
                 // The room is meant for that model, so no other replica loads it on top.
                 counts[instead] += 1;
@@ -195,47 +184,6 @@
     best
 }
 
-/// A swap that brings a copy to a replica that has none, in the place of a model that nobody asks for
-/// there and of which a copy stays at hand: when demand moves, a load from a copy takes a fifth of
-/// the time and none of the store's rate.
-fn spread(
-    replicas: &[Replica],
-    models: &[Model],
-    counts: &[usize],
-    store_loads: usize,
-) -> Option<Step> {
-    if store_loads <= KEPT_LOADS {
-        return None;
-    }
-    let has = |r: &Replica, m: usize| r.held.contains(&m) || r.copied.contains(&m);
-    let mut rarest: Vec<usize> = (0..models.len()).collect();
-    rarest.sort_by_key(|m| replicas.iter().filter(|r| has(r, *m)).count());
-    for model in rarest {
-        for (replica, held) in replicas.iter().enumerate() {
-            if !held.idle || !held.stays || has(held, model) {
-                continue;
-            }
-            let kept: f64 = held.copied.iter().map(|m| models[*m].memory_mb).sum();
-            if kept + models[model].memory_mb > held.copies_mb {
-                continue;
-            }
-            let out = held.held.iter().copied().find(|m| {
-                let room = held.free_mb + models[*m].memory_mb >= models[model].memory_mb;
-                let idle = models[*m].demand <= IDLE && counts[*m] >= 2;
-                room && idle && held.copied.contains(m)
-            });
-            if let Some(out) = out {
-                return Some(Step::Unload {
-                    replica,
-                    model: out,
-                    instead: model,
-                });
-            }
-        }
-    }
-    None
-}
-
 /// The first model to give up for another, and the value of all that must go; none when what may
 /// go does not make room.
 fn swap(
