--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -3,6 +3,7 @@
 mod measure;
 mod model;
 mod overhead;
+mod platform;
 mod quality;
 mod slopes;
 mod spread;
@@ -40,7 +41,7 @@
         .help("Only rows of 'quality' that bear this size, workload or policy; may be repeated")
         .argument::<String>("WORD")
         .many();
-    let name = positional::<String>("NAME").help("overhead, quality, curve, spread or slopes");
+    let name = positional::<String>("NAME").help("overhead, quality, curve, spread, slopes or platform");
     let parser = construct!(Options {
         json,
         seed,
@@ -72,8 +73,9 @@
         "curve" => quality::curve(options),
         "spread" => spread::run(options),
         "slopes" => slopes::run(options),
+        "platform" => platform::run(options),
         other => Err(io::Error::other(format!(
-            "'{other}' is no experiment; known are: overhead, quality, curve, spread, slopes."
+            "'{other}' is no experiment; known are: overhead, quality, curve, spread, slopes, platform."
         ))),
     }
 }
--- /dev/null
+++ b/crates/standin/src/experiment/platform.rs
@@ -0,0 +1,151 @@
+//! What the parts that run on a platform cost, over several sizes.
+
+use super::Options;
+use super::measure::allocated;
+use cli::render::{json, out, table};
+use front::message::{Digest, Load, Message, Row, encode};
+use front::table::{Table, Want};
+use place::copies::{self, Model, Replica};
+use platform::ingress::{Ask, Part};
+use platform::replica::{Entry, Held};
+use std::hint::black_box;
+use std::io;
+use std::time::{Duration, Instant};
+use unit::{Name, Span, Time};
+
+/// Time spent on each point.
+const EACH: Duration = Duration::from_millis(150);
+
+/// Replicas that hold one model, of those that hold any.
+const HOLDERS: usize = 12;
+
+/// Runs and prints all.
+pub fn run(options: &Options) -> io::Result<()> {
+    let sizes = [112, 450, 1_800, 3_900];
+    let mut rows = Vec::new();
+    for size in sizes {
+        let (choice, memory) = choice(size);
+        rows.push([
+            size.to_string(),
+            format!("{choice:.1}"),
+            format!("{:.0}", memory / size as f64),
+            digest(size).to_string(),
+            format!("{:.0}", plan(size)),
+        ]);
+    }
+    let head = [
+        "REPLICAS",
+        "CHOICE µs",
+        "VIEW B A REPLICA",
+        "DIGEST B",
+        "PLAN µs",
+    ];
+    match options.json {
+        true => json(&rows),
+        false => out(table(head, rows)),
+    }
+    Ok(())
+}
+
+fn entry(n: usize, models: usize) -> Entry {
+    let held = |m: usize| Held {
+        model: format!("model-{:04}", m % models).into(),
+        version: 1,
+        adapters: Vec::new(),
+    };
+    Entry {
+        id: format!("i-{n:010x}").into(),
+        service: "llm".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        hall: "a".into(),
+        slots: 32,
+        leaving: false,
+        leaves_in: None,
+        held: vec![held(n), held(n + 1), held(n + 7)],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        beat: 1,
+    }
+}
+
+/// Microseconds of one choice, and bytes of the view.
+fn choice(replicas: usize) -> (f64, f64) {
+    let models = (replicas * 3 / HOLDERS).max(3);
+    let before = allocated();
+    let mut table = Table::new("a".into(), 1);
+    for n in 0..replicas {
+        table.view.put(entry(n, models), n as u64 + 1);
+    }
+    let memory = (allocated() - before) as f64;
+    let ask = Ask {
+        model: Some("model-0002".into()),
+        prompt: 1_460,
+        most_output: 200,
+        parts: vec![Part { id: 1, tokens: 350 }, Part { id: 2, tokens: 1_110 }],
+        ..Ask::default()
+    };
+    let service: Name = "llm".into();
+    let want = Want {
+        service: &service,
+        ask: &ask,
+        priority: 1,
+        gap: Some(Span::from_ms(300)),
+        avoid: &[],
+        only: None,
+    };
+    let took = each(|| {
+        black_box(table.choose(&want, Time(1)).ok());
+    });
+    (took, memory)
+}
+
+/// Bytes of the sums of all replicas.
+fn digest(replicas: usize) -> usize {
+    let load = Load {
+        requests: 9.0,
+        reserved: 14_400.0,
+        unread: [0.0, 140.0, 0.0, 0.0],
+    };
+    let rows = (0..replicas).map(|n| Row::new(&format!("i-{n:010x}"), &load));
+    let digest = Digest {
+        loads: rows.collect(),
+        ..Digest::default()
+    };
+    encode(&Message::Digest(digest)).len()
+}
+
+/// Microseconds of one plan that has some twenty steps to make.
+fn plan(replicas: usize) -> f64 {
+    let models = (replicas * 3 / HOLDERS).max(3);
+    let demands: Vec<Model> = (0..models)
+        .map(|m| Model {
+            memory_mb: 60_000.0,
+            demand: if m % 10 == 0 { 14.0 } else { 0.5 },
+            recent: 0.5,
+        })
+        .collect();
+    let held: Vec<Replica> = (0..replicas)
+        .map(|n| Replica {
+            free_mb: 20_000.0,
+            held: vec![n % models, (n + 1) % models, (n + 7) % models],
+            copied: Vec::new(),
+            idle: n % 4 == 0,
+            stays: true,
+            load: 0.3,
+        })
+        .collect();
+    each(|| {
+        black_box(copies::plan(&held, &demands, 20, 20));
+    })
+}
+
+/// Microseconds of one call, over many.
+fn each(mut call: impl FnMut()) -> f64 {
+    let start = Instant::now();
+    let mut calls = 0u32;
+    while start.elapsed() < EACH {
+        call();
+        calls += 1;
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
+}
