--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -23,14 +23,16 @@
 /// watches may fail within the bound.
 const BOUND_PART: f64 = 1.0 / 3.0;
 
-/// Time that a watch waits for a change. A store that falls silent is noticed after it.
-const WAIT: Duration = Duration::from_millis(3_000);
+/// Time that a watch waits for a change, as a part of the shortest bound on following the store: a
+/// watch that a silent outage swallowed must not hang on long after the store's return.
+const WAIT_PART: f64 = 0.75;
 
 /// Pause after a call that failed; the store's return must be noticed within a part of a second.
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the store until the daemon ends.
 pub async fn run(state: Arc<State>) {
+    let wait = shortest_bound(&state).mul_f64(WAIT_PART);
     loop {
         let listing = state.store.range("", Freshness::Newest).await;
         let Some(listing) = heard(&state, listing) else {
@@ -40,7 +42,7 @@
         let mut after = listing.revision;
         compare(&state, listing);
         loop {
-            let changes = state.store.watch("", after, WAIT).await;
+            let changes = state.store.watch("", after, wait).await;
             if let Err(platform::Error::Compacted { after }) = changes {
                 info!(target: "store", event = "compacted", after, "the watch's history is gone; the whole range is read");
                 break;
@@ -58,11 +60,16 @@
     }
 }
 
-async fn pause(state: &State) {
+/// The shortest time within which what stands in the store must be followed.
+fn shortest_bound(state: &State) -> Duration {
     let bounds = &state.settings.bounds;
+    bounds.leaving.min(bounds.configuration)
+}
+
+async fn pause(state: &State) {
     let pause = match state.leads() {
         true => LEADER_PAUSE,
-        false => bounds.leaving.min(bounds.configuration).mul_f64(BOUND_PART),
+        false => shortest_bound(state).mul_f64(BOUND_PART),
     };
     tokio::time::sleep(pause).await;
 }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -7,6 +7,7 @@
 use crate::state::State;
 use conn::Pool;
 use parking_lot::Mutex;
+use place::adapters;
 use place::copies::{self, Step};
 use platform::config::Engine;
 use platform::replica::{self, Entry, Operation, Order, Ordered};
@@ -38,6 +39,9 @@
 /// Time ahead for which a rise of demand is followed: about that of a load from a disk.
 const AHEAD: Span = Span::from_ms(1_500);
 
+/// Adapters fetched ahead in one plan; the store's links are shared by all fetches.
+const FETCHED_AHEAD: usize = 8;
+
 /// Time for which hosts are told of a model that was loaded, until all have read the entry.
 const TOLD_LOADED: Span = Span::from_ms(3_000);
 
@@ -155,6 +159,7 @@
         self.order_closed();
         for (service, engine) in routes.engines() {
             self.plan_service(service, engine);
+            self.fetch_ahead(service, engine);
         }
         let ids: Vec<Name> = {
             let book = self.book.lock();
@@ -303,6 +308,45 @@
         }
     }
 
+    /// Fetches adapters that are nowhere into places that are free, before they are asked for.
+    fn fetch_ahead(&self, service: &Name, engine: &Engine) {
+        let entries: Vec<Entry> = {
+            let table = self.state.table.lock();
+            let seen = table.view.all().filter(|s| s.entry.service == *service);
+            let staying = seen.filter(|s| !s.entry.leaving);
+            staying.map(|s| s.entry.clone()).collect()
+        };
+        let mut book = self.book.lock();
+        let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
+        let replicas: Vec<adapters::Replica> = entries
+            .iter()
+            .map(|entry| {
+                let known = book.known.get(&entry.id);
+                known.map_or_else(Default::default, |k| places(k, engine, &index))
+            })
+            .collect();
+        let counts: Vec<u32> = engine.models.iter().map(|m| m.adapters).collect();
+        let demand = |m: &usize| {
+            let key = (service.clone(), engine.models[*m].name.clone());
+            book.demand.get(&key).map_or(0.0, |d| d.now + d.recent)
+        };
+        let mut order: Vec<usize> = (0..counts.len()).filter(|m| counts[*m] > 0).collect();
+        order.sort_by(|a, b| demand(b).total_cmp(&demand(a)));
+        for (replica, model, number) in adapters::plan(&replicas, &counts, &order, FETCHED_AHEAD) {
+            let model = &engine.models[model];
+            let Some(known) = book.known.get_mut(&entries[replica].id) else {
+                continue;
+            };
+            known.queue.push_back(Job {
+                operation: Operation::Load,
+                model: model.name.clone(),
+                adapter: Some(model.adapter(number)),
+                from_store: false,
+                takes: Span::ZERO,
+            });
+        }
+    }
+
     /// Finds places for the adapters that hosts want.
     fn place_adapters(self: &Arc<Self>) {
         let now = self.state.now();
@@ -598,7 +642,7 @@
         let (plans, adapters) = {
             let book = self.book.lock();
             let plans = plans(&book, self.peers.direct(), now);
-            (plans, adapters(&book, round))
+            (plans, adapters_of(&book, round))
         };
         let hosts = self.peers.inbox.hosts().len() as u32;
         let first = Digest {
@@ -705,7 +749,7 @@
 }
 
 /// Adapters of the replicas whose turn it is in a round; changes are told when they are made.
-fn adapters(book: &Book, round: usize) -> Vec<(Name, Vec<(Name, Name)>)> {
+fn adapters_of(book: &Book, round: usize) -> Vec<(Name, Vec<(Name, Name)>)> {
     let turn = |id: &Name| short(id) as usize % ADAPTER_ROUNDS == round % ADAPTER_ROUNDS;
     book.known
         .iter()
@@ -714,6 +758,24 @@
         .collect()
 }
 
+/// A replica's places for adapters; none while it is about to change what it holds.
+fn places(
+    known: &Known,
+    engine: &Engine,
+    index: &dyn Fn(&Name) -> Option<usize>,
+) -> adapters::Replica {
+    let held = known.adapters().into_iter().filter_map(|(model, adapter)| {
+        let at = index(&model)?;
+        Some((at, engine.models[at].adapter_number(&adapter)?))
+    });
+    adapters::Replica {
+        models: known.held.iter().filter_map(|h| index(&h.model)).collect(),
+        free: (engine.adapters as usize).saturating_sub(known.adapters_due()),
+        adapters: held.collect(),
+        idle: known.is_idle() && known.closing.is_none(),
+    }
+}
+
 fn load_job(entry: &Entry, model: &platform::config::Model, from_store: bool) -> Job {
     let takes = match () {
         _ if from_store => model.load,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -19,8 +19,9 @@
 use tokio::task::JoinSet;
 use tracing::{error, info, warn};
 
-/// Time for a call of the store that does not wait; the store answers in milliseconds.
-const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for a call of the store beyond its waiting; the store answers in milliseconds, and in some
+/// hundreds of them when it is slow.
+const STORE_LIMIT: Duration = Duration::from_millis(700);
 
 /// Time after a stop is asked for in which new connections are still taken: the balancer asks each
 /// second and turns away at the second miss. What comes later has less than the grace to end.
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -83,6 +83,25 @@
     assert_eq!(ask(&daemon, "/again/x", None).await.1.status(), 200);
 }
 
+/// ddrct-coveford mix --seed 164819185273: a watch hung on after a silent outage, and a configuration
+/// that came right after it was in force only 3.6 s later.
+#[tokio::test]
+async fn a_configuration_behind_a_silent_outage_is_in_force_within_three_seconds() {
+    let store = store().await;
+    let daemon = daemon(&store, "d1").await;
+    store.set_mode(Mode::Silent);
+    sleep(Duration::from_millis(1_000)).await;
+    store.set_mode(Mode::Up);
+    store.put("op/config", &configuration(7));
+    let start = Instant::now();
+    let version = || {
+        let table = daemon.state().table.lock();
+        table.routes.as_ref().unwrap().version
+    };
+    until(|| version() == 7).await;
+    assert!(start.elapsed() < Duration::from_millis(2_500), "{:?}", start.elapsed());
+}
+
 #[tokio::test]
 async fn a_departure_in_a_forgotten_history_is_not_missed() {
     let store = store().await;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here awaits, logs or reads a clock. The safety of memory rests on
 //! [`ledger`] alone; [`plan`] only proposes what the ledger allows.
 
+pub mod adapters;
 pub mod copies;
 pub mod demand;
 pub mod fit;
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -41,7 +41,8 @@
         .help("Only rows of 'quality' that bear this size, workload or policy; may be repeated")
         .argument::<String>("WORD")
         .many();
-    let name = positional::<String>("NAME").help("overhead, quality, curve, spread, slopes or platform");
+    let name =
+        positional::<String>("NAME").help("overhead, quality, curve, spread, slopes or platform");
     let parser = construct!(Options {
         json,
         seed,
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -81,7 +81,13 @@
         model: Some("model-0002".into()),
         prompt: 1_460,
         most_output: 200,
-        parts: vec![Part { id: 1, tokens: 350 }, Part { id: 2, tokens: 1_110 }],
+        parts: vec![
+            Part { id: 1, tokens: 350 },
+            Part {
+                id: 2,
+                tokens: 1_110,
+            },
+        ],
         ..Ask::default()
     };
     let service: Name = "llm".into();
