--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -99,7 +99,11 @@
         table.routes.as_ref().unwrap().version
     };
     until(|| version() == 7).await;
-    assert!(start.elapsed() < Duration::from_millis(2_500), "{:?}", start.elapsed());
+    assert!(
+        start.elapsed() < Duration::from_millis(2_500),
+        "{:?}",
+        start.elapsed()
+    );
 }
 
 #[tokio::test]
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -134,45 +134,28 @@
     uncovered * COVERED + weight / (n * (n + 1.0))
 }
 
+/// The step with the highest score, of all idle replicas and models.
+///
+/// Models are tried by their gain; as no step scores more than its model gains, a replica is done at
+/// the first model that cannot beat the best step so far.
 fn best(
     replicas: &[Replica],
     models: &[Model],
     counts: &[usize],
     store_loads: usize,
 ) -> Option<(Step, f64)> {
+    let mut gains: Vec<(usize, f64)> = (0..models.len())
+        .map(|m| (m, value(&models[m], counts[m])))
+        .collect();
+    gains.sort_by(|a, b| b.1.total_cmp(&a.1));
     let mut best: Option<(Step, f64)> = None;
-    for (r, replica) in replicas.iter().enumerate() {
-        if !replica.idle || !replica.stays {
-            continue;
-        }
-        for (m, model) in models.iter().enumerate() {
-            if replica.held.contains(&m) {
-                continue;
+    let idle = |r: &Replica| r.idle && r.stays;
+    for (r, replica) in replicas.iter().enumerate().filter(|(_, r)| idle(r)) {
+        for (m, gain) in &gains {
+            if best.as_ref().is_some_and(|(_, most)| gain <= most) {
+                break;
             }
-            let from_store = !replica.copied.contains(&m);
-            if from_store && store_loads == 0 {
-                continue;
-            }
-            let part = if from_store { FROM_STORE } else { 1.0 };
-            let gain = value(model, counts[m]) * part * (1.0 - 0.3 * replica.load.min(1.0));
-            let found = match model.memory_mb <= replica.free_mb {
-                true => Some((
-                    Step::Load {
-                        replica: r,
-                        model: m,
-                        from_store,
-                    },
-                    gain,
-                )),
-                false => swap(replica, models, counts, m).map(|(out, loss)| {
-                    let step = Step::Unload {
-                        replica: r,
-                        model: out,
-                        instead: m,
-                    };
-                    (step, gain - loss * HYSTERESIS - LEAST_GAIN)
-                }),
-            };
+            let found = step(r, replica, models, counts, store_loads, *m, *gain);
             if let Some((step, score)) = found
                 && score > 0.0
                 && best.is_none_or(|(_, most)| score > most)
@@ -184,6 +167,42 @@
     best
 }
 
+/// The step towards one more copy of a model on a replica, and its score.
+fn step(
+    r: usize,
+    replica: &Replica,
+    models: &[Model],
+    counts: &[usize],
+    store_loads: usize,
+    m: usize,
+    gain: f64,
+) -> Option<(Step, f64)> {
+    if replica.held.contains(&m) {
+        return None;
+    }
+    let from_store = !replica.copied.contains(&m);
+    if from_store && store_loads == 0 {
+        return None;
+    }
+    let part = if from_store { FROM_STORE } else { 1.0 };
+    let gain = gain * part * (1.0 - 0.3 * replica.load.min(1.0));
+    if models[m].memory_mb <= replica.free_mb {
+        let load = Step::Load {
+            replica: r,
+            model: m,
+            from_store,
+        };
+        return Some((load, gain));
+    }
+    let (out, loss) = swap(replica, models, counts, m)?;
+    let unload = Step::Unload {
+        replica: r,
+        model: out,
+        instead: m,
+    };
+    Some((unload, gain - loss * HYSTERESIS - LEAST_GAIN))
+}
+
 /// The first model to give up for another, and the value of all that must go; none when what may
 /// go does not make room.
 fn swap(
