--- /dev/null
+++ b/crates/front/src/planner/digest.rs
@@ -0,0 +1,147 @@
+//! Telling all hosts the sums, and what is planned.
+
+use super::{Book, Planner};
+use crate::message::{Digest, MOST_DATAGRAM, Message, Plans, Row, short};
+use crate::orders::Known;
+use platform::replica::Operation;
+use std::net::SocketAddr;
+use unit::{Name, Span, Time};
+
+/// Time for which hosts are told of a model that was loaded, until all have read the entry.
+const TOLD_LOADED: Span = Span::from_ms(3_000);
+
+/// Size of a row of a digest, in bytes, counted generously.
+const ROW_SIZE: usize = 32;
+
+/// Size of an adapter in a row, in bytes, counted generously.
+const ADAPTER_SIZE: usize = 20;
+
+/// Rounds in which the adapters of all replicas are told once.
+const ADAPTER_ROUNDS: usize = 8;
+
+impl Planner {
+    /// Tells all hosts the sums, and what is planned.
+    pub(super) async fn digest(&self, round: usize) {
+        let now = self.state.now();
+        let loads = self.peers.loads(now);
+        let (plans, adapters) = {
+            let book = self.book.lock();
+            let plans = plans(&book, self.peers.direct(), now);
+            (plans, adapters(&book, round))
+        };
+        let hosts = self.peers.inbox.hosts().len() as u32;
+        let first = Digest {
+            term: self.term.token,
+            hosts,
+            plans: Some(plans),
+            ..Digest::default()
+        };
+        let mut parts = Parts::new(first);
+        for id in self.replicas() {
+            let load = loads.get(&short(&id)).copied().unwrap_or_default();
+            parts.room(ROW_SIZE).loads.push(Row::new(&id, &load));
+        }
+        for (id, adapters) in adapters {
+            let size = ROW_SIZE + adapters.len() * ADAPTER_SIZE;
+            parts.room(size).adapters.push((id, adapters));
+        }
+        for digest in parts.all {
+            self.peers.send_all(&Message::Digest(digest)).await;
+        }
+    }
+
+    /// Replicas that run models.
+    fn replicas(&self) -> Vec<Name> {
+        self.book.lock().known.keys().cloned().collect()
+    }
+}
+
+/// Parts of a digest that fit a datagram each.
+struct Parts {
+    all: Vec<Digest>,
+    /// Size of the last part, in bytes.
+    size: usize,
+}
+
+impl Parts {
+    fn new(first: Digest) -> Parts {
+        let plans = first.plans.as_ref().map_or(0, |p| {
+            p.coming.len() + p.loaded.len() + p.closing.len() + p.peers.len()
+        });
+        Parts {
+            all: vec![first],
+            size: ROW_SIZE * (plans + 1),
+        }
+    }
+
+    /// The part that has room for so many bytes more.
+    fn room(&mut self, size: usize) -> &mut Digest {
+        self.size += size;
+        if self.size > MOST_DATAGRAM {
+            self.size = ROW_SIZE + size;
+            let first = &self.all[0];
+            let next = Digest {
+                term: first.term,
+                hosts: first.hosts,
+                ..Digest::default()
+            };
+            self.all.push(next);
+        }
+        self.all.last_mut().expect("there is always one")
+    }
+}
+
+/// What hosts are told of the plan.
+fn plans(book: &Book, peers: Vec<SocketAddr>, now: Time) -> Plans {
+    let coming = book.known.values().filter_map(|k| coming(k, now));
+    let closing = book.known.iter().flat_map(|(id, k)| {
+        let models = closing(k, now).into_iter();
+        models.map(|model| (id.clone(), model))
+    });
+    let loaded = book.known.iter().filter_map(|(id, k)| {
+        let (model, at) = k.loaded.as_ref()?;
+        (now.since(*at) < TOLD_LOADED).then(|| (id.clone(), model.clone()))
+    });
+    Plans {
+        loaded: loaded.collect(),
+        coming: coming.collect(),
+        closing: closing.collect(),
+        peers,
+    }
+}
+
+/// Model that a replica is loading, and the time left, in milliseconds.
+fn coming(known: &Known, now: Time) -> Option<(Name, u32)> {
+    let pending = known.pending.as_ref()?;
+    let loads = pending.job.operation == Operation::Load;
+    let ms = pending.due.since(now).ms() as u32;
+    loads.then(|| (pending.job.model.clone(), ms))
+}
+
+/// Models that a replica is about to give up, gives up, or gave up a moment ago.
+fn closing(known: &Known, now: Time) -> Vec<Name> {
+    let closing = known.closing.iter().map(|(model, _)| model);
+    let orders = known
+        .queue
+        .iter()
+        .chain(known.pending.iter().map(|p| &p.job));
+    let unloads = orders.filter(|j| j.operation == Operation::Unload && j.adapter.is_none());
+    let done = known.unloaded.iter();
+    let done = done.filter(|(_, at)| now.since(*at) < TOLD_LOADED);
+    let done = done.filter(|(model, _)| !known.held.iter().any(|h| h.model == *model));
+    closing
+        .chain(unloads.map(|j| &j.model))
+        .chain(done.map(|(model, _)| model))
+        .cloned()
+        .collect()
+}
+
+/// Adapters of the replicas whose turn it is in a round; changes are told when they are made.
+fn adapters(book: &Book, round: usize) -> Vec<(Name, Vec<(Name, Name)>)> {
+    let turn = |id: &Name| short(id) as usize % ADAPTER_ROUNDS == round % ADAPTER_ROUNDS;
+    book.known
+        .iter()
+        .filter(|(id, k)| turn(id) && k.doubtful.is_none())
+        .map(|(id, k)| (id.clone(), k.adapters()))
+        .collect()
+}
--- /dev/null
+++ b/crates/front/src/planner/give.rs
@@ -0,0 +1,248 @@
+//! Giving replicas the orders that wait for them, and noting what came of each.
+
+use super::{Book, Planner};
+use crate::orders::{Job, Known, Pending};
+use platform::config::Engine;
+use platform::replica::{self, Entry, Operation, Order, Ordered};
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{info, warn};
+use unit::{Name, Time};
+
+/// Time for an order or a report to be answered.
+const CALL_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time that an adapter takes to arrive; the platform says "some ms".
+const ADAPTER_ARRIVES: Duration = Duration::from_millis(25);
+
+/// Answer to an order.
+type Answer = Result<Ordered, platform::Error>;
+
+/// What to do next for a replica.
+enum Next {
+    /// Give this order, worked out under that number of orders taken.
+    Give(Job, u64),
+    /// Leave out an order that there is no room for.
+    Skip,
+    /// Nothing for now.
+    Stop,
+}
+
+impl Planner {
+    /// Gives a replica the orders that wait for it, one after the other.
+    pub(super) fn drive(self: &Arc<Self>, id: Name) {
+        {
+            let mut book = self.book.lock();
+            let Some(known) = book.known.get_mut(&id) else {
+                return;
+            };
+            if known.calling {
+                return;
+            }
+            known.calling = true;
+        }
+        let planner = self.clone();
+        tokio::spawn(async move {
+            while planner.step(&id).await {}
+            if let Some(known) = planner.book.lock().known.get_mut(&id) {
+                known.calling = false;
+            }
+        });
+    }
+
+    /// Gives the next order to a replica; tells whether to go on.
+    async fn step(self: &Arc<Self>, id: &Name) -> bool {
+        let Some(entry) = self.entry(id) else {
+            return false;
+        };
+        let now = self.state.now();
+        let (doubtful, looks) = self.doubt(id, now);
+        if doubtful && !(looks && self.look(&entry).await) {
+            return false;
+        }
+        let routes = self.state.table.lock().routes.clone();
+        let service = routes.as_ref().and_then(|r| r.service(&entry.service));
+        let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
+            return false;
+        };
+        let next = self.book.lock().next(id, engine, now);
+        match next {
+            Next::Give(job, expected) if self.term.holds() => {
+                self.give(&entry, job, expected).await
+            }
+            Next::Give(..) | Next::Stop => false,
+            Next::Skip => true,
+        }
+    }
+
+    /// Entry of a replica that does not leave.
+    fn entry(&self, id: &str) -> Option<Entry> {
+        let table = self.state.table.lock();
+        let seen = table.view.get(id)?;
+        (!seen.entry.leaving).then(|| seen.entry.clone())
+    }
+
+    /// Whether a replica must be asked before the next order, and whether it may be asked now.
+    fn doubt(&self, id: &str, now: Time) -> (bool, bool) {
+        let book = self.book.lock();
+        let known = book.known.get(id);
+        let doubtful = known.is_none_or(|k| k.doubtful.is_some());
+        (doubtful, known.is_some_and(|k| k.wants_look(now)))
+    }
+
+    /// Asks a replica what it holds; tells whether orders may go on.
+    async fn look(&self, entry: &Entry) -> bool {
+        let report = replica::report(&self.pool, entry.addr, &entry.id, CALL_LIMIT).await;
+        match report {
+            Ok(report) => {
+                let mut book = self.book.lock();
+                let Some(known) = book.known.get_mut(&entry.id) else {
+                    return false;
+                };
+                known.adopt(&report, self.state.now());
+                info!(target: "planner", event = "looked", replica = &*entry.id, orders = report.orders, busy = report.busy, "a replica was asked what it holds");
+                !report.busy
+            }
+            Err(why) => {
+                self.state.log.notable(|| {
+                    warn!(target: "planner", event = "no_report", replica = &*entry.id, why = %why, "a replica gave no report")
+                });
+                false
+            }
+        }
+    }
+
+    /// Gives one order and notes what came of it; tells whether to go on.
+    async fn give(self: &Arc<Self>, entry: &Entry, job: Job, expected: u64) -> bool {
+        let order = Order {
+            operation: job.operation,
+            model: job.model.clone(),
+            adapter: job.adapter.clone(),
+            expected,
+            holder: self.state.settings.name.clone(),
+            fence: self.term.token,
+        };
+        let answer = replica::order(&self.pool, entry.addr, &entry.id, &order, CALL_LIMIT).await;
+        let now = self.state.now();
+        self.tell_ordered(entry, &order, &answer);
+        self.note(entry, job, expected, answer, now)
+    }
+
+    /// Tells of an order that was given.
+    fn tell_ordered(&self, entry: &Entry, order: &Order, answer: &Answer) {
+        let outcome = match answer {
+            Ok(ordered) => format!("{ordered:?}"),
+            Err(why) => why.to_string(),
+        };
+        let operation = match order.operation {
+            Operation::Load => "load",
+            Operation::Unload => "unload",
+        };
+        let labels = [("operation", operation), ("outcome", word(answer))];
+        let metrics = &self.state.log.metrics;
+        metrics
+            .counter("coveford_orders_total", &labels)
+            .increment(1);
+        info!(target: "planner", event = "ordered", replica = &*entry.id, operation, model = &*order.model, adapter = order.adapter.as_deref(), expected = order.expected, term = self.term.token, outcome, "an order was given")
+    }
+
+    /// Notes what came of an order; tells whether to go on.
+    fn note(
+        self: &Arc<Self>,
+        entry: &Entry,
+        job: Job,
+        expected: u64,
+        answer: Answer,
+        now: Time,
+    ) -> bool {
+        let mut book = self.book.lock();
+        let Some(known) = book.known.get_mut(&entry.id) else {
+            return false;
+        };
+        match answer {
+            Ok(Ordered::Accepted) if job.adapter.is_none() => {
+                known.orders = expected + 1;
+                begin(known, job, now);
+                return true;
+            }
+            Ok(Ordered::Accepted) if job.operation == Operation::Unload => {
+                // It goes when its last request has ended; until then it takes its place.
+                known.orders = expected + 1;
+                known.doubt(now);
+            }
+            Ok(Ordered::Accepted | Ordered::InForce) if job.adapter.is_some() => {
+                known.orders = expected + 1;
+                known.effect(&job, now);
+                if let (Operation::Load, Some(adapter)) = (job.operation, job.adapter) {
+                    self.tell_placed(job.model, adapter, entry.id.clone(), ADAPTER_ARRIVES);
+                }
+                return true;
+            }
+            Ok(Ordered::InForce) => {
+                known.effect(&job, now);
+                known.doubt(now);
+            }
+            Ok(Ordered::Fenced) => {
+                warn!(target: "planner", event = "fenced", term = self.term.token, "a later holder gives orders; this term ends");
+                self.term.end();
+            }
+            Ok(_) => known.doubt(now),
+            Err(why) => {
+                known.doubt(now);
+                book.unanswered(&job, &why, now);
+            }
+        }
+        false
+    }
+}
+
+impl Book {
+    /// Takes the next order to a replica out of its queue.
+    fn next(&mut self, id: &str, engine: &Engine, now: Time) -> Next {
+        let Some(known) = self.known.get_mut(id) else {
+            return Next::Stop;
+        };
+        let pends = known.pending.is_some();
+        let due = |job: &Job| !pends || job.adapter.is_some();
+        if !known.queue.front().is_some_and(due) {
+            return Next::Stop;
+        }
+        let job = known.queue.pop_front();
+        let job = job.filter(|job| known.has_room(job, engine));
+        known.ordering(now);
+        job.map_or(Next::Skip, |job| Next::Give(job, known.orders))
+    }
+
+    /// Keeps the place of a load from the weight store that may have begun without an answer.
+    fn unanswered(&mut self, job: &Job, why: &platform::Error, now: Time) {
+        let lands = matches!(why, platform::Error::Unknown { .. });
+        if job.from_store && lands {
+            for bucket in self.buckets.values_mut() {
+                bucket.unanswered(now);
+            }
+        }
+    }
+}
+
+/// Notes that an order about a model was accepted and is under way.
+fn begin(known: &mut Known, job: Job, now: Time) {
+    if job.operation == Operation::Unload {
+        known.unloaded = Some((job.model.clone(), now));
+    }
+    known.pending = Some(Pending {
+        due: now + job.takes,
+        job,
+    });
+}
+
+/// Outcome of an order, as metrics name it.
+fn word(answer: &Answer) -> &'static str {
+    match answer {
+        Ok(Ordered::Accepted | Ordered::InForce) => "taken",
+        Ok(Ordered::Conflict) => "conflict",
+        Ok(Ordered::Fenced) => "fenced",
+        Ok(_) => "refused",
+        Err(platform::Error::Unknown { .. }) => "unanswered",
+        Err(_) => "not_sent",
+    }
+}
