Split the table into modules: replica, pace, demand, what the leader told, choice, sums

What is known of one replica, the pace of models, demand, the leader's plans, the choice and the exchange of sums now stand apart. The two fading shares (failures, long pauses) are one type, and so are the two lists that the leader tells. The retry bounds go in as they are instead of as a tuple without names. The choice borrows a service's engine instead of copying it for each request. No change of behaviour.

--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -1,8 +1,8 @@
 //! The leader's work: sums of demand in, orders to replicas out.
 //!
-//! This module holds what the leader believes and calls the parts in turn: [`demand`] measures,
-//! [`service`] plans copies of models, [`adapters`] finds places for adapters, [`give`] gives the
-//! orders, and [`digest`] tells hosts. The table is locked before the [`Book`], never after.
+//! This module holds what the leader believes and calls the parts in turn: `demand` measures,
+//! `service` plans copies of models, `adapters` finds places for adapters, `give` gives the
+//! orders, and `digest` tells hosts. The table is locked before the `Book`, never after.
 
 mod adapters;
 mod demand;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -89,16 +89,7 @@
     let route = find(state, &routes, &request)?;
     let call = Arc::new(read(state, &routes, route, request, arrived).await?);
     let tells = Tells { state, call: &call };
-    state.table.lock().arrived(
-        &call.service,
-        &call.ask,
-        (
-            state.settings.bounds.retry_share,
-            state.settings.bounds.retry_slack,
-            state.settings.bounds.retry_window.into(),
-        ),
-        arrived,
-    );
+    note_arrival(state, &call);
     let answered = attempts(entry, &call).await;
     match &answered {
         Ok(response) => tells.answered(response),
@@ -107,6 +98,13 @@
     answered
 }
 
+/// Counts a request in the demand and in the retry budget of its service.
+fn note_arrival(state: &State, call: &Call) {
+    let bounds = &state.settings.bounds;
+    let mut table = state.table.lock();
+    table.arrived(&call.service, &call.ask, bounds, call.arrived);
+}
+
 /// Host that a request names: in its target or in its header.
 fn host(uri: &hyper::Uri, headers: &HeaderMap) -> String {
     let named = headers.get(HOST).and_then(|h| h.to_str().ok());
--- /dev/null
+++ b/crates/front/src/table/choose.rs
@@ -0,0 +1,219 @@
+//! Choice of a replica for a request.
+
+use super::pace::Pace;
+use super::replica::State;
+use super::{STEP, SUMS_AGE, Table, Want};
+use crate::message::RANKS;
+use platform::config::Engine;
+use platform::ingress::Ask;
+use platform::replica::Entry;
+use route::batch::{self, Candidate};
+use std::net::SocketAddr;
+use unit::{Name, Span, Time};
+
+/// Steps in a row that may be expected to read as much as is allowed.
+const FULL_STEPS: f64 = 2.0;
+
+/// Replica chosen for a request.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Its identity.
+    pub replica: Name,
+    /// Where it answers.
+    pub addr: SocketAddr,
+    /// Expected time to its first token.
+    pub first_token: Span,
+    /// Whether its prompt can be read there now without a long pause for those that run.
+    pub paced: bool,
+    /// Whether a place was free there.
+    pub free: bool,
+    /// Replicas that could have taken it.
+    pub candidates: usize,
+    /// Revision of the replica's entry.
+    pub revision: u64,
+}
+
+/// Why no replica was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Nowhere {
+    /// No replica of the service is there.
+    NoReplica,
+    /// No replica holds the model; it comes in this time, if that is known.
+    NoModel(Option<Span>),
+    /// The model is there, its adapter is not.
+    NoAdapter,
+}
+
+/// How far a replica fits a request; the better one is the greater.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Fit {
+    /// It may not have it at all.
+    Out,
+    /// It does not hold its model.
+    NoModel,
+    /// It holds the model without the adapter.
+    NoAdapter,
+    /// It can take it.
+    Whole,
+}
+
+/// What is the same for all candidates of a request.
+struct Terms<'a> {
+    want: &'a Want<'a>,
+    /// Model that the request needs, where the service runs models.
+    model: Option<&'a Name>,
+    pace: Pace,
+    /// Tokens that a replica's memory holds; 0 when it is not limited.
+    memory: f64,
+    /// Whether other hosts tell their sums directly.
+    direct: bool,
+    now: Time,
+}
+
+impl Table {
+    /// Chooses a replica for a request.
+    pub fn choose(&mut self, want: &Want, now: Time) -> Result<Choice, Nowhere> {
+        let service = self.service(want.service);
+        let engine = service.as_ref().and_then(|s| s.engine.as_ref());
+        let model = want.ask.model.as_ref().filter(|_| engine.is_some());
+        let mut found = Vec::new();
+        let mut nearest = Fit::Out;
+        for seen in self.view.all() {
+            let fit = self.fit(&seen.entry, want, model, now);
+            nearest = nearest.max(fit);
+            if fit == Fit::Whole {
+                found.push(seen);
+            }
+        }
+        if found.is_empty() {
+            return Err(self.nowhere(nearest, model, now));
+        }
+        let terms = Terms {
+            want,
+            model,
+            pace: self.paces.of(want.service, model),
+            memory: engine.map_or(0.0, |e| e.tokens as f64),
+            direct: self.is_direct(now),
+            now,
+        };
+        let candidates = found.iter().map(|seen| self.candidate(&seen.entry, &terms));
+        let candidates: Vec<Candidate> = candidates.collect();
+        let ask = batch_ask(want, engine);
+        let chosen = batch::choose(&ask, &candidates, &mut self.rng);
+        let (at, first_token) = chosen.ok_or(Nowhere::NoReplica)?;
+        Ok(Choice {
+            replica: found[at].entry.id.clone(),
+            addr: found[at].entry.addr,
+            first_token,
+            paced: candidates[at].is_paced(&ask),
+            free: candidates.iter().any(Candidate::has_place),
+            candidates: candidates.len(),
+            revision: found[at].revision,
+        })
+    }
+
+    /// How far a replica fits a request.
+    fn fit(&self, entry: &Entry, want: &Want, model: Option<&Name>, now: Time) -> Fit {
+        let out = entry.leaving || entry.service != *want.service;
+        let only = want.only.is_some_and(|only| *only != entry.id);
+        if out || only || want.avoid.contains(&entry.id) {
+            return Fit::Out;
+        }
+        let Some(model) = model else {
+            return Fit::Whole;
+        };
+        if !self.holds(entry, model, now) || self.told.closing.has(&entry.id, model, now) {
+            return Fit::NoModel;
+        }
+        let state = self.replicas.get(&entry.id);
+        let holds = |adapter| holds_adapter(entry, state, model, adapter, now);
+        match want.ask.adapter.as_ref().is_none_or(holds) {
+            true => Fit::Whole,
+            false => Fit::NoAdapter,
+        }
+    }
+
+    /// Why no replica can take a request, by the one that fits it best.
+    fn nowhere(&self, nearest: Fit, model: Option<&Name>, now: Time) -> Nowhere {
+        match nearest {
+            Fit::Out => Nowhere::NoReplica,
+            Fit::NoModel => Nowhere::NoModel(model.and_then(|m| self.told.coming(m, now))),
+            Fit::NoAdapter | Fit::Whole => Nowhere::NoAdapter,
+        }
+    }
+
+    /// A replica as the choice sees it.
+    fn candidate(&self, entry: &Entry, terms: &Terms) -> Candidate {
+        let nothing = State::default();
+        let state = self.replicas.get(&entry.id).unwrap_or(&nothing);
+        let load = state.load(terms.now, terms.direct);
+        let (model, ask) = (terms.model, terms.want.ask);
+        let kept = model.map_or(0, |m| state.kept(m, ask));
+        let rank = rank(terms.want.priority);
+        Candidate {
+            slots: entry.slots,
+            in_flight: f64::from(load.requests),
+            ahead: ms(load.unread[..=rank].iter().sum()),
+            backlog: ms(load.unread.iter().sum()),
+            reading: terms.pace.reading(model, ask, kept),
+            reserved: f64::from(load.reserved),
+            memory: terms.memory,
+            run: terms.pace.run,
+            near: entry.hall == self.hall,
+            failing: state.failing.at(terms.now),
+            lagging: state.lagging.at(terms.now),
+        }
+    }
+}
+
+/// What a request asks of a batch.
+fn batch_ask(want: &Want, engine: Option<&Engine>) -> batch::Ask {
+    let stride = engine.map_or(1, |e| e.stride);
+    batch::Ask {
+        tokens: tokens(want.ask) as f64,
+        pace: want.gap.map(|gap| step_pace(gap, stride)),
+    }
+}
+
+/// Whether a replica holds an adapter: by the leader's word while that is fresh, else by its entry.
+fn holds_adapter(
+    entry: &Entry,
+    state: Option<&State>,
+    model: &Name,
+    adapter: &Name,
+    now: Time,
+) -> bool {
+    let told = |s: &State| s.adapters.iter().any(|(m, a)| m == model && a == adapter);
+    if let Some(state) = state.filter(|s| now.since(s.adapters_at) < SUMS_AGE) {
+        return told(state);
+    }
+    let in_entry = entry
+        .held
+        .iter()
+        .any(|h| h.model == *model && h.adapters.contains(adapter));
+    in_entry || state.is_some_and(told)
+}
+
+/// Tokens that a request needs of a replica's memory.
+pub(super) fn tokens(ask: &Ask) -> u64 {
+    let output = ask.hinted_output.unwrap_or(ask.most_output);
+    ask.prompt + output.min(ask.most_output.max(output))
+}
+
+/// Time of reading that may stand before the streams of a replica in one step.
+///
+/// An event holds `stride` tokens, which take a step each; some of these steps read prompts.
+fn step_pace(gap: Span, stride: u32) -> Span {
+    let steps = f64::from(stride.max(1));
+    gap.saturating_sub(STEP * steps) * (1.0 / steps.min(FULL_STEPS))
+}
+
+/// Span of so many milliseconds.
+fn ms(ms: f32) -> Span {
+    Span((f64::from(ms) * 1e3) as u64)
+}
+
+/// Rank of urgency that a priority belongs to.
+pub(super) fn rank(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- /dev/null
+++ b/crates/front/src/table/pace.rs
@@ -0,0 +1,80 @@
+//! Smoothed pace of each model, learned from the requests that ran here.
+
+use super::STEP;
+use platform::ingress::Ask;
+use std::collections::HashMap;
+use unit::{Name, Span};
+
+/// Weight of the newest sample in a model's pace.
+const NEWEST_PACE: f64 = 0.1;
+
+/// Prompt tokens read in a millisecond while nothing is known of a model; of the order of one
+/// accelerator with a model of 70 GB.
+const FIRST_SPEED: f64 = 15.0;
+
+/// Time of a run while nothing is known of a model.
+const FIRST_RUN: Span = Span::from_ms(2_000);
+
+/// Least and greatest speed that one sample counts as, in prompt tokens a millisecond.
+const SPEEDS: (f64, f64) = (0.5, 1_000.0);
+
+/// Smoothed pace of one model.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pace {
+    /// Prompt tokens read in a millisecond.
+    pub(super) speed: f64,
+    /// Time of a run from its first token to its last.
+    pub(super) run: Span,
+}
+
+impl Pace {
+    /// Time to read what is not kept of a prompt.
+    pub(super) fn reading(&self, model: Option<&Name>, ask: &Ask, kept: u64) -> Span {
+        if model.is_none() {
+            return Span::ZERO;
+        }
+        let tokens = ask.prompt.saturating_sub(kept) as f64;
+        Span((tokens / self.speed * 1e3) as u64)
+    }
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            speed: FIRST_SPEED,
+            run: FIRST_RUN,
+        }
+    }
+}
+
+/// Paces by service and model.
+#[derive(Default)]
+pub(super) struct Paces(HashMap<(Name, Name), Pace>);
+
+impl Paces {
+    /// Pace of a model, or of a service that runs none.
+    pub(super) fn of(&self, service: &Name, model: Option<&Name>) -> Pace {
+        let model = model.cloned().unwrap_or_else(|| "".into());
+        let known = self.0.get(&(service.clone(), model));
+        known.copied().unwrap_or_default()
+    }
+
+    /// Learns how fast prompts are read, from one that none stood before: it took that time.
+    pub(super) fn learn_speed(&mut self, service: &Name, model: &Name, tokens: f64, took: Span) {
+        let ms = took.saturating_sub(STEP).ms().max(1.0);
+        let sample = (tokens / ms).clamp(SPEEDS.0, SPEEDS.1);
+        let pace = self.entry(service, model);
+        pace.speed += (sample - pace.speed) * NEWEST_PACE;
+    }
+
+    /// Learns how long a run takes after its first token.
+    pub(super) fn learn_run(&mut self, service: &Name, model: &Name, run: Span) {
+        let pace = self.entry(service, model);
+        pace.run = pace.run * (1.0 - NEWEST_PACE) + run * NEWEST_PACE;
+    }
+
+    fn entry(&mut self, service: &Name, model: &Name) -> &mut Pace {
+        let key = (service.clone(), model.clone());
+        self.0.entry(key).or_default()
+    }
+}
--- /dev/null
+++ b/crates/front/src/table/sums.rs
@@ -0,0 +1,56 @@
+//! Sums that are exchanged with other hosts: what is in flight here, and what is elsewhere.
+
+use super::Table;
+use crate::message::{Demand, Load, Row, short};
+use std::collections::HashMap;
+use unit::{Name, Time};
+
+impl Table {
+    /// Demand seen here.
+    pub fn demand(&mut self, now: Time) -> Vec<Demand> {
+        self.demand.rows(now)
+    }
+
+    /// What this host has in flight.
+    pub fn in_flight(&self) -> Vec<Row> {
+        let busy = self.replicas.iter().filter(|(_, s)| s.mine.requests > 0.0);
+        busy.map(|(id, s)| Row::new(id, &s.mine)).collect()
+    }
+
+    /// What this host has in flight, remembered as told.
+    pub fn tell(&mut self) -> Vec<Row> {
+        for state in self.replicas.values_mut() {
+            state.told = state.mine;
+        }
+        self.in_flight()
+    }
+
+    /// Takes in the sums of all hosts.
+    pub fn told(&mut self, rows: &[Row], now: Time) {
+        for (id, load) in self.named(rows) {
+            let state = self.replicas.entry(id).or_default();
+            state.others = load.without(&state.told);
+            state.others_at = now;
+        }
+    }
+
+    /// Takes in what another host has in flight, as it tells itself.
+    pub fn told_by(&mut self, host: &Name, rows: &[Row], now: Time) {
+        self.direct_at = now;
+        for state in self.replicas.values_mut() {
+            state.hosts.remove(host);
+        }
+        for (id, load) in self.named(rows) {
+            let state = self.replicas.entry(id).or_default();
+            state.hosts.insert(host.clone(), (load, now));
+        }
+    }
+
+    /// Rows of replicas that are known, with their identities.
+    fn named(&self, rows: &[Row]) -> Vec<(Name, Load)> {
+        let rows: HashMap<u32, &Row> = rows.iter().map(|r| (r.replica(), r)).collect();
+        let ids = self.view.all().map(|s| &s.entry.id);
+        ids.filter_map(|id| rows.get(&short(id)).map(|row| (id.clone(), row.load())))
+            .collect()
+    }
+}
