Split the serving of a request into reading, admission, telling and sending

serve.rs held all of it, with functions of up to 60 lines. What happened to a request so far is one value now, and passing an answer on one function, so that the loop over attempts can be read at a glance. Two bare factors have names. No change of behaviour.

--- /dev/null
+++ b/crates/front/src/serve/admit.rs
@@ -0,0 +1,167 @@
+//! Admission: choosing a replica for a request, letting it wait for its turn, or refusing it.
+
+use super::{Entry, RETURN_LATER, RETURN_RANGE, tell};
+use crate::attempt::{Call, Place};
+use crate::respond::Fault;
+use crate::state::State;
+use crate::table::{Choice, Nowhere};
+use crate::waiting::Turn;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{timeout, timeout_at};
+use unit::{Name, Span, Time};
+
+/// When a client may come back whose adapter had no room yet.
+const RETURN_FOR_ADAPTER: Span = Span::from_ms(300);
+
+/// Expected time to the first token, as a part of its target, beyond which a request is refused.
+const REFUSED_BEYOND: f64 = 1.2;
+
+/// Part of its target for which a request may wait here for its model or adapter.
+const HELD_PART: f64 = 0.25;
+
+/// Part of the target within which a model must come for the request to wait for it.
+const COMING_PART: f64 = 0.8;
+
+/// Part of the target that a request may spend waiting here and in reading its prompt.
+const WAITING_PART: f64 = 0.8;
+
+/// Part of its target that a refused request should wait yet when its client comes back.
+const BACK_WITHIN: f64 = 0.5;
+
+/// Time between two looks at the table while a request waits.
+const LOOK: Duration = Duration::from_millis(60);
+
+/// Part of the places of a service below which nothing is refused.
+const PLACES_FREE: f64 = 0.5;
+
+/// Chooses a replica; waits shortly for a model or an adapter that is on its way.
+pub(super) async fn place(
+    entry: &Entry,
+    call: &Arc<Call>,
+    avoid: &[Name],
+    only: Option<&Name>,
+    sending: usize,
+) -> Result<Turn, Fault> {
+    let state = &entry.state;
+    let held_until = call.arrived + Span::from(call.route.target) * HELD_PART;
+    loop {
+        let now = state.now();
+        let want = call.want(avoid, only);
+        let chosen = state.table.lock().choose(&want, now);
+        let (until, fault) = match chosen {
+            Ok(choice) if sending > 0 => {
+                let place = Place::take(state, call, &choice);
+                return Ok((choice, place));
+            }
+            Ok(choice) => return admit(entry, call, choice).await,
+            Err(nowhere) => absent(state, call, nowhere, held_until, now),
+        };
+        // A host that stops has no time for requests that only wait.
+        if now >= until.min(call.deadline) || state.is_draining() {
+            return Err(fault);
+        }
+        let left = until.since(now).std().min(LOOK);
+        let _ = timeout(left, state.changed.notified()).await;
+    }
+}
+
+/// Until when a request may wait for what is on no replica, and what it is told then.
+fn absent(
+    state: &State,
+    call: &Call,
+    nowhere: Nowhere,
+    held_until: Time,
+    now: Time,
+) -> (Time, Fault) {
+    let target = Span::from(call.route.target);
+    match nowhere {
+        Nowhere::NoModel(Some(coming))
+            if now.since(call.arrived) + coming < target * COMING_PART =>
+        {
+            let until = call.arrived + target * COMING_PART;
+            let message = "The model is being loaded.";
+            (until, Fault::not_run("model_loading", message, coming))
+        }
+        Nowhere::NoModel(coming) => {
+            let wait = coming.unwrap_or(RETURN_LATER).max(RETURN_RANGE.0);
+            let message = "No replica holds the model at the moment.";
+            (now, Fault::not_run("no_model", message, wait))
+        }
+        Nowhere::NoAdapter => {
+            want_adapter(state, call);
+            let message = "The adapter is on no replica yet.";
+            let fault = Fault::not_run("no_adapter", message, RETURN_FOR_ADAPTER);
+            (held_until, fault)
+        }
+        Nowhere::NoReplica => {
+            let message = "No replica of the service is there.";
+            (now, Fault::not_run("no_replica", message, RETURN_LATER))
+        }
+    }
+}
+
+/// Asks the leader, by way of the task that tells it, to have a request's adapter loaded.
+fn want_adapter(state: &State, call: &Call) {
+    if let (Some(model), Some(adapter)) = (&call.ask.model, &call.ask.adapter) {
+        let wanted = (call.service.clone(), model.clone(), adapter.clone());
+        let _ = state.wanted.send(wanted);
+    }
+}
+
+/// Admits a request where it can meet its target: at once, or when its turn comes. Refuses it at
+/// once where it cannot.
+async fn admit(entry: &Entry, call: &Arc<Call>, choice: Choice) -> Result<Turn, Fault> {
+    let state = &entry.state;
+    let now = state.now();
+    let target = Span::from(call.route.target);
+    let expected = now.since(call.arrived) + choice.first_token;
+    let others_wait = entry.waiting.lock().is_waited_for(call);
+    if choice.paced && !others_wait {
+        return Ok(go(state, call, choice));
+    }
+    let taken = state.table.lock().taken(&call.want(&[], None), now);
+    if expected > target * REFUSED_BEYOND && (taken >= PLACES_FREE || !choice.free) {
+        return Err(overloaded(expected, target));
+    }
+    let until = call.arrived + (target * WAITING_PART).saturating_sub(choice.first_token);
+    if let Some((choice, place)) = turn(entry, call, until, now).await {
+        tell::sent(state, call, &choice, true);
+        return Ok((choice, place));
+    }
+    // Much may have changed in the wait: the first choice may have left.
+    let now = state.now();
+    let again = state.table.lock().choose(&call.want(&[], None), now);
+    match again {
+        Ok(choice) => Ok(go(state, call, choice)),
+        Err(nowhere) => Err(absent(state, call, nowhere, now, now).1),
+    }
+}
+
+/// Waits for the turn of a request; none when it did not come by `until`.
+async fn turn(entry: &Entry, call: &Arc<Call>, until: Time, now: Time) -> Option<Turn> {
+    if until <= now {
+        return None;
+    }
+    let state = &entry.state;
+    let turn = entry.waiting.lock().push(call, until, now);
+    tokio::select! {
+        turn = timeout_at(state.instant(until), turn) => turn.ok().and_then(Result::ok),
+        _ = state.stopping() => None,
+    }
+}
+
+/// Answer to a request that would wait too long for its first token.
+fn overloaded(expected: Span, target: Span) -> Fault {
+    let wait = expected.saturating_sub(target * BACK_WITHIN);
+    let wait = wait.max(RETURN_RANGE.0).min(RETURN_RANGE.1);
+    let message = format!("The request would wait {expected} for its first token.");
+    Fault::not_run("overloaded", message, wait)
+}
+
+/// Sends a request to the chosen replica at once.
+fn go(state: &Arc<State>, call: &Arc<Call>, choice: Choice) -> Turn {
+    tell::sent(state, call, &choice, false);
+    let place = Place::take(state, call, &choice);
+    (choice, place)
+}
--- /dev/null
+++ b/crates/front/src/serve/read.rs
@@ -0,0 +1,142 @@
+//! Reading a request: its route, its header fields, its body.
+
+use super::RETURN_LATER;
+use crate::attempt::Call;
+use crate::respond::Fault;
+use crate::routes::Routes;
+use crate::state::State;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Request, StatusCode, Uri};
+use platform::config::Route;
+use platform::ingress;
+use std::error::Error;
+use std::sync::Arc;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::timeout_at;
+use tracing::info;
+use unit::{Span, Time, rendezvous};
+
+/// Host that a request names: in its target or in its header.
+fn host(uri: &Uri, headers: &HeaderMap) -> String {
+    let named = headers.get(HOST).and_then(|h| h.to_str().ok());
+    uri.host().or(named).unwrap_or_default().to_owned()
+}
+
+/// Finds the route of a request.
+pub(super) fn route(
+    state: &State,
+    routes: &Routes,
+    request: &Request<Incoming>,
+) -> Result<Arc<Route>, Fault> {
+    let host = host(request.uri(), request.headers());
+    if let Some(route) = routes.find(&host, request.uri().path()) {
+        return Ok(route.clone());
+    }
+    if state.table.lock().view.is_away() {
+        // The route may stand in a newer configuration that this host cannot read.
+        let message = "No route leads there by the last configuration that this host could read.";
+        return Err(Fault::not_run("configuration_old", message, RETURN_LATER));
+    }
+    state.log.metrics.ended(&"none".into(), "no_route");
+    state.log.notable(|| {
+        info!(target: "request", event = "refused", reason = "no_route", host, path = request.uri().path(), version = routes.version, "no route")
+    });
+    Err(Fault::refused(
+        StatusCode::NOT_FOUND,
+        "no_route",
+        format!("No route of configuration {} leads there.", routes.version),
+    ))
+}
+
+/// Reads a request whole.
+pub(super) async fn call(
+    state: &Arc<State>,
+    routes: &Routes,
+    route: Arc<Route>,
+    request: Request<Incoming>,
+    arrived: Time,
+) -> Result<Call, Fault> {
+    let (head, body) = request.into_parts();
+    let ask = ingress::ask(&head.headers);
+    let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + Span::from(patience);
+    let body = read_body(state, routes, body, deadline).await?;
+    let id = ask.id.clone().unwrap_or_else(|| "-".into());
+    let hash = rendezvous::hash(id.as_bytes());
+    let service = route::routing::split(&route.services, hash);
+    let service = service.cloned().ok_or_else(|| {
+        Fault::not_run("no_service", "The route leads to no service.", RETURN_LATER)
+    })?;
+    Ok(Call {
+        id,
+        service,
+        route,
+        method: head.method,
+        uri: path(head.uri),
+        headers: head.headers,
+        body,
+        ask,
+        arrived,
+        deadline,
+    })
+}
+
+/// Path and query of a target, without its host.
+fn path(uri: Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or(uri, |p| p.as_str().parse().expect("a path was read"))
+}
+
+/// Reads a body within its bounds of size and time; it takes of the memory for bodies meanwhile.
+async fn read_body(
+    state: &Arc<State>,
+    routes: &Routes,
+    body: Incoming,
+    deadline: Time,
+) -> Result<Bytes, Fault> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most = routes.limits.body;
+    let _room = room(state, &body, most)?;
+    let read = Limited::new(body, most).collect();
+    match timeout_at(state.instant(deadline), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(why)) => Err(broken(&*why, most)),
+        Err(_) => Err(Fault::refused(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_late",
+            "The body did not come in time.",
+        )),
+    }
+}
+
+/// Takes the memory that a body may need, as far as its length is known.
+fn room(state: &State, body: &Incoming, most: usize) -> Result<OwnedSemaphorePermit, Fault> {
+    let hint = body.size_hint().upper().unwrap_or(0).min(most as u64);
+    let kb = (hint / 1_024) as u32 + 1;
+    let room = state.bodies.clone().try_acquire_many_owned(kb);
+    room.map_err(|_| {
+        let message = "This host holds as many request bodies as it may.";
+        Fault::not_run("bodies_full", message, RETURN_LATER)
+    })
+}
+
+/// Answer to a request whose body could not be read whole.
+fn broken(why: &(dyn Error + Send + Sync + 'static), most: usize) -> Fault {
+    if why.is::<LengthLimitError>() {
+        return Fault::refused(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            format!("The body is longer than {most} bytes."),
+        );
+    }
+    Fault::refused(
+        StatusCode::BAD_REQUEST,
+        "body_broken",
+        format!("The body broke off: {why}."),
+    )
+}
--- /dev/null
+++ b/crates/front/src/serve/tell.rs
@@ -0,0 +1,45 @@
+//! Telling, in logs and metrics, where a request went and how it ended.
+
+use super::is_events;
+use crate::attempt::Call;
+use crate::respond::{Body, Fault};
+use crate::state::State;
+use crate::table::Choice;
+use hyper::Response;
+use tracing::{info, warn};
+
+/// Tells that a request is sent to a replica, and whether it waited for its turn.
+pub(super) fn sent(state: &State, call: &Call, choice: &Choice, waited: bool) {
+    state.log.routine(&call.id, || {
+        let ms = state.now().since(call.arrived).ms();
+        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), paced = choice.paced, waited, ms, entry = choice.revision, "sent to the replica with the least expected time")
+    });
+}
+
+/// Tells of the answer of a replica, unless it is a stream: that is told of at its end.
+pub(super) fn answered(state: &State, call: &Call, response: &Response<Body>) {
+    let status = response.status().as_u16();
+    let took = state.now().since(call.arrived);
+    if is_events(call, response) {
+        return;
+    }
+    state.log.metrics.first_byte(&call.route.name, took);
+    let outcome = match response.status().is_success() {
+        true => "complete",
+        false => "failed_by_replica",
+    };
+    state.log.metrics.ended(&call.route.name, outcome);
+    state.log.routine(&call.id, || {
+        info!(target: "request", event = "answered", id = &*call.id, status, ms = took.ms(), "the replica's answer was passed on")
+    });
+}
+
+/// Tells of a request that coveford answers itself.
+pub(super) fn failed(state: &State, call: &Call, fault: &Fault) {
+    let ms = state.now().since(call.arrived).ms();
+    state.log.metrics.ended(&call.route.name, fault.reason);
+    let retry_after_ms = fault.retry_after.map(|s| s.ms());
+    state.log.notable(|| {
+        warn!(target: "request", event = "refused", id = &*call.id, route = &*call.route.name, model = call.ask.model.as_deref(), adapter = call.ask.adapter.as_deref(), status = fault.status.as_u16(), reason = fault.reason, retry_after_ms, ms, why = fault.message, "the request is given up")
+    });
+}
