Split the election's acquisition of the lease, and name what came of the creation

One function of 68 lines took the lease, wrote the entry, settled a lost answer and made the term. The mark that a host has led was set twice on a conflict; the second setting does it in every case. No change of behaviour.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -118,6 +118,7 @@
     Duration::from_millis(spread) + WEAK_WAIT.mul_f64(lack)
 }
 
+/// Whether this host may try to lead: it sees the store, stays, and knows of no leader.
 fn may_try(state: &State) -> bool {
     let table = state.table.lock();
     let sees = table.routes.is_some() && !table.view.is_away();
@@ -125,6 +126,17 @@
     sees && !state.is_draining() && state.leader.lock().is_none()
 }
 
+/// What came of the creation of the leader's entry.
+enum Created {
+    /// This host created it at that revision.
+    Here(u64),
+    /// So it was found when it was read back: who wrote the mark of the first leader is not known.
+    ReadBack(u64),
+    /// It did not.
+    No,
+}
+
+/// Takes a lease and creates the leader's entry under it.
 async fn acquire(state: &Arc<State>) -> Option<(Lease, Term)> {
     let asked = Instant::now();
     let lease = match state.store.grant(LEASE).await {
@@ -134,46 +146,17 @@
             return None;
         }
     };
-    let entry = Entry {
-        name: state.settings.name.clone(),
-        peers: state.settings.peers,
-    };
-    let value = serde_json::to_vec(&entry).expect("an entry is plain data");
     let is_first = !state.has_led.load(Ordering::Relaxed);
-    let mut txn = Transaction {
-        expected: vec![(KEY.into(), 0)],
-        writes: vec![(KEY.into(), value, lease.id)],
-        removed: Vec::new(),
-    };
-    if is_first {
-        txn.expected.push((LED.into(), 0));
-        txn.writes.push((LED.into(), Vec::new(), 0));
-    }
-    let mut answered = true;
-    let token = match state.store.commit(&txn).await {
-        Ok(Committed::Done(revision)) => Some(revision),
-        Ok(Committed::Conflict(items)) => {
-            if items
-                .iter()
-                .any(|item| &*item.key == LED && item.revision > 0)
-            {
-                state.has_led.store(true, Ordering::Relaxed);
-            }
-            let found = items.iter().find(|i| &*i.key == KEY && i.revision > 0);
-            if let Some(Ok(leader)) = found.map(read) {
-                set_leader(state, Some(leader));
-            }
-            None
-        }
-        Err(why) => {
-            answered = false;
-            settle(state, &lease, &why.to_string()).await
-        }
-    };
+    let created = create(state, &lease, is_first).await;
+    // Whatever came of it: a host has led now, or may have.
     state.has_led.store(true, Ordering::Relaxed);
-    let Some(token) = token else {
-        let _ = state.store.end(lease.id).await;
-        return None;
+    let (token, is_first) = match created {
+        Created::Here(token) => (token, is_first),
+        Created::ReadBack(token) => (token, false),
+        Created::No => {
+            let _ = state.store.end(lease.id).await;
+            return None;
+        }
     };
     set_leader(
         state,
@@ -187,13 +170,54 @@
     let term = Term {
         token,
         since: Instant::now(),
-        // An outcome that had to be read back says nothing of who wrote the mark.
-        is_first: is_first && answered,
+        is_first,
         until: Arc::new(Mutex::new(asked + lease.ttl.saturating_sub(MARGIN))),
     };
     Some((lease, term))
 }
 
+/// Creates the leader's entry unless there is one; the first leader of all leaves its mark too.
+async fn create(state: &State, lease: &Lease, is_first: bool) -> Created {
+    match state.store.commit(&creation(state, lease, is_first)).await {
+        Ok(Committed::Done(revision)) => Created::Here(revision),
+        Ok(Committed::Conflict(items)) => {
+            note_conflict(state, &items);
+            Created::No
+        }
+        Err(why) => match settle(state, lease, &why.to_string()).await {
+            Some(revision) => Created::ReadBack(revision),
+            None => Created::No,
+        },
+    }
+}
+
+/// Transaction that creates the leader's entry.
+fn creation(state: &State, lease: &Lease, is_first: bool) -> Transaction {
+    let entry = Entry {
+        name: state.settings.name.clone(),
+        peers: state.settings.peers,
+    };
+    let value = serde_json::to_vec(&entry).expect("an entry is plain data");
+    let mut txn = Transaction {
+        expected: vec![(KEY.into(), 0)],
+        writes: vec![(KEY.into(), value, lease.id)],
+        removed: Vec::new(),
+    };
+    if is_first {
+        txn.expected.push((LED.into(), 0));
+        txn.writes.push((LED.into(), Vec::new(), 0));
+    }
+    txn
+}
+
+/// Takes in the leader whose entry stood in the way of a creation, if one did.
+fn note_conflict(state: &State, items: &[Item]) {
+    let found = items.iter().find(|i| &*i.key == KEY && i.revision > 0);
+    if let Some(Ok(leader)) = found.map(read) {
+        set_leader(state, Some(leader));
+    }
+}
+
 /// Reads back whether a creation whose answer was lost has taken effect.
 async fn settle(state: &State, lease: &Lease, why: &str) -> Option<u64> {
     info!(target: "leader", event = "in_doubt", why, "the creation of the leader's entry is read back");
@@ -233,6 +257,7 @@
     }
 }
 
+/// Ends a term and its lease.
 async fn give_up(state: &State, lease: Lease, term: &Term) {
     term.end();
     warn!(target: "leader", event = "lost", term = term.token, "this host no longer leads");
