--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -32,6 +32,7 @@
 /// Part of the longest pause in time from which a pause tells that a replica is slow.
 const LONG_PART: f64 = 0.7;
 
+/// Whether a replica is in the view, and its entry is not missing.
 fn is_there(state: &State, replica: &str) -> bool {
     let table = state.table.lock();
     let seen = table.view.get(replica);
@@ -67,11 +68,11 @@
     keep(state, &place, line, &head.headers);
     let mut response = Response::new(whole(body));
     *response.status_mut() = head.status;
-    *response.headers_mut() = ingress::returned(&head.headers);
-    response.headers_mut().remove(header::CONTENT_LENGTH);
+    *response.headers_mut() = returned(&head.headers);
     Ok(response)
 }
 
+/// Gives a connection back once its answer was read whole, if the replica keeps it.
 fn keep(state: &State, place: &Place, line: Line, headers: &HeaderMap) {
     if ingress::keeps_connection(headers) {
         let keeps_for = ingress::keeps_for(headers);
@@ -106,46 +107,21 @@
     sent: Sent,
     tried: Vec<Name>,
 ) -> Result<Response<Body>, Failed> {
-    let Sent {
-        place,
-        line,
-        response,
-    } = sent;
-    let (head, body) = response.into_parts();
+    let source = Source::from(sent);
     let mut answer = Response::new(());
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = ingress::returned(&head.headers);
-    answer.headers_mut().remove(header::CONTENT_LENGTH);
+    *answer.status_mut() = source.head.status;
+    *answer.headers_mut() = returned(&source.head.headers);
     let mut relay = Relay {
         state: state.clone(),
         call: call.clone(),
-        source: Some(Source {
-            place,
-            line,
-            head,
-            body,
-        }),
+        source: Some(source),
         splitter: Splitter::default(),
         first: None,
         tried,
         last_event: state.now(),
         _in_flight: state.enter(),
     };
-    relay.first = match relay.read().await {
-        Ok(first) => first,
-        Err(why) => {
-            if let Some(source) = relay.source.take() {
-                source.place.failed();
-            }
-            return Err(why);
-        }
-    };
-    relay.last_event = state.now();
-    if let Some(source) = &mut relay.source {
-        source.place.started();
-        let took = state.now().since(call.arrived);
-        state.log.metrics.first_byte(&call.route.name, took);
-    }
+    relay.start().await?;
     let events = stream::unfold(relay, |mut relay| async move {
         let event = relay.step().await?;
         Some((event, relay))
@@ -153,7 +129,48 @@
     Ok(answer.map(|()| StreamBody::new(events).boxed_unsync()))
 }
 
+/// Header fields of an answer as they go on; the length is set anew by what is passed on.
+fn returned(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = ingress::returned(headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
+
+impl Source {
+    /// The events of an answer whose head has come.
+    fn from(sent: Sent) -> Source {
+        let (head, body) = sent.response.into_parts();
+        Source {
+            place: sent.place,
+            line: sent.line,
+            head,
+            body,
+        }
+    }
+}
+
 impl Relay {
+    /// Waits for the first whole event; a failure before it may be made good elsewhere.
+    async fn start(&mut self) -> Result<(), Failed> {
+        self.first = match self.read().await {
+            Ok(first) => first,
+            Err(why) => {
+                if let Some(source) = self.source.take() {
+                    source.place.failed();
+                }
+                return Err(why);
+            }
+        };
+        self.last_event = self.state.now();
+        if let Some(source) = &mut self.source {
+            source.place.started();
+            let took = self.state.now().since(self.call.arrived);
+            let metrics = &self.state.log.metrics;
+            metrics.first_byte(&self.call.route.name, took);
+        }
+        Ok(())
+    }
+
     /// Next piece for the client; none at the end.
     async fn step(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
         if let Some(first) = self.first.take() {
@@ -187,6 +204,7 @@
         }
     }
 
+    /// Tells that the stream is complete.
     fn end(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
         self.state
             .log
@@ -202,6 +220,24 @@
 
     /// Reads whole events, or none when the answer has ended well.
     async fn read(&mut self) -> Result<Option<Bytes>, Failed> {
+        while self.source.is_some() {
+            let Some(frame) = self.frame().await? else {
+                return self.ended().map(|()| None);
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let events = self.splitter.push(data);
+            let events = events.map_err(|_| Failed::Lost("an event was too long".into()))?;
+            if events.is_some() {
+                return Ok(events);
+            }
+        }
+        Ok(None)
+    }
+
+    /// Reads one frame of the answer, or none at its end.
+    async fn frame(&mut self) -> Result<Option<Frame<Bytes>>, Failed> {
         let deadline = self.state.instant(self.call.deadline);
         let resumable = self.call.route.kind.is_repeatable();
         let Some(source) = &mut self.source else {
@@ -213,45 +249,32 @@
                 true => deadline.min(silence),
                 false => deadline,
             };
-            let Ok(frame) = timeout_at(until, source.body.frame()).await else {
-                if until == deadline {
-                    return Err(Failed::Late);
+            match timeout_at(until, source.body.frame()).await {
+                Ok(frame) => {
+                    let broken = |e| Failed::Lost(format!("its stream broke off: {e}"));
+                    return frame.transpose().map_err(broken);
                 }
+                Err(_) if until == deadline => return Err(Failed::Late),
                 // Silence alone is no reason to give a replica up: it may just be slow.
-                if is_there(&self.state, &source.place.replica) {
-                    continue;
-                }
-                return Err(Failed::Lost("the replica was silent, and is gone".into()));
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let events = self.splitter.push(data);
-                    let events =
-                        events.map_err(|_| Failed::Lost("an event was too long".into()))?;
-                    if let Some(events) = events {
-                        return Ok(Some(events));
-                    }
-                }
-                Some(Err(e)) => return Err(Failed::Lost(format!("its stream broke off: {e}"))),
-                None if self.splitter.is_partial() => {
-                    return Err(Failed::Lost("its stream ended inside an event".into()));
+                Err(_) if is_there(&self.state, &source.place.replica) => {}
+                Err(_) => {
+                    return Err(Failed::Lost("the replica was silent, and is gone".into()));
                 }
-                None => break,
             }
         }
+    }
+
+    /// Notes that the answer has ended, unless it ended inside an event.
+    fn ended(&mut self) -> Result<(), Failed> {
+        if self.splitter.is_partial() {
+            return Err(Failed::Lost("its stream ended inside an event".into()));
+        }
         if let Some(mut source) = self.source.take() {
             source.place.answered(false);
-            keep(
-                &self.state,
-                &source.place,
-                source.line,
-                &source.head.headers,
-            );
+            let headers = &source.head.headers;
+            keep(&self.state, &source.place, source.line, headers);
         }
-        Ok(None)
+        Ok(())
     }
 
     /// Takes the stream up at another replica; tells whether that was possible.
@@ -288,13 +311,7 @@
             if let Ok(sent) = sent
                 && sent.response.status().is_success()
             {
-                let (head, body) = sent.response.into_parts();
-                self.source = Some(Source {
-                    place: sent.place,
-                    line: sent.line,
-                    head,
-                    body,
-                });
+                self.source = Some(Source::from(sent));
                 return true;
             }
         }
