--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,17 +17,27 @@
 /// Time for which a disturbance lasts.
 const LASTS_MS: std::ops::Range<u64> = 300..2_500;
 
+/// Time in which hosts that were told to stop are started again: a little over the grace of their
+/// settings, which is 6 s.
+const RESTART: Duration = Duration::from_secs(7);
+
 /// What is to be undone, and when.
 struct Undo {
     at: Instant,
     what: What,
 }
 
+/// What is to be undone; hosts and replicas by index.
 enum What {
+    /// The store's fault.
     Store,
+    /// The harm on a host's way to the store.
     Way(usize),
+    /// The pause of a host's process.
     Wake(usize),
+    /// The end of a host's process.
     Start(usize),
+    /// A replica's fault.
     Heal(usize),
 }
 
@@ -56,7 +66,7 @@
     site.store.set_mode(Mode::Up);
     let stopped = Instant::now();
     // A host that was told to stop needs its grace before it can start again.
-    while stopped.elapsed() < Duration::from_secs(7) {
+    while stopped.elapsed() < RESTART {
         for host in &mut site.hosts {
             host.start()?;
         }
@@ -65,15 +75,28 @@
     Ok(faults)
 }
 
+/// Ways in which the store fails.
+const MODES: [Mode; 4] = [Mode::Busy, Mode::Reset, Mode::Silent, Mode::Lossy];
+
+/// Ways in which a replica treats requests wrongly.
+const FAULTS: [Fault; 7] = [
+    Fault::Sheds,
+    Fault::LosesAnswers,
+    Fault::Crosses,
+    Fault::Unsigned,
+    Fault::CutsEvents,
+    Fault::Fails,
+    Fault::Hangs,
+];
+
 /// Does one thing; gives what is to be undone later.
 async fn strike(site: &mut Site, rng: &mut SmallRng) -> Result<Option<What>, Error> {
     let host = rng.random_range(0..site.hosts.len());
     let replica = rng.random_range(0..site.replicas.len());
     Ok(match rng.random_range(0..16) {
         0 => {
-            let modes = [Mode::Busy, Mode::Reset, Mode::Silent, Mode::Lossy];
             site.disturb();
-            site.store.set_mode(modes[rng.random_range(0..modes.len())]);
+            site.store.set_mode(MODES[rng.random_range(0..MODES.len())]);
             Some(What::Store)
         }
         1 => {
@@ -81,17 +104,9 @@
             site.store.end_leases();
             None
         }
-        2 | 3 => {
-            let delay = Way::Delay(Duration::from_millis(rng.random_range(20..400)));
-            let ways = [delay, Way::Reset, Way::DeafTarget, Way::MuteTarget];
-            site.disturb();
-            site.hosts[host]
-                .store
-                .set(ways[rng.random_range(0..ways.len())]);
-            Some(What::Way(host))
-        }
-        4 => signal(site, host, Signal::SIGKILL),
-        5 | 6 => signal(site, host, Signal::SIGTERM),
+        2 | 3 => Some(harm_way(site, host, rng)),
+        4 => Some(signal(site, host, Signal::SIGKILL)),
+        5 | 6 => Some(signal(site, host, Signal::SIGTERM)),
         7 => {
             signal(site, host, Signal::SIGSTOP);
             Some(What::Wake(host))
@@ -105,19 +120,14 @@
             None
         }
         11 | 12 => {
-            let faults = [
-                Fault::Sheds,
-                Fault::LosesAnswers,
-                Fault::Crosses,
-                Fault::Unsigned,
-                Fault::CutsEvents,
-                Fault::Fails,
-                Fault::Hangs,
-            ];
-            site.replicas[replica].set_fault(faults[rng.random_range(0..faults.len())]);
+            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+            site.replicas[replica].set_fault(fault);
             Some(What::Heal(replica))
         }
-        13 | 14 => leave(site, replica).await?,
+        13 | 14 => {
+            leave(site, replica).await?;
+            None
+        }
         _ => {
             site.replicas[replica].crash();
             site.replicas[replica].vanish();
@@ -127,21 +137,33 @@
     })
 }
 
-fn signal(site: &mut Site, host: usize, signal: Signal) -> Option<What> {
+/// Harms a host's way to the store.
+fn harm_way(site: &mut Site, host: usize, rng: &mut SmallRng) -> What {
+    let delay = Way::Delay(Duration::from_millis(rng.random_range(20..400)));
+    let ways = [delay, Way::Reset, Way::DeafTarget, Way::MuteTarget];
+    site.disturb();
+    let way = ways[rng.random_range(0..ways.len())];
+    site.hosts[host].store.set(way);
+    What::Way(host)
+}
+
+/// Sends a host's process a signal; it may have to be started again.
+fn signal(site: &mut Site, host: usize, signal: Signal) -> What {
     site.disturb();
     site.hosts[host].signal(signal);
-    Some(What::Start(host))
+    What::Start(host)
 }
 
 /// A replica announces that it leaves; another takes its place.
-async fn leave(site: &mut Site, replica: usize) -> Result<Option<What>, Error> {
+async fn leave(site: &mut Site, replica: usize) -> Result<(), Error> {
     if site.replicas[replica].left().is_none() {
         site.replicas[replica].leave();
         replace(site, replica).await?;
     }
-    Ok(None)
+    Ok(())
 }
 
+/// Starts a replica in the place of one that is gone.
 async fn replace(site: &mut Site, replica: usize) -> Result<(), Error> {
     let gone = &site.replicas[replica].options;
     let (service, models) = (gone.service.clone(), gone.models.clone());
@@ -149,6 +171,7 @@
     site.add_replica(&service, &models).await
 }
 
+/// Undoes the disturbances whose time is over, or all.
 async fn undo_due(site: &mut Site, undos: &mut Vec<Undo>, all: bool) -> Result<(), Error> {
     let now = Instant::now();
     let (due, rest): (Vec<Undo>, Vec<Undo>) = std::mem::take(undos)
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,9 +1,7 @@
 //! Loopback proxy that harms the connections that run through it.
 
-use parking_lot::Mutex;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -30,7 +28,6 @@
     /// Where it listens.
     pub addr: SocketAddr,
     mode: watch::Sender<Mode>,
-    target: Arc<Mutex<SocketAddr>>,
 }
 
 /// Starts a proxy to a target.
@@ -38,15 +35,13 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     let mode = watch::Sender::new(Mode::Pass);
-    let target = Arc::new(Mutex::new(target));
-    let (modes, to) = (mode.subscribe(), target.clone());
+    let modes = mode.subscribe();
     tokio::spawn(async move {
         while let Ok((client, _)) = listener.accept().await {
-            let to = *to.lock();
-            tokio::spawn(connect(client, to, modes.clone()));
+            tokio::spawn(connect(client, target, modes.clone()));
         }
     });
-    Ok(Proxy { addr, mode, target })
+    Ok(Proxy { addr, mode })
 }
 
 impl Proxy {
@@ -54,13 +49,9 @@
     pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
-
-    /// Changes the target of new connections.
-    pub fn aim(&self, target: SocketAddr) {
-        *self.target.lock() = target;
-    }
 }
 
+/// Passes bytes both ways until one end closes or the mode resets.
 async fn connect(client: TcpStream, target: SocketAddr, mode: watch::Receiver<Mode>) {
     let Ok(server) = TcpStream::connect(target).await else {
         return;
