Name bare factors of the plan of copies and of the choice; split the plan's best step

The charge for a replica that fails and the part that its load takes off a copy's value stood as numbers in formulas. Their values are the same.

--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -17,6 +17,9 @@
 /// Part of a model's value that a load from the weight store keeps: it takes several times as long.
 const FROM_STORE: f64 = 0.6;
 
+/// Part of a copy's value that is lost on a replica whose places are all taken.
+const LOADED: f64 = 0.3;
+
 /// Factor by which a copy gained must exceed those given up, so that copies do not move to and fro.
 const HYSTERESIS: f64 = 1.5;
 
@@ -134,6 +137,7 @@
     uncovered * COVERED + weight / (n * (n + 1.0))
 }
 
+/// The step that gains most now, and its gain.
 fn best(
     replicas: &[Replica],
     models: &[Model],
@@ -145,34 +149,8 @@
         if !replica.idle || !replica.stays {
             continue;
         }
-        for (m, model) in models.iter().enumerate() {
-            if replica.held.contains(&m) {
-                continue;
-            }
-            let from_store = !replica.copied.contains(&m);
-            if from_store && store_loads == 0 {
-                continue;
-            }
-            let part = if from_store { FROM_STORE } else { 1.0 };
-            let gain = value(model, counts[m]) * part * (1.0 - 0.3 * replica.load.min(1.0));
-            let found = match model.memory_mb <= replica.free_mb {
-                true => Some((
-                    Step::Load {
-                        replica: r,
-                        model: m,
-                        from_store,
-                    },
-                    gain,
-                )),
-                false => swap(replica, models, counts, m).map(|(out, loss)| {
-                    let step = Step::Unload {
-                        replica: r,
-                        model: out,
-                        instead: m,
-                    };
-                    (step, gain - loss * HYSTERESIS - LEAST_GAIN)
-                }),
-            };
+        for m in 0..models.len() {
+            let found = step((r, replica), m, models, counts, store_loads);
             if let Some((step, score)) = found
                 && score > 0.0
                 && best.is_none_or(|(_, most)| score > most)
@@ -184,6 +162,38 @@
     best
 }
 
+/// The step towards one more copy of a model on a replica, and its gain.
+fn step(
+    (r, replica): (usize, &Replica),
+    m: usize,
+    models: &[Model],
+    counts: &[usize],
+    store_loads: usize,
+) -> Option<(Step, f64)> {
+    let from_store = !replica.copied.contains(&m);
+    if replica.held.contains(&m) || from_store && store_loads == 0 {
+        return None;
+    }
+    let part = if from_store { FROM_STORE } else { 1.0 };
+    let unladen = 1.0 - LOADED * replica.load.min(1.0);
+    let gain = value(&models[m], counts[m]) * part * unladen;
+    if models[m].memory_mb <= replica.free_mb {
+        let load = Step::Load {
+            replica: r,
+            model: m,
+            from_store,
+        };
+        return Some((load, gain));
+    }
+    let (out, loss) = swap(replica, models, counts, m)?;
+    let unload = Step::Unload {
+        replica: r,
+        model: out,
+        instead: m,
+    };
+    Some((unload, gain - loss * HYSTERESIS - LEAST_GAIN))
+}
+
 /// The first model to give up for another, and the value of all that must go; none when what may
 /// go does not make room.
 fn swap(
--- a/crates/route/src/batch.rs
+++ b/crates/route/src/batch.rs
@@ -18,6 +18,9 @@
 /// Share of failures above which a replica is chosen only when no other is left.
 const FAILING: f64 = 0.3;
 
+/// Part of a cost that is added to it for a replica whose answers all fail.
+const FAILING_CHARGE: f64 = 4.0;
+
 /// Replica that could take the request.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
@@ -84,6 +87,7 @@
         self.backlog == Span::ZERO || ask.pace.is_none_or(fits)
     }
 
+    /// Cost of sending the request there.
     fn cost(&self, ask: &Ask, rng: &mut impl Rng) -> Span {
         let distance = match self.near {
             true => Span::ZERO,
@@ -95,7 +99,7 @@
         };
         let jitter = Span(rng.random_range(0..=JITTER.0));
         let lagging = LAGGING * self.lagging;
-        let failing = 1.0 + 4.0 * self.failing;
+        let failing = 1.0 + FAILING_CHARGE * self.failing;
         (self.first_token(ask) + late + lagging + distance + jitter) * failing
     }
 }
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -21,6 +21,7 @@
     steps: VecDeque<Step>,
 }
 
+/// Counts of one step of the window.
 #[derive(Debug, Clone, Copy)]
 struct Step {
     start: Time,
@@ -39,6 +40,7 @@
         }
     }
 
+    /// The step that holds now; those that have left the window are forgotten.
     fn step(&mut self, now: Time) -> &mut Step {
         let length = self.length;
         while self
