Mend doc comments of the daemon that no longer say what the code does

The exchange of sums has not been a star alone since few hosts tell each other directly; its pause is not the longest there is; a constant that follow.rs names is gone; the leader does not answer the host that wants an adapter alone. Comments only.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,7 +1,7 @@
 //! Following the store: one watch over all keys tells configuration, replicas and leader.
 //!
-//! A watch is answered at the first change and is priced, so the next one starts only after
-//! [`COALESCED`]; changes of that time come together.
+//! A watch is answered at the first change and is priced, so the next one starts only after a pause;
+//! changes of that time come together.
 
 use crate::leader;
 use crate::state::State;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod error;
 pub mod events;
 pub mod follow;
-
 pub mod leader;
 pub mod log;
 pub mod message;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -159,7 +159,7 @@
     pub model: Name,
     /// Its adapter.
     pub adapter: Name,
-    /// Where to answer.
+    /// Where the host that needs it takes datagrams.
     pub reply: SocketAddr,
 }
 
@@ -174,7 +174,7 @@
     pub replica: Option<Name>,
 }
 
-/// Reads a datagram; none when it is not one of ours.
+/// Reads a datagram; an error when it is not one of ours.
 pub fn decode(bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
     rmp_serde::from_slice(bytes)
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,7 +1,8 @@
 //! Sums that daemons exchange over UDP: each host tells the leader, the leader tells all.
 //!
-//! A star rather than a mesh: datagrams grow with the hosts, not with their square. A lost datagram
-//! only makes a sum older; sums past their age are not used.
+//! A star, so that datagrams grow with the hosts and not with their square; few hosts tell each
+//! other directly as well, which is sooner. A lost datagram only makes a sum older; sums past their
+//! age are not used.
 
 use crate::message::{self, Digest, Load, MOST_DATAGRAM, Message, Placed, Row, Sums, Want};
 use crate::state::{State, Wanted};
@@ -14,10 +15,10 @@
 use tokio::sync::Notify;
 use unit::{Name, Span, Time};
 
-/// Longest pause between two rounds of sums.
+/// Pause between two rounds of sums, where hosts tell each other directly.
 const ROUND: Duration = Duration::from_millis(250);
 
-/// Pause between two rounds while requests are counted in, where hosts cannot tell each other.
+/// Least pause between two rounds, where hosts are too many to tell each other.
 const STAR_ROUND: Duration = Duration::from_millis(100);
 
 /// Time that each host adds to the pause, so that the leader's work does not grow with them.
@@ -29,7 +30,7 @@
 /// Time in which one adapter is asked for only once.
 const ASKED_ONCE: Span = Span::from_ms(60);
 
-/// Longest datagram that is received.
+/// Longest datagram that is received, in bytes.
 const BUFFER: usize = 8 * 1_024;
 
 /// Hosts up to which each tells all others directly; beyond, the leader's sums must do.
@@ -50,8 +51,10 @@
     pub wanted: Notify,
 }
 
+/// What one host has told.
 struct Told {
     sums: Sums,
+    /// Where it takes datagrams.
     from: SocketAddr,
     at: Time,
 }
@@ -154,6 +157,7 @@
         }
     }
 
+    /// Takes in the sums and plans of the leader, unless a later one is known.
     fn digest(&self, digest: Digest, now: Time) {
         let known = self.state.leader.lock().as_ref().map(|l| l.term);
         if known.is_some_and(|term| digest.term < term) {
@@ -175,6 +179,7 @@
         }
     }
 
+    /// Takes in where an adapter is.
     fn placed(&self, placed: Placed) {
         if let Some(replica) = &placed.replica {
             let mut table = self.state.table.lock();
@@ -234,6 +239,7 @@
         }
     }
 
+    /// Tells the leader what this host has seen and has in flight.
     async fn tell_round(&self, round: u32) {
         let Some(leader) = self.state.leader.lock().clone() else {
             return;
