--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -1,6 +1,6 @@
 //! Logs: JSON lines on standard output, written by a thread of their own that is never waited for.
 //!
-//! Routine decisions are told for one request in [`SAMPLE`], chosen by its identity, so that every
+//! Routine decisions are told for one request in `SAMPLE`, chosen by its identity, so that every
 //! host tells the same requests whole. What is out of the ordinary is told up to a rate. Lines
 //! that were left out or did not fit the buffer are counted.
 
