--- /dev/null
+++ b/crates/front/src/planner/ahead.rs
@@ -0,0 +1,67 @@
+//! Adapters that are fetched before they are asked for, into places that are free.
+
+use super::adapters::job;
+use super::{Book, Planner};
+use crate::orders::Known;
+use place::adapters::{self, Replica};
+use platform::config::Engine;
+use platform::replica::Operation;
+use unit::Name;
+
+/// Adapters fetched ahead in one plan; the store's links are shared by all fetches.
+const FETCHED_AHEAD: usize = 8;
+
+impl Planner {
+    /// Queues the fetches of adapters that are on no replica, those of models in demand first.
+    pub(super) fn fetch_ahead(&self, service: &Name, engine: &Engine) {
+        let Some((_, entries)) = self.staying(service) else {
+            return;
+        };
+        let mut book = self.book.lock();
+        let replicas: Vec<Replica> = entries
+            .iter()
+            .map(|e| {
+                book.known
+                    .get(&e.id)
+                    .map_or_else(Replica::default, |k| places(k, engine))
+            })
+            .collect();
+        let counts: Vec<u32> = engine.models.iter().map(|m| m.adapters).collect();
+        let order = by_demand(&book, service, engine);
+        for (replica, model, number) in adapters::plan(&replicas, &counts, &order, FETCHED_AHEAD) {
+            let model = &engine.models[model];
+            if let Some(known) = book.known.get_mut(&entries[replica].id) {
+                let load = job(Operation::Load, &model.name, &model.adapter(number));
+                known.queue.push_back(load);
+            }
+        }
+    }
+}
+
+/// Models that have adapters, those in demand first.
+fn by_demand(book: &Book, service: &Name, engine: &Engine) -> Vec<usize> {
+    let demand = |m: &usize| {
+        let key = (service.clone(), engine.models[*m].name.clone());
+        book.demand.get(&key).map_or(0.0, |d| d.now + d.recent)
+    };
+    let mut order: Vec<usize> = (0..engine.models.len())
+        .filter(|m| engine.models[*m].adapters > 0)
+        .collect();
+    order.sort_by(|a, b| demand(b).total_cmp(&demand(a)));
+    order
+}
+
+/// A replica's places for adapters; none while it is about to change what it holds.
+fn places(known: &Known, engine: &Engine) -> Replica {
+    let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
+    let held = known.adapters().into_iter().filter_map(|(model, adapter)| {
+        let at = index(&model)?;
+        Some((at, engine.models[at].adapter_number(&adapter)?))
+    });
+    Replica {
+        models: known.held.iter().filter_map(|h| index(&h.model)).collect(),
+        free: (engine.adapters as usize).saturating_sub(known.adapters_due()),
+        adapters: held.collect(),
+        idle: known.is_idle() && known.closing.is_none(),
+    }
+}
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -17,6 +17,9 @@
 /// Part of a model's value that a load from the weight store keeps: it takes several times as long.
 const FROM_STORE: f64 = 0.6;
 
+/// Part of a copy's value that is lost on a replica whose places are all taken.
+const LOADED: f64 = 0.3;
+
 /// Factor by which a copy gained must exceed those given up, so that copies do not move to and fro.
 const HYSTERESIS: f64 = 1.5;
 
@@ -185,7 +188,7 @@
         return None;
     }
     let part = if from_store { FROM_STORE } else { 1.0 };
-    let gain = gain * part * (1.0 - 0.3 * replica.load.min(1.0));
+    let gain = gain * part * (1.0 - LOADED * replica.load.min(1.0));
     if models[m].memory_mb <= replica.free_mb {
         let load = Step::Load {
             replica: r,
