--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -50,9 +50,10 @@
         }
     }
 
-    /// Replicas that run models.
+    /// All replicas, those of plain services too.
     fn replicas(&self) -> Vec<Name> {
-        self.book.lock().known.keys().cloned().collect()
+        let table = self.state.table.lock();
+        table.view.all().map(|s| s.entry.id.clone()).collect()
     }
 }
 
