--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -22,7 +22,10 @@
     let mut violations = Vec::new();
     for one in told {
         let ran: u32 = replicas.iter().map(|r| r.seen(&one.id).ran).sum();
-        violations.extend(request(one, ran));
+        let ended = one.sent + one.took;
+        let paused = site.pauses.iter().filter(|p| p.host == one.host);
+        let paused: Duration = paused.map(|p| p.within(one.sent, ended)).sum();
+        violations.extend(request(one, ran, paused));
     }
     violations.extend(replicas.iter().filter_map(memory));
     violations.extend(replicas.iter().filter_map(|r| leaving(r, &site.disturbed)));
@@ -31,8 +34,9 @@
     violations
 }
 
-/// What is broken about one request that ran so many times.
-pub fn request(told: &Told, ran: u32) -> Vec<String> {
+/// What is broken about one request that ran so many times, and whose host was paused so long
+/// meanwhile: a process that stands still answers nothing.
+pub fn request(told: &Told, ran: u32, paused: Duration) -> Vec<String> {
     let mut violations = Vec::new();
     let Told { id, kind, .. } = told;
     if let Some(wrong) = &told.wrong {
@@ -46,9 +50,11 @@
     if !kind.is_repeatable() && ran > 1 {
         violations.push(format!("request {id} ({kind:?}) ran {ran} times"));
     }
-    if told.connected && told.took > PATIENCE + HELD {
-        let ms = told.took.as_millis();
-        violations.push(format!("request {id} ({kind:?}) was held for {ms} ms"));
+    if told.connected && told.took > PATIENCE + HELD + paused {
+        let (ms, paused) = (told.took.as_millis(), paused.as_millis());
+        violations.push(format!(
+            "request {id} ({kind:?}) was held for {ms} ms, in {paused} of which its host was paused"
+        ));
     }
     violations
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,7 +2,7 @@
 
 use crate::error::Error;
 use crate::proxy::Mode as Way;
-use crate::site::Site;
+use crate::site::{Pause, Site};
 use nix::sys::signal::Signal;
 use platform_standin::replica::Fault;
 use platform_standin::store::Mode;
@@ -109,6 +109,7 @@
         5 | 6 => Some(signal(site, host, Signal::SIGTERM)),
         7 => {
             signal(site, host, Signal::SIGSTOP);
+            site.pauses.push(Pause::start(host));
             Some(What::Wake(host))
         }
         8 => {
@@ -185,7 +186,10 @@
         match undo.what {
             What::Store => site.store.set_mode(Mode::Up),
             What::Way(host) => site.hosts[host].store.set(Way::Pass),
-            What::Wake(host) => site.hosts[host].signal(Signal::SIGCONT),
+            What::Wake(host) => {
+                site.hosts[host].signal(Signal::SIGCONT);
+                site.wake(host);
+            }
             What::Start(host) => site.hosts[host].start()?,
             What::Heal(replica) => site.replicas[replica].set_fault(Fault::None),
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -55,6 +55,8 @@
     pub version: u64,
     /// When the store or a host was disturbed, or a disturbance ended.
     pub disturbed: Vec<Instant>,
+    /// When hosts stood still.
+    pub pauses: Vec<Pause>,
     next_replica: u32,
 }
 
@@ -104,6 +106,7 @@
         hosts: Vec::new(),
         version: 0,
         disturbed: Vec::new(),
+        pauses: Vec::new(),
         next_replica: 1,
     };
     site.configure();
@@ -121,7 +124,42 @@
     Ok(site)
 }
 
+/// Time in which a host's process was paused.
+#[derive(Debug, Clone, Copy)]
+pub struct Pause {
+    /// The host, by index.
+    pub host: usize,
+    from: Instant,
+    to: Option<Instant>,
+}
+
+impl Pause {
+    /// A pause that starts now.
+    pub fn start(host: usize) -> Pause {
+        Pause {
+            host,
+            from: Instant::now(),
+            to: None,
+        }
+    }
+
+    /// Part of a span of time that falls into the pause.
+    pub fn within(&self, from: Instant, to: Instant) -> Duration {
+        let end = self.to.unwrap_or(to).min(to);
+        end.saturating_duration_since(self.from.max(from))
+    }
+}
+
 impl Site {
+    /// Ends the pauses of a host.
+    pub fn wake(&mut self, host: usize) {
+        let now = Instant::now();
+        let paused = self.pauses.iter_mut().filter(|p| p.host == host);
+        for pause in paused.filter(|p| p.to.is_none()) {
+            pause.to = Some(now);
+        }
+    }
+
     /// Notes that the store or a host is disturbed now.
     pub fn disturb(&mut self) {
         self.disturbed.push(Instant::now());
