--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -7,11 +7,10 @@
 use front::{Daemon, Settings};
 use hyper::Request;
 use platform::config::Kind;
-use platform_standin::Route;
 use platform_standin::replica::{self, Options, Replica};
 use platform_standin::store::{self, Store};
+use platform_standin::{Route, ports};
 use serde_json::Value;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -61,25 +60,15 @@
     replica::spawn(store, options).await.unwrap()
 }
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.local_addr().unwrap()
-}
-
 /// Settings of a daemon on free ports.
 pub fn settings(store: &Store, name: &str) -> Settings {
     Settings {
         name: name.into(),
         hall: "a".into(),
-        callers: free_tcp(),
-        readiness: free_tcp(),
-        metrics: free_tcp(),
-        peers: free_udp(),
+        callers: ports::free(),
+        readiness: ports::free(),
+        metrics: ports::free(),
+        peers: ports::free(),
         store: store.addr,
         bounds: Bounds {
             grace: Duration::from_secs(4),
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -4,9 +4,10 @@
 use crate::proxy::{self, Proxy};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use platform_standin::ports;
 use snafu::ResultExt;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -24,18 +25,6 @@
     child: Option<Child>,
 }
 
-fn port() -> Result<SocketAddr, Error> {
-    let what = "a free port";
-    let listener = TcpListener::bind("127.0.0.1:0").context(SystemSnafu { what })?;
-    listener.local_addr().context(SystemSnafu { what })
-}
-
-fn udp_port() -> Result<SocketAddr, Error> {
-    let what = "a free port";
-    let socket = UdpSocket::bind("127.0.0.1:0").context(SystemSnafu { what })?;
-    socket.local_addr().context(SystemSnafu { what })
-}
-
 /// Starts a daemon with its settings and log in a folder.
 pub async fn spawn(
     program: &Path,
@@ -45,13 +34,13 @@
 ) -> Result<Host, Error> {
     let what = "a proxy";
     let store = proxy::spawn(store).await.context(SystemSnafu { what })?;
-    let callers = port()?;
+    let callers = ports::free();
     let text = format!(
         "[daemon]\nname = {name}\nhall = a\ncallers = {callers}\nreadiness = {}\nmetrics = {}\npeers = {}\n\
          [store]\naddress = {}\n[bounds]\ngrace_seconds = 6\nlease_ms = 1000\n",
-        port()?,
-        port()?,
-        udp_port()?,
+        ports::free(),
+        ports::free(),
+        ports::free(),
         store.addr
     );
     let settings = folder.join(format!("{name}.ini"));
