coveford losses: how requests ended, by cause, route and second, from logs

Ends of requests now carry route, model, target and longest pause, each daemon tells at its start how many requests stand behind a line ([log] sample, 64 unless set), and the command counts them.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod error;
 pub mod gauges;
 pub mod keys;
+pub mod losses;
 pub mod options;
 mod platform_tool;
 pub mod render;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -71,6 +71,13 @@
         /// Its id.
         request: Name,
     },
+    /// Counts how requests ended, from logs.
+    Losses {
+        /// Logs of daemons on a platform.
+        logs: Vec<PathBuf>,
+        /// Length of a row, in seconds.
+        step: u32,
+    },
     /// Explains a model's placement.
     WhyModel {
         /// Its name.
@@ -283,6 +290,21 @@
             .descr("Shows hosts, upstreams and models, or the state of daemons on a platform")
             .command("status")
     };
+    let losses = {
+        let step = long("step")
+            .help("Length of a row, in seconds")
+            .argument::<u32>("SECONDS")
+            .guard(|step| *step > 0, "a row must be at least one second long")
+            .fallback(2);
+        let logs = long("log")
+            .help("Log of a daemon on a platform, may be given several times; - is standard input")
+            .argument::<PathBuf>("FILE")
+            .some("give at least one log with --log FILE");
+        construct!(Command::Losses { logs, step })
+            .to_options()
+            .descr("Counts how requests ended, by cause, route and second, from logs")
+            .command("losses")
+    };
     let moves = pure(Command::Moves)
         .to_options()
         .descr("Lists the newest moves and their reasons")
@@ -294,7 +316,7 @@
             .descr("Drains one of coveford's hosts: requests in flight end, then it stops")
             .command("drain")
     };
-    let command = construct!([bundle, status, why, moves, drain, key]);
+    let command = construct!([bundle, status, why, losses, moves, drain, key]);
     construct!(Options {
         json,
         settings,
@@ -303,7 +325,7 @@
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
     .descr("Rolls bundles of intent and asks coveford why")
-    .footer("Examples:\n  coveford --settings ops.ini bundle check b.ini --fleet\n  coveford --settings ops.ini why request d1-5f3a-2c\n  coveford why request 9c41d07be2a35f68 --log d1.log --log d2.log\n  coveford status --metrics 10.1.0.38:9464 --metrics 10.2.0.40:9464\nExit codes: 0 done, 2 wrong use, 3 refused, 4 unreachable, 5 not known yet")
+    .footer("Examples:\n  coveford --settings ops.ini bundle check b.ini --fleet\n  coveford --settings ops.ini why request d1-5f3a-2c\n  coveford why request 9c41d07be2a35f68 --log d1.log --log d2.log\n  coveford losses --log d1.log --log d2.log\n  coveford status --metrics 10.1.0.38:9464 --metrics 10.2.0.40:9464\nExit codes: 0 done, 2 wrong use, 3 refused, 4 unreachable, 5 not known yet")
 }
 
 /// Reads the command line of this process; wrong use ends it with code 2.
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,7 +6,7 @@
 use crate::platform_tool::{self, Tool};
 use crate::render::{json, out, table};
 use crate::state::{self, Seen};
-use crate::{gauges, keys, story, why};
+use crate::{gauges, keys, losses, story, why};
 use bundle::part;
 use daemon::shelf;
 use serde_json::json;
@@ -60,6 +60,14 @@
             print(&story::request(request, logs)?);
             Ok(())
         }
+        Command::Losses { logs, step } => {
+            let losses = losses::read(logs, *step)?;
+            match options.json {
+                true => json(&losses),
+                false => out(losses::tables(&losses)),
+            }
+            Ok(())
+        }
         Command::Status { metrics } if !metrics.is_empty() => daemons(options, metrics).await,
         _ => with_platform(options, &platform_tool::load(&options.settings)?).await,
     }
@@ -150,7 +158,8 @@
         Command::KeyMake { .. }
         | Command::KeyShow { .. }
         | Command::KeyHash { .. }
-        | Command::KeyWire => unreachable!("these need no platform"),
+        | Command::KeyWire
+        | Command::Losses { .. } => unreachable!("these need no platform"),
     }
     Ok(())
 }
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -47,7 +47,7 @@
     let story = tell(id, &lines);
     if story.is_empty() {
         let text = format!(
-            "No line names request '{id}'. Routine requests are told for one in 64; those that failed are told up to a rate, and lines with event left_out count the rest."
+            "No line names request '{id}'. Routine requests are told for one in 64, or as the settings say; those that failed are told up to a rate, and lines with event left_out count the rest."
         );
         return Err(Error::NotFound { text });
     }
@@ -75,15 +75,23 @@
 }
 
 impl Line {
-    fn text(&self, field: &str) -> &str {
+    /// A field of text; empty where there is none.
+    pub fn text(&self, field: &str) -> &str {
         self.fields.get(field).and_then(Value::as_str).unwrap_or("")
     }
 
+    /// A field that is a number, if there is one.
+    pub fn measured(&self, field: &str) -> Option<f64> {
+        self.fields.get(field).and_then(Value::as_f64)
+    }
+
+    /// When it was written, in milliseconds since the beginning of the month.
+    pub fn at_ms(&self) -> i64 {
+        self.at_ms
+    }
+
     fn number(&self, field: &str) -> f64 {
-        self.fields
-            .get(field)
-            .and_then(Value::as_f64)
-            .unwrap_or(0.0)
+        self.measured(field).unwrap_or(0.0)
     }
 
     fn is_about(&self, id: &str) -> bool {
@@ -131,7 +139,7 @@
     }
 
     fn come_back(&self) -> String {
-        match self.fields.get("retry_after_ms").and_then(Value::as_f64) {
+        match self.measured("retry_after_ms") {
             Some(ms) => {
                 format!(" It had not run; the client was asked to come back in {ms:.0} ms.")
             }
--- /dev/null
+++ b/crates/cli/tests/losses.rs
@@ -0,0 +1,56 @@
+//! What `coveford losses` counts from logs.
+
+use cli::losses::{count, tables};
+use cli::story::read;
+
+/// Two daemons: one tells every request, the other one in ten.
+const LOG: &str = r#"
+  -9.98 c1 {"host":"c1","timestamp":"2026-04-29T05:54:00.000000Z","event":"started","sample":1,"target":"daemon"}
+{"host":"c2","timestamp":"2026-04-29T05:54:00.000000Z","event":"started","sample":10,"target":"daemon"}
+{"host":"c1","timestamp":"2026-04-29T05:54:10.100000Z","event":"answered","route":"chat","ms":100,"first_ms":40,"target_ms":400,"pause_ms":0,"gap_ms":250,"target":"request"}
+{"host":"c1","timestamp":"2026-04-29T05:54:13.000000Z","event":"answered","route":"chat","ms":900,"first_ms":500,"target_ms":400,"pause_ms":0,"gap_ms":250,"target":"request"}
+{"host":"c1","timestamp":"2026-04-29T05:54:13.500000Z","event":"answered","route":"chat","ms":900,"first_ms":50,"target_ms":400,"pause_ms":300,"gap_ms":250,"target":"request"}
+{"host":"c2","timestamp":"2026-04-29T05:54:13.500000Z","event":"answered","route":"status","status":200,"ms":30,"target_ms":150,"target":"request"}
+{"host":"c2","timestamp":"2026-04-29T05:54:13.500000Z","event":"answered","route":"status","status":500,"ms":30,"target_ms":150,"target":"request"}
+{"host":"c2","timestamp":"2026-04-29T05:54:14.000000Z","event":"refused","route":"chat","status":503,"reason":"no_adapter","ms":100,"target":"request"}
+{"host":"c2","timestamp":"2026-04-29T05:54:14.000000Z","event":"broken","route":"chat","ms":1000,"target":"request"}
+{"host":"c2","timestamp":"2026-04-29T05:54:15.000000Z","event":"left_out","lines":7,"target":"log"}
+{"host":"c2","timestamp":"2026-04-29T05:54:15.000000Z","event":"sent","id":"x","route":"chat","target":"request"}
+"#;
+
+#[test]
+fn each_end_counts_under_its_cause_by_the_sample_of_its_host() {
+    let losses = count(&read(LOG), 2);
+    let of = |cause: &str, route: &str| losses.causes[cause][route];
+    assert_eq!(of("in time", "chat"), 1.0);
+    assert_eq!(of("in time", "status"), 10.0);
+    assert_eq!(of("late", "chat"), 1.0);
+    assert_eq!(of("long pause", "chat"), 1.0);
+    assert_eq!(of("failed by its replica", "status"), 10.0);
+    assert_eq!(of("no adapter", "chat"), 1.0, "a refusal stands for itself");
+    assert_eq!(of("stream broken off", "chat"), 1.0);
+    assert_eq!(losses.left_out, 7.0);
+}
+
+#[test]
+fn a_request_stands_in_the_row_in_which_it_came() {
+    let losses = count(&read(LOG), 2);
+    let rows: Vec<i64> = losses.seconds.keys().copied().collect();
+    assert_eq!(rows, [0, 2], "the second row begins two seconds later");
+    assert_eq!(losses.seconds[&0]["in time"], 1.0);
+    assert_eq!(losses.seconds[&2]["late"], 1.0);
+}
+
+#[test]
+fn the_largest_cause_stands_first_and_what_was_left_out_is_said() {
+    let text = tables(&count(&read(LOG), 2));
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[1].starts_with(" failed by its replica") || lines[1].starts_with(" in time"));
+    assert!(text.contains("status 10, chat 1"), "{text}");
+    assert!(text.contains("7 lines were left out"), "{text}");
+}
+
+#[test]
+fn a_log_without_requests_counts_nothing() {
+    assert!(count(&read("no log at all"), 2).causes.is_empty());
+}
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -1,7 +1,7 @@
 //! Logs: JSON lines on standard output, written by a thread of their own that is never waited for.
 //!
-//! Routine decisions are told for one request in `SAMPLE`, chosen by its identity, so that every
-//! host tells the same requests whole. What is out of the ordinary is told up to a rate. Lines
+//! Routine decisions are told for one request in so many, chosen by its identity, so that every host
+//! tells the same requests whole. What is out of the ordinary is told up to a rate. Lines
 //! that were left out or did not fit the buffer are counted.
 
 use crate::metrics::Metrics;
@@ -13,9 +13,6 @@
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
-/// One request in that many is told whole.
-const SAMPLE: u64 = 64;
-
 /// Lines out of the ordinary that may be told a second; each costs some 20 µs.
 const LINES_PER_SECOND: f64 = 40.0;
 
@@ -29,6 +26,8 @@
 pub struct Log {
     /// Its metrics.
     pub metrics: Metrics,
+    /// One request in that many is told whole.
+    sample: u64,
     bucket: Mutex<Bucket>,
     left_out: AtomicU64,
 }
@@ -38,10 +37,11 @@
     filled: Instant,
 }
 
-/// Makes the logs of a daemon.
-pub fn open() -> Log {
+/// Makes the logs of a daemon that tells one request in `sample` whole.
+pub fn open(sample: u64) -> Log {
     Log {
         metrics: crate::metrics::open(),
+        sample,
         bucket: Mutex::new(Bucket {
             lines: BURST,
             filled: Instant::now(),
@@ -98,7 +98,7 @@
 impl Log {
     /// Tells a routine decision about a request, if the request is one of the sample.
     pub fn routine(&self, id: &str, tell: impl FnOnce()) {
-        if unit::rendezvous::hash(id.as_bytes()).is_multiple_of(SAMPLE) {
+        if unit::rendezvous::hash(id.as_bytes()).is_multiple_of(self.sample) {
             tell();
         }
     }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -237,10 +237,14 @@
             .ended(&self.call.route.name, "complete");
         let id = &self.call.id;
         let ms = self.state.now().since(self.call.arrived).ms();
+        let route = &self.call.route;
+        let model = self.call.ask.model.as_deref();
+        let target_ms = Span::from(route.target).ms();
+        let gap_ms = route.gap.map(|gap| Span::from(gap).ms());
         let (first_ms, pause_ms) = (self.first_after.ms(), self.longest.took.ms());
         let (in_flight, unread_ms) = (self.longest.in_flight, self.longest.unread.ms());
         self.state.log.routine(id, || {
-            info!(target: "request", event = "answered", id = &**id, ms, first_ms, pause_ms, in_flight, unread_ms, "the stream is complete; pause_ms is its longest long pause, with what stood at the replica then")
+            info!(target: "request", event = "answered", id = &**id, route = &*route.name, model, ms, first_ms, target_ms, pause_ms, gap_ms, in_flight, unread_ms, "the stream is complete; pause_ms is its longest long pause, with what stood at the replica then")
         });
         None
     }
@@ -367,7 +371,7 @@
         let ms = self.state.now().since(call.arrived).ms();
         self.state.log.metrics.ended(&call.route.name, "cancelled");
         self.state.log.routine(&call.id, || {
-            info!(target: "request", event = "cancelled", id = &*call.id, replica = &*source.place.replica, ms, "the client left; the replica's connection is closed")
+            info!(target: "request", event = "cancelled", id = &*call.id, route = &*call.route.name, replica = &*source.place.replica, ms, "the client left; the replica's connection is closed")
         });
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -67,7 +67,7 @@
 
 /// Runs a daemon by its settings until it is told to stop.
 pub fn run(path: &Path, settings: Settings) -> Result<(), Error> {
-    let guard = log::start(&settings.name, &settings.log_level);
+    let guard = log::start(&settings.name, &settings.log.level);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -137,7 +137,8 @@
     let answers = listen(settings.peers).await?;
     let addr = settings.peers;
     let socket = UdpSocket::bind(addr).await.context(ListenSnafu { addr })?;
-    let (state, wanted) = state::open(settings, log::open(), STORE_LIMIT);
+    let log = log::open(settings.log.sample);
+    let (state, wanted) = state::open(settings, log, STORE_LIMIT);
     let peers = peers::open(state.clone(), socket);
     let entry = serve::Entry {
         state: state.clone(),
@@ -152,7 +153,7 @@
         state,
     };
     let settings = &daemon.state.settings;
-    info!(target: "daemon", event = "started", name = &*settings.name, hall = &*settings.hall, callers = %settings.callers, version = env!("CARGO_PKG_VERSION"), "the daemon runs");
+    info!(target: "daemon", event = "started", name = &*settings.name, hall = &*settings.hall, callers = %settings.callers, sample = settings.log.sample, version = env!("CARGO_PKG_VERSION"), "the daemon runs");
     Ok(daemon)
 }
 
--- a/crates/front/src/serve/tell.rs
+++ b/crates/front/src/serve/tell.rs
@@ -7,12 +7,13 @@
 use crate::table::Choice;
 use hyper::Response;
 use tracing::{info, warn};
+use unit::Span;
 
 /// Tells that a request is sent to a replica, and whether it waited for its turn.
 pub(super) fn sent(state: &State, call: &Call, choice: &Choice, waited: bool) {
     state.log.routine(&call.id, || {
         let ms = state.now().since(call.arrived).ms();
-        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), paced = choice.paced, waited, ms, entry = choice.revision, "sent to the replica with the least expected time")
+        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, model = call.ask.model.as_deref(), adapter = call.ask.adapter.as_deref(), replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), paced = choice.paced, waited, ms, entry = choice.revision, "sent to the replica with the least expected time")
     });
 }
 
@@ -30,7 +31,7 @@
     };
     state.log.metrics.ended(&call.route.name, outcome);
     state.log.routine(&call.id, || {
-        info!(target: "request", event = "answered", id = &*call.id, status, ms = took.ms(), "the replica's answer was passed on")
+        info!(target: "request", event = "answered", id = &*call.id, route = &*call.route.name, status, ms = took.ms(), target_ms = Span::from(call.route.target).ms(), "the replica's answer was passed on")
     });
 }
 
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -26,8 +26,17 @@
     pub bounds: Bounds,
     /// Bounds of this process.
     pub limits: Limits,
-    /// Filter of the logs, such as `info`.
-    pub log_level: Name,
+    /// How logs are written.
+    pub log: Log,
+}
+
+/// How logs are written.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Log {
+    /// Filter of the lines, such as `info`.
+    pub level: Name,
+    /// One request in that many is told whole, also when nothing was out of the ordinary.
+    pub sample: u64,
 }
 
 /// Bounds that the platform sets.
@@ -64,6 +73,10 @@
     pub cores: f64,
 }
 
+/// Requests of which one is told whole unless the settings say otherwise: a line costs some 20 µs, of
+/// the 200 µs that a request takes.
+const SAMPLE: u64 = 64;
+
 /// Sections a settings file may have.
 const KINDS: [&str; 5] = ["daemon", "store", "bounds", "limits", "log"];
 
@@ -108,7 +121,7 @@
     fields.finish();
     let bounds = read_bounds(&document.section("bounds"), problems);
     let limits = read_limits(&document.section("limits"), problems);
-    let log_level = read_log(&document.section("log"), problems);
+    let log = read_log(&document.section("log"), problems);
     Some(Settings {
         name: name?,
         hall: hall?,
@@ -119,7 +132,7 @@
         store: store?,
         bounds,
         limits,
-        log_level,
+        log,
     })
 }
 
@@ -153,7 +166,7 @@
     limits
 }
 
-fn read_log(section: &Section, problems: &mut Problems) -> Name {
+fn read_log(section: &Section, problems: &mut Problems) -> Log {
     let mut fields = Fields::new(section, problems);
     let level = fields.text("level").unwrap_or_else(|| "info".into());
     if tracing_subscriber::EnvFilter::try_new(&*level).is_err() {
@@ -162,6 +175,7 @@
         );
         fields.refuse("level", text);
     }
+    let sample = fields.value("sample", SAMPLE, 1..=1_000_000);
     fields.finish();
-    level
+    Log { level, sample }
 }
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -88,7 +88,10 @@
             memory_mb: 256,
             cores: 0.25,
         },
-        log_level: "info".into(),
+        log: front::settings::Log {
+            level: "info".into(),
+            sample: 64,
+        },
     }
 }
 
