Plan of copies: room that is being made counts as a copy on its way, and not as one that is there

The same books counted a model that a replica was told to unload as still held, so that another could give up the last copy that is really there. Now: a replica tells what it holds and what is coming (loading, or room being made for it); only copies that are there make another one loose. Ruled out: the bound on unloads, which a model that is nowhere passes on purpose.

--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -65,6 +65,8 @@
     pub doubtful: Option<Time>,
     /// Model that it is about to give up, and since when hosts have been told.
     pub closing: Option<(Name, Time)>,
+    /// Model for which it gives one up, or gave one up last.
+    room_for: Option<Name>,
     /// Model that it loaded last, and when that was known.
     pub loaded: Option<(Name, Time)>,
     /// Model that it gave up last, and when that was ordered.
@@ -83,6 +85,7 @@
             calling: false,
             doubtful: Some(Time(0)),
             closing: None,
+            room_for: None,
             loaded: None,
             unloaded: None,
             used: HashMap::new(),
@@ -97,10 +100,29 @@
         self.pending.is_none() && self.queue.is_empty() && !self.calling && self.doubtful.is_none()
     }
 
-    /// Whether it is giving up a model, or is about to be told so.
-    pub fn unloads_model(&self) -> bool {
-        let mut orders = self.pending.iter().map(|p| &p.job).chain(&self.queue);
-        orders.any(|job| job.operation == Operation::Unload && job.adapter.is_none())
+    /// Notes that it is to give up a model, so that another one finds room.
+    pub fn close(&mut self, model: Name, instead: Name, now: Time) {
+        self.closing = Some((model, now));
+        self.room_for = Some(instead);
+    }
+
+    /// Models that it is giving up, or is about to.
+    pub fn going(&self) -> Vec<&Name> {
+        let orders = self.pending.iter().map(|p| &p.job).chain(&self.queue);
+        let unloads = |job: &&Job| job.operation == Operation::Unload && job.adapter.is_none();
+        let unloads = orders.filter(unloads).map(|job| &job.model);
+        let closing = self.closing.iter().map(|(model, _)| model);
+        closing.chain(unloads).collect()
+    }
+
+    /// Whether it is giving up a model, or is about to.
+    pub fn makes_room(&self) -> bool {
+        !self.going().is_empty()
+    }
+
+    /// Model for which it is making room.
+    pub fn room_for(&self) -> Option<&Name> {
+        self.room_for.as_ref().filter(|_| self.makes_room())
     }
 
     /// Whether it may be asked for a report now.
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -168,20 +168,11 @@
 
 /// Models that a replica is about to give up, gives up, or gave up a moment ago.
 fn closing(known: &Known, now: Time) -> Vec<Name> {
-    let closing = known.closing.iter().map(|(model, _)| model);
-    let orders = known
-        .queue
-        .iter()
-        .chain(known.pending.iter().map(|p| &p.job));
-    let unloads = orders.filter(|j| j.operation == Operation::Unload && j.adapter.is_none());
     let done = known.unloaded.iter();
     let done = done.filter(|(_, at)| now.since(*at) < TOLD_LOADED);
     let done = done.filter(|(model, _)| !known.held.iter().any(|h| h.model == *model));
-    closing
-        .chain(unloads.map(|j| &j.model))
-        .chain(done.map(|(model, _)| model))
-        .cloned()
-        .collect()
+    let going = known.going().into_iter();
+    going.chain(done.map(|(model, _)| model)).cloned().collect()
 }
 
 /// Adapters of the replicas whose turn it is in a round; changes are told when they are made.
--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -65,8 +65,9 @@
                     let job = load_job(entry, &engine.models[model], from_store);
                     known.queue.push_back(job);
                 }
-                Step::Unload { model, .. } => {
-                    known.closing = Some((engine.models[model].name.clone(), now));
+                Step::Unload { model, instead, .. } => {
+                    let name = |model: usize| engine.models[model].name.clone();
+                    known.close(name(model), name(instead), now);
                 }
             }
         }
@@ -152,24 +153,22 @@
 /// One replica as the plan sees it.
 fn replica(entry: &Entry, known: &Known, engine: &Engine, load: f64) -> copies::Replica {
     let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
-    let mut held: Vec<usize> = known.held.iter().filter_map(|h| index(&h.model)).collect();
-    let coming = known.pending.iter().map(|p| &p.job).chain(&known.queue);
-    let coming = coming.filter(|j| j.operation == Operation::Load && j.adapter.is_none());
-    for model in coming.filter_map(|j| index(&j.model)) {
-        if !held.contains(&model) {
-            held.push(model);
-        }
-    }
-    if let Some(model) = known.closing.as_ref().and_then(|(m, _)| index(m)) {
-        held.retain(|m| *m != model);
-    }
+    let goes = known.going();
+    let held = known.held.iter().filter(|h| !goes.contains(&&h.model));
+    let held: Vec<usize> = held.filter_map(|h| index(&h.model)).collect();
+    let orders = known.pending.iter().map(|p| &p.job).chain(&known.queue);
+    let loads = orders.filter(|j| j.operation == Operation::Load && j.adapter.is_none());
+    let coming = loads.map(|j| &j.model).chain(known.room_for());
+    let mut coming: Vec<usize> = coming.filter_map(index).collect();
+    coming.retain(|m| !held.contains(m));
     let copies = entry.in_memory.iter().chain(&entry.on_disk);
     copies::Replica {
         free_mb: known.free_mb(engine),
         held,
+        coming,
         copied: copies.filter_map(index).collect(),
         idle: known.is_idle() && known.closing.is_none(),
-        unloading: known.closing.is_some() || known.unloads_model(),
+        unloading: known.makes_room(),
         stays: !entry.leaving,
         load,
     }
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -46,8 +46,10 @@
 pub struct Replica {
     /// Memory that nothing takes, in MB, with room kept for its adapters.
     pub free_mb: f64,
-    /// Models that it holds or is loading.
+    /// Models that it holds, and does not give up.
     pub held: Vec<usize>,
+    /// Models that it is loading, or for which it is making room.
+    pub coming: Vec<usize>,
     /// Models of which it keeps a copy outside the accelerator.
     pub copied: Vec<usize>,
     /// Whether it takes an order now.
@@ -100,9 +102,9 @@
                 model,
                 from_store,
             } => {
-                counts[model] += 1;
+                counts[model].all += 1;
                 store_loads -= usize::from(from_store);
-                replicas[replica].held.push(model);
+                replicas[replica].coming.push(model);
                 replicas[replica].idle = false;
             }
             Step::Unload {
@@ -110,10 +112,12 @@
                 model,
                 instead,
             } => {
-                counts[model] -= 1;
+                counts[model].all -= 1;
+                counts[model].held -= 1;
                 unloads = unloads.saturating_sub(1);
                 // The room is meant for that model, so no other replica loads it on top.
-                counts[instead] += 1;
+                counts[instead].all += 1;
+                replicas[replica].coming.push(instead);
                 replicas[replica].held.retain(|m| *m != model);
                 replicas[replica].idle = false;
             }
@@ -130,12 +134,25 @@
     most.saturating_sub(begun)
 }
 
+/// Copies of one model on replicas that stay.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    /// Those that are there.
+    held: usize,
+    /// Those that are there or will be.
+    all: usize,
+}
+
 /// Copies of each model on replicas that stay.
-fn counts(replicas: &[Replica], models: usize) -> Vec<usize> {
-    let mut counts = vec![0; models];
+fn counts(replicas: &[Replica], models: usize) -> Vec<Count> {
+    let mut counts = vec![Count::default(); models];
     for replica in replicas.iter().filter(|r| r.stays) {
         for model in &replica.held {
-            counts[*model] += 1;
+            counts[*model].held += 1;
+            counts[*model].all += 1;
+        }
+        for model in &replica.coming {
+            counts[*model].all += 1;
         }
     }
     counts
@@ -155,9 +172,9 @@
 }
 
 /// Demand that falls on each replica when that for a model is shared evenly by its copies.
-fn expected(replicas: &[Replica], models: &[Model], counts: &[usize]) -> Vec<f64> {
-    let part = |m: &usize| models[*m].demand / counts[*m].max(1) as f64;
-    let on = |r: &Replica| r.held.iter().map(part).sum();
+fn expected(replicas: &[Replica], models: &[Model], counts: &[Count]) -> Vec<f64> {
+    let part = |m: &usize| models[*m].demand / counts[*m].all.max(1) as f64;
+    let on = |r: &Replica| r.held.iter().chain(&r.coming).map(part).sum();
     replicas.iter().map(on).collect()
 }
 
@@ -168,12 +185,12 @@
 fn best(
     replicas: &[Replica],
     models: &[Model],
-    counts: &[usize],
+    counts: &[Count],
     store_loads: usize,
     unloads: usize,
 ) -> Option<(Step, f64)> {
     let mut gains: Vec<(usize, f64)> = (0..models.len())
-        .map(|m| (m, value(&models[m], counts[m])))
+        .map(|m| (m, value(&models[m], counts[m].all)))
         .collect();
     gains.sort_by(|a, b| b.1.total_cmp(&a.1));
     let expected = expected(replicas, models, counts);
@@ -190,7 +207,7 @@
             let waits = |step: &Step| matches!(step, Step::Unload { .. }) && unloads == 0;
             if let Some((step, score)) = found
                 // A model that is nowhere does not wait for others.
-                && (!waits(&step) || counts[*m] == 0)
+                && (!waits(&step) || counts[*m].all == 0)
                 && score > 0.0
                 && best.is_none_or(|(_, most)| score > most)
             {
@@ -206,12 +223,12 @@
     r: usize,
     replica: &Replica,
     models: &[Model],
-    counts: &[usize],
+    counts: &[Count],
     store_loads: usize,
     m: usize,
     gain: f64,
 ) -> Option<(Step, f64)> {
-    if replica.held.contains(&m) {
+    if replica.held.contains(&m) || replica.coming.contains(&m) {
         return None;
     }
     let from_store = !replica.copied.contains(&m);
@@ -242,14 +259,14 @@
 fn swap(
     replica: &Replica,
     models: &[Model],
-    counts: &[usize],
+    counts: &[Count],
     wanted: usize,
 ) -> Option<(usize, f64)> {
     let mut loose: Vec<(usize, f64)> = replica
         .held
         .iter()
-        .filter(|m| counts[**m] >= 2)
-        .map(|m| (*m, value(&models[*m], counts[*m] - 1)))
+        .filter(|m| counts[**m].held >= 2)
+        .map(|m| (*m, value(&models[*m], counts[*m].all - 1)))
         .collect();
     loose.sort_by(|a, b| a.1.total_cmp(&b.1));
     let mut free = replica.free_mb;
--- a/crates/place/tests/copies.rs
+++ b/crates/place/tests/copies.rs
@@ -18,6 +18,7 @@
         copied: Vec::new(),
         idle: true,
         unloading: false,
+        coming: Vec::new(),
         stays: true,
         load: 0.0,
     }
@@ -121,6 +122,30 @@
     );
 }
 
+/// kvikbud-dk scale-2: a model without a copy had six replicas make room for it, one each 200 ms, and
+/// two of these gave up the busiest model.
+#[test]
+fn room_is_made_once_for_a_model_that_is_nowhere() {
+    let models = [model(0.1), model(0.1), model(0.0)];
+    let mut begun = replica(&[0], 10.0);
+    begun.idle = false;
+    begun.unloading = true;
+    begun.coming = vec![2];
+    let replicas = [begun, replica(&[0, 1], 0.0), replica(&[0, 1], 0.0)];
+    assert!(plan(&replicas, &models, 9, 1).is_empty());
+}
+
+#[test]
+fn a_copy_on_its_way_does_not_free_the_last_one_that_is_there() {
+    let models = [model(9.0), model(0.0)];
+    let mut begun = replica(&[], 10.0);
+    begun.idle = false;
+    begun.unloading = true;
+    begun.coming = vec![1];
+    let replicas = [begun, replica(&[1], 0.0)];
+    assert!(plan(&replicas, &models, 9, 1).is_empty());
+}
+
 #[test]
 fn the_last_copy_stays() {
     let models = [model(9.0), model(0.0)];
