--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -5,10 +5,11 @@
 //! no copy covers goes first. Loads from copies at hand go before loads from the weight store, which
 //! allows only so many a second.
 
-/// Value of the first copy of a model; nothing else comes near it.
-const ONLY_COPY: f64 = 1_000.0;
+/// Part of a copy in place of none, by which the value of a model's first copy is reckoned.
+const NO_COPY: f64 = 0.5;
 
-/// Value of the load that one more copy takes off the others, against the value of having it at all.
+/// Value of the demand that one more copy takes off the others, against the value of having it at
+/// all.
 const RELIEVED: f64 = 10.0;
 
 /// Least weight of a model that nobody asks for now, so that leftover memory is spread.
@@ -93,7 +94,7 @@
     let mut unloads = unloads(&replicas);
     let mut steps = Vec::new();
     while steps.len() < most {
-        let Some((step, _)) = best(&replicas, models, &counts, store_loads, unloads) else {
+        let Some(step) = best(&replicas, models, &counts, store_loads, unloads) else {
             break;
         };
         match step {
@@ -160,15 +161,12 @@
 
 /// Value of one more copy where there are `count`.
 fn value(model: &Model, count: usize) -> f64 {
-    if count == 0 {
-        return ONLY_COPY + model.demand;
-    }
-    let n = count as f64;
+    let n = (count as f64).max(NO_COPY);
     let weight = UNASKED + model.demand + model.recent;
-    // Waiting grows with the square of the load of a copy; summed over the copies that is
-    // demand² / n, of which one more copy takes off demand² / (n (n + 1)).
-    let relieved = RELIEVED * model.demand * model.demand;
-    (weight + relieved) / (n * (n + 1.0))
+    // Copies so valued go by the square root of demand: demand moves from the busiest model to one
+    // that few asked for within less time than weights need to come, so that the next ones must not
+    // have their copies taken for the busiest.
+    (weight + RELIEVED * model.demand) / (n * (n + 1.0))
 }
 
 /// Demand that falls on each replica when that for a model is shared evenly by its copies.
@@ -178,47 +176,118 @@
     replicas.iter().map(on).collect()
 }
 
+/// How much a step is wanted; the greater one goes first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Score {
+    /// Whether it brings a model that is nowhere: that goes before all others.
+    urgent: bool,
+    /// What it gains, less what is given up for it.
+    gain: f64,
+}
+
+impl Score {
+    /// Whether a step with this score is worth an order.
+    fn is_worth_it(self) -> bool {
+        self.urgent || self.gain > 0.0
+    }
+}
+
+/// What could be done next towards one more copy of a model on a replica.
+enum Next {
+    /// That step.
+    Now(Step),
+    /// There is room, and the weight store allows no load at the moment.
+    Wait,
+}
+
 /// The step with the highest score, of all idle replicas and models.
-///
-/// Models are tried by their gain; as no step scores more than its model gains, a replica is done at
-/// the first model that cannot beat the best step so far.
 fn best(
     replicas: &[Replica],
     models: &[Model],
     counts: &[Count],
     store_loads: usize,
     unloads: usize,
-) -> Option<(Step, f64)> {
-    let mut gains: Vec<(usize, f64)> = (0..models.len())
-        .map(|m| (m, value(&models[m], counts[m].all)))
-        .collect();
-    gains.sort_by(|a, b| b.1.total_cmp(&a.1));
+) -> Option<Step> {
+    let wanted = wanted(models, counts);
     let expected = expected(replicas, models, counts);
-    let mut best: Option<(Step, f64)> = None;
+    let mut best: Option<(Step, Score)> = None;
     let idle = |r: &Replica| r.idle && r.stays;
     for (r, replica) in replicas.iter().enumerate().filter(|(_, r)| idle(r)) {
-        for (m, gain) in &gains {
-            if best.as_ref().is_some_and(|(_, most)| gain <= most) {
-                break;
-            }
-            // A copy relieves the others the less, the more its replica has to do already.
-            let gain = *gain / (1.0 + expected[r]);
-            let found = step(r, replica, models, counts, store_loads, *m, gain);
-            let waits = |step: &Step| matches!(step, Step::Unload { .. }) && unloads == 0;
-            if let Some((step, score)) = found
-                // A model that is nowhere does not wait for others.
-                && (!waits(&step) || counts[*m].all == 0)
-                && score > 0.0
-                && best.is_none_or(|(_, most)| score > most)
-            {
-                best = Some((step, score));
-            }
+        let bounds = Bounds {
+            above: best.map(|(_, score)| score),
+            store_loads,
+            unloads,
+        };
+        let found = best_of(r, replica, models, counts, &wanted, expected[r], &bounds);
+        best = found.or(best);
+    }
+    best.map(|(step, _)| step)
+}
+
+/// Models by what one more copy would gain where nothing else is to do, the greatest first.
+fn wanted(models: &[Model], counts: &[Count]) -> Vec<(usize, Score)> {
+    let score = |m: usize| Score {
+        urgent: counts[m].all == 0,
+        gain: value(&models[m], counts[m].all),
+    };
+    let mut wanted: Vec<(usize, Score)> = (0..models.len()).map(|m| (m, score(m))).collect();
+    let order = |a: &Score, b: &Score| a.urgent.cmp(&b.urgent).then(a.gain.total_cmp(&b.gain));
+    wanted.sort_by(|a, b| order(&b.1, &a.1));
+    wanted
+}
+
+/// What bounds the choice of a step.
+struct Bounds {
+    /// Score that a step must exceed.
+    above: Option<Score>,
+    /// Loads from the weight store that may begin.
+    store_loads: usize,
+    /// Unloads that may begin.
+    unloads: usize,
+}
+
+/// The step with the highest score on one replica, if it exceeds the bound and nothing better waits
+/// for the weight store: a copy that few need would take the room and the time of that one.
+fn best_of(
+    r: usize,
+    replica: &Replica,
+    models: &[Model],
+    counts: &[Count],
+    wanted: &[(usize, Score)],
+    expected: f64,
+    bounds: &Bounds,
+) -> Option<(Step, Score)> {
+    let mut most = bounds.above;
+    let mut best = None;
+    for (m, score) in wanted {
+        // No step scores more than its model gains.
+        if most.is_some_and(|most| *score <= most) {
+            break;
+        }
+        // A copy relieves the others the less, the more its replica has to do already.
+        let score = Score {
+            gain: score.gain / (1.0 + expected),
+            ..*score
+        };
+        let Some((next, score)) = step(r, replica, models, counts, bounds.store_loads, *m, score)
+        else {
+            continue;
+        };
+        let waits = matches!(next, Next::Now(Step::Unload { .. })) && bounds.unloads == 0;
+        // A model that is nowhere does not wait for others.
+        let allowed = !waits || score.urgent;
+        if allowed && score.is_worth_it() && most.is_none_or(|most| score > most) {
+            most = Some(score);
+            best = match next {
+                Next::Now(step) => Some((step, score)),
+                Next::Wait => None,
+            };
         }
     }
     best
 }
 
-/// The step towards one more copy of a model on a replica, and its score.
+/// The next step towards one more copy of a model on a replica, and its score.
 fn step(
     r: usize,
     replica: &Replica,
@@ -226,24 +295,25 @@
     counts: &[Count],
     store_loads: usize,
     m: usize,
-    gain: f64,
-) -> Option<(Step, f64)> {
+    score: Score,
+) -> Option<(Next, Score)> {
     if replica.held.contains(&m) || replica.coming.contains(&m) {
         return None;
     }
     let from_store = !replica.copied.contains(&m);
-    if from_store && store_loads == 0 {
-        return None;
-    }
     let part = if from_store { FROM_STORE } else { 1.0 };
-    let gain = gain * part * (1.0 - LOADED * replica.load.min(1.0));
+    let gain = score.gain * part * (1.0 - LOADED * replica.load.min(1.0));
     if models[m].memory_mb <= replica.free_mb {
         let load = Step::Load {
             replica: r,
             model: m,
             from_store,
         };
-        return Some((load, gain));
+        let next = match from_store && store_loads == 0 {
+            true => Next::Wait,
+            false => Next::Now(load),
+        };
+        return Some((next, Score { gain, ..score }));
     }
     let (out, loss) = swap(replica, models, counts, m)?;
     let unload = Step::Unload {
@@ -251,7 +321,8 @@
         model: out,
         instead: m,
     };
-    Some((unload, gain - loss * HYSTERESIS - LEAST_GAIN))
+    let gain = gain - loss * HYSTERESIS - LEAST_GAIN;
+    Some((Next::Now(unload), Score { gain, ..score }))
 }
 
 /// The first model to give up for another, and the value of all that must go; none when what may
