A repeatable request that its replica fails is tried at another one

If no better answer comes, the first is passed on. Two cases fail on the code before. Ruled out: more than the budget, which bounds this as it does other sendings.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -35,6 +35,8 @@
     NotRun(u16),
     /// It was sent, and no good answer came; it may have run.
     Lost(String),
+    /// The replica ran it, and answered with that status, which tells of its own failure.
+    Failing(u16),
     /// Its time ran out; it may have run.
     Late,
 }
@@ -52,6 +54,7 @@
             Failed::Unsent(why) => write!(f, "not sent: {why}"),
             Failed::NotRun(status) => write!(f, "refused unrun with status {status}"),
             Failed::Lost(why) => write!(f, "lost: {why}"),
+            Failed::Failing(status) => write!(f, "the replica failed it with status {status}"),
             Failed::Late => f.write_str("its time ran out"),
         }
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -93,6 +93,8 @@
     may_have_run: bool,
     /// Why the last sending brought no answer.
     last: Failed,
+    /// A replica's answer that tells of its own failure; it is passed on if no better one comes.
+    answer: Option<Response<Body>>,
 }
 
 /// Sends a request until it is answered, or nothing more may be done for it.
@@ -102,6 +104,7 @@
         tried: Vec::new(),
         may_have_run: false,
         last: Failed::Unsent("no replica was tried".into()),
+        answer: None,
     };
     for sending in 0..MOST_SENDINGS {
         let only = progress.only(call);
@@ -130,17 +133,31 @@
             Err(failed) => Err(failed),
         };
         let failed = match passed {
-            Ok(response) => return Ok(response),
+            Ok(response) if !progress.may_better(call, &response) => return Ok(response),
+            Ok(response) => {
+                let failed = Failed::Failing(response.status().as_u16());
+                progress.answer = Some(response);
+                failed
+            }
             Err(failed) => failed,
         };
         progress.may_have_run |= !failed.proves_not_run();
         after_failure(state, call, &choice, &failed);
         progress.last = failed;
     }
-    Err(give_up(state, call, &progress.last, progress.may_have_run))
+    match progress.answer {
+        Some(answer) => Ok(answer),
+        None => Err(give_up(state, call, &progress.last, progress.may_have_run)),
+    }
 }
 
 impl Progress {
+    /// Whether another replica may give a better answer than this one, which a replica made whole.
+    fn may_better(&self, call: &Call, response: &Response<Body>) -> bool {
+        let left = (self.tried.len() as u32) < call.route.attempts;
+        response.status().is_server_error() && call.route.kind.is_repeatable() && left
+    }
+
     /// The only replica that may have the request, once it has used all attempts.
     fn only(&self, call: &Call) -> Option<Name> {
         let used = self.tried.len() as u32;
@@ -174,7 +191,7 @@
     let now = state.now();
     let allowed = match last {
         Failed::Late => false,
-        Failed::Lost(_) => call.route.kind.is_repeatable() && !same,
+        Failed::Lost(_) | Failed::Failing(_) => call.route.kind.is_repeatable() && !same,
         Failed::NotRun(_) | Failed::Unsent(_) => true,
     };
     let free = matches!(last, Failed::Unsent(_));
@@ -192,7 +209,7 @@
         let mut table = state.table.lock();
         table.drop_adapter(&choice.replica, model, adapter);
     }
-    if !matches!(failed, Failed::NotRun(_)) {
+    if !matches!(failed, Failed::NotRun(_) | Failed::Failing(_)) {
         state.pool.forget(&choice.replica);
     }
 }
--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -65,6 +65,7 @@
 #[case::loses_answers(Fault::LosesAnswers)]
 #[case::crosses(Fault::Crosses)]
 #[case::unsigned(Fault::Unsigned)]
+#[case::fails(Fault::Fails)]
 #[tokio::test]
 async fn a_repeatable_request_is_answered_by_the_other_replica(#[case] fault: Fault) {
     let store = store().await;
@@ -83,6 +84,21 @@
     }
 }
 
+#[tokio::test]
+async fn an_answer_with_a_failure_is_passed_on_where_no_other_is_to_be_had() {
+    let store = store().await;
+    let replicas = [web(&store, "i-1").await, web(&store, "i-2").await];
+    let daemon = daemon(&store, "d1").await;
+    for replica in &replicas {
+        replica.set_fault(Fault::Fails);
+    }
+    let (id, answer) = ask(&daemon, "/again/x", None).await;
+    assert_eq!(answer.status(), 500);
+    assert!(answer.header("server-stamp").is_some());
+    let runs: u32 = replicas.iter().map(|r| r.seen(&id).ran).sum();
+    assert_eq!(runs, 2, "each was asked once");
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_never_looks_whole() {
     let store = store().await;
