--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -48,6 +48,10 @@
 /// Pause between two reports of a replica that is busy; each is priced as a probe.
 const BUSY_PAUSE: Span = Span::from_ms(600);
 
+/// Time for which a replica must be out of reach to count as lost: its entry tells so only after three
+/// heartbeats, some 4 s, which is most of the time that a copy elsewhere needs.
+const LOST_AFTER: Span = Span::from_ms(400);
+
 /// What is believed of one replica.
 #[derive(Debug, Clone)]
 pub struct Known {
@@ -67,6 +71,8 @@
     pub closing: Option<(Name, Time)>,
     /// Model for which it gives one up, or gave one up last.
     room_for: Option<Name>,
+    /// Since when several hosts cannot reach it.
+    absent: Option<Time>,
     /// Model that it loaded last, and when that was known.
     pub loaded: Option<(Name, Time)>,
     /// Model that it gave up last, and when that was ordered.
@@ -86,6 +92,7 @@
             doubtful: Some(Time(0)),
             closing: None,
             room_for: None,
+            absent: None,
             loaded: None,
             unloaded: None,
             used: HashMap::new(),
@@ -100,6 +107,16 @@
         self.pending.is_none() && self.queue.is_empty() && !self.calling && self.doubtful.is_none()
     }
 
+    /// Notes whether several hosts cannot reach it now.
+    pub fn note_absent(&mut self, absent: bool, now: Time) {
+        self.absent = absent.then(|| self.absent.unwrap_or(now));
+    }
+
+    /// Whether it could not be reached for so long that its copies are to be had elsewhere.
+    pub fn is_lost(&self, now: Time) -> bool {
+        self.absent.is_some_and(|at| now.since(at) >= LOST_AFTER)
+    }
+
     /// Notes that it is to give up a model, so that another one finds room.
     pub fn close(&mut self, model: Name, instead: Name, now: Time) {
         self.closing = Some((model, now));
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -25,6 +25,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tracing::info;
 use unit::{Name, Time};
 
 /// Pause between two plans.
@@ -128,6 +129,7 @@
     /// Takes in the replicas' entries, and what hosts told of the use of adapters.
     fn sync(&self) {
         let now = self.state.now();
+        let absent = self.peers.inbox.absent(now);
         let table = self.state.table.lock();
         let mut book = self.book.lock();
         book.known.retain(|id, _| table.view.get(id).is_some());
@@ -137,7 +139,12 @@
             service.is_some_and(|s| s.engine.is_some())
         };
         for seen in table.view.all().filter(|s| runs_models(&s.entry.service)) {
-            let known = book.known.entry(seen.entry.id.clone()).or_default();
+            let known = book.known.entry(seen.entry.id.clone());
+            let known = known.or_insert_with(|| {
+                tell_found(&seen.entry);
+                Known::default()
+            });
+            known.note_absent(absent.contains(&short(&seen.entry.id)), now);
             known.sync(&seen.entry, now);
         }
         book.note_uses(self.peers.inbox.uses(), now);
@@ -184,6 +191,17 @@
     }
 }
 
+/// Tells what a replica holds that the planner had not known.
+fn tell_found(entry: &Entry) {
+    let held: Vec<&str> = entry.held.iter().map(|h| &*h.model).collect();
+    let (held, in_memory, on_disk) = (
+        held.join(","),
+        entry.in_memory.join(","),
+        entry.on_disk.join(","),
+    );
+    info!(target: "planner", event = "found", replica = &*entry.id, hall = &*entry.hall, held, in_memory, on_disk, "a replica is planned for from now on")
+}
+
 /// Entries of a service's replicas.
 fn entries(table: &Table, service: &Name) -> Vec<Entry> {
     let seen = table.view.all().filter(|s| s.entry.service == *service);
--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -48,7 +48,7 @@
         let new = || self.bucket(engine, now);
         let bucket = book.buckets.entry(service.clone()).or_insert_with(new);
         let models = models(service, engine, &book.demand);
-        let replicas = replicas(&entries, &book.known, engine, &loads);
+        let replicas = replicas(&entries, &book.known, engine, &loads, now);
         let most = entries.len() * STEPS_PER_REPLICA;
         for step in copies::plan(&replicas, &models, bucket.available(now), most) {
             let (Step::Load { replica, .. } | Step::Unload { replica, .. }) = step;
@@ -141,11 +141,16 @@
     known: &HashMap<Name, Known>,
     engine: &Engine,
     loads: &HashMap<u32, Load>,
+    now: Time,
 ) -> Vec<copies::Replica> {
     let nothing = Known::default();
     let seen_by_plan = |entry: &Entry| {
         let known = known.get(&entry.id).unwrap_or(&nothing);
-        replica(entry, known, engine, taken(entry, loads))
+        let load = taken(entry, loads);
+        copies::Replica {
+            stays: !entry.leaving && !known.is_lost(now),
+            ..replica(entry, known, engine, load)
+        }
     };
     entries.iter().map(seen_by_plan).collect()
 }
--- a/crates/front/tests/orders.rs
+++ b/crates/front/tests/orders.rs
@@ -158,3 +158,18 @@
     assert_eq!(bucket.available(at(60_000)), full - 1);
     assert_eq!(bucket.available(at(74_000)), full);
 }
+
+/// kvikbud-dk scale-2: a replica fell with the only copy of a model, and stood in the store for 4 s more;
+/// only then was another copy loaded.
+#[test]
+fn a_replica_that_stays_out_of_reach_is_lost_before_its_entry_goes() {
+    let mut known = Known::default();
+
+    known.note_absent(true, at(0));
+    known.note_absent(true, at(200));
+    assert!(!known.is_lost(at(200)), "it may be a moment only");
+    assert!(known.is_lost(at(400)));
+    known.note_absent(false, at(600));
+    known.note_absent(true, at(800));
+    assert!(!known.is_lost(at(1_000)), "it was back meanwhile");
+}
