--- a/crates/place/tests/copies.rs
+++ b/crates/place/tests/copies.rs
@@ -271,3 +271,43 @@
     let holds = |m| replicas.iter().any(|r| r.held.contains(&m));
     (0..models).map(holds).collect()
 }
+
+/// kvikbud-dk scale-1: five replicas held nothing but the only copies of models that few ask for, and
+/// stood idle, while the copies of the two busiest shared three others.
+#[test]
+fn a_replica_full_of_only_copies_gets_room_for_a_busy_model() {
+    let models = [model(8.0), model(0.0), model(0.0), model(0.0)];
+    let mut busy = replica(&[0, 3], 0.0);
+    busy.load = 0.9;
+    let replicas = [replica(&[1, 2], 0.0), busy.clone(), busy];
+    let steps = plan(&replicas, &models, 1, 1);
+    let makes_room = matches!(
+        steps[..],
+        [Step::Unload {
+            replica: 1 | 2,
+            model: 3,
+            instead: 1 | 2
+        }]
+    );
+    assert!(makes_room, "{steps:?}");
+}
+
+#[test]
+fn a_model_that_is_nowhere_leaves_a_free_replica_its_room() {
+    let models = [model(8.0), model(0.0), model(0.0)];
+    let mut busy = replica(&[0], 50.0);
+    busy.load = 0.9;
+    let replicas = [replica(&[1], 50.0), busy.clone(), busy];
+    let steps = plan(&replicas, &models, 1, 1);
+    assert!(
+        matches!(
+            steps[..],
+            [Step::Load {
+                replica: 1 | 2,
+                model: 2,
+                ..
+            }]
+        ),
+        "{steps:?}"
+    );
+}
