--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -3,8 +3,7 @@
 //! Pure: counts and demand in, steps out. Every model keeps a copy on a replica that stays. Memory
 //! left over is filled, since copies that are there before the demand comes cost least; demand that
 //! no copy covers goes first. Loads from copies at hand go before loads from the weight store, which
-//! allows only so many a second. Models with one copy are spread, so that each replica keeps room for
-//! one that many ask for.
+//! allows only so many a second.
 //!
 //! `fleet` is what a plan knows while it is made, `step` finds the next step.
 
--- a/crates/place/src/copies/fleet.rs
+++ b/crates/place/src/copies/fleet.rs
@@ -13,14 +13,6 @@
 /// Least weight of a model that nobody asks for now, so that leftover memory is spread.
 const UNASKED: f64 = 0.05;
 
-/// Part of what a replica could gain in the place of a model's only copy, that a copy of that model
-/// elsewhere is worth: the gain comes three orders later.
-const RELOCATED: f64 = 0.5;
-
-/// Part of what a replica could gain in a place that counts as lost when an only copy takes it: the
-/// place is not used yet, and the copy may be moved later.
-const LOCKED: f64 = 0.2;
-
 /// Copies of one model on replicas that stay.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Count {
@@ -37,26 +29,16 @@
     pub(super) counts: Vec<Count>,
     /// Demand that falls on each replica when that for a model is shared evenly by its copies.
     demand: Vec<f64>,
-    /// What the best model that a replica does not hold would gain there.
-    potential: Vec<f64>,
-    /// What one more copy of a model is worth for letting the replica with its only one give it up.
-    relocation: Vec<f64>,
-    /// Memory of the smallest model, in MB.
-    smallest_mb: f64,
 }
 
 impl<'a> Fleet<'a> {
     /// Takes in the replicas as they are.
     pub(super) fn new(replicas: &[Replica], models: &'a [Model]) -> Fleet<'a> {
-        let sizes = models.iter().map(|m| m.memory_mb);
         let mut fleet = Fleet {
             replicas: replicas.to_vec(),
             models,
             counts: Vec::new(),
             demand: Vec::new(),
-            potential: Vec::new(),
-            relocation: Vec::new(),
-            smallest_mb: sizes.fold(f64::INFINITY, f64::min),
         };
         fleet.count();
         fleet
@@ -90,9 +72,6 @@
     fn count(&mut self) {
         self.counts = counts(&self.replicas, self.models.len());
         self.demand = self.replicas.iter().map(|r| self.demand_on(r)).collect();
-        let all = 0..self.replicas.len();
-        self.potential = all.map(|r| self.potential_of(r)).collect();
-        self.relocation = self.relocations();
     }
 
     fn demand_on(&self, replica: &Replica) -> f64 {
@@ -100,39 +79,6 @@
         on(replica).map(part).sum()
     }
 
-    fn potential_of(&self, r: usize) -> f64 {
-        let others = (0..self.models.len()).filter(|m| !self.is_on(*m, r));
-        let gains = others.map(|m| self.value(m, self.counts[m].all, self.demand[r]));
-        gains.fold(0.0, f64::max)
-    }
-
-    /// What a copy of each model elsewhere is worth: the model with least demand on each replica that
-    /// holds nothing but only copies could go from there, and another one come.
-    fn relocations(&self) -> Vec<f64> {
-        let mut relocations = vec![0.0; self.models.len()];
-        for (r, replica) in self.replicas.iter().enumerate().filter(|(_, r)| r.stays) {
-            if !self.is_locked(r, replica.free_mb, None) {
-                continue;
-            }
-            let demand = |m: &&usize| self.models[**m].demand;
-            let least = replica
-                .held
-                .iter()
-                .min_by(|a, b| demand(a).total_cmp(&demand(b)));
-            if let Some(m) = least {
-                let gained = self.potential[r] - self.loss(*m, r);
-                relocations[*m] = RELOCATED * gained.max(0.0);
-            }
-        }
-        relocations
-    }
-
-    /// Whether a replica with so much memory left can give up nothing that it holds but `out`.
-    fn is_locked(&self, r: usize, free_mb: f64, out: Option<usize>) -> bool {
-        let mut kept = on(&self.replicas[r]).filter(|m| Some(**m) != out);
-        free_mb < self.smallest_mb && kept.all(|m| self.counts[*m].all <= 1)
-    }
-
     /// Whether a replica holds a model or will.
     pub(super) fn is_on(&self, model: usize, r: usize) -> bool {
         on(&self.replicas[r]).any(|m| *m == model)
@@ -154,13 +100,12 @@
 
     /// What one more copy of a model gains on a replica, at the most: nothing is given up for it.
     pub(super) fn gain(&self, model: usize, r: usize) -> f64 {
-        let value = self.value(model, self.counts[model].all, self.demand[r]);
-        value + self.relocation[model]
+        self.value(model, self.counts[model].all, self.demand[r])
     }
 
     /// What one more copy of a model gains on an empty replica.
     pub(super) fn most_gain(&self, model: usize) -> f64 {
-        self.value(model, self.counts[model].all, 0.0) + self.relocation[model]
+        self.value(model, self.counts[model].all, 0.0)
     }
 
     /// What is lost when a replica gives up a copy.
@@ -170,18 +115,6 @@
         let left = (count - 1).max(1);
         self.value(model, left, (self.demand[r] - own).max(0.0))
     }
-
-    /// What a replica can no longer gain if it loads a model of which this will be the only copy, and
-    /// gives up `out` for it: it would hold nothing but only copies.
-    pub(super) fn lock(&self, model: usize, r: usize, out: Option<usize>) -> f64 {
-        let only = self.counts[model].all == 0 || self.relocation[model] > 0.0;
-        let free_mb = self.replicas[r].free_mb - self.models[model].memory_mb;
-        let free_mb = free_mb + out.map_or(0.0, |m| self.models[m].memory_mb);
-        match only && self.is_locked(r, free_mb, out) {
-            true => LOCKED * self.potential[r],
-            false => 0.0,
-        }
-    }
 }
 
 /// Models that a replica holds or will.
--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -126,7 +126,7 @@
             true => Next::Wait,
             false => Next::Now(load),
         };
-        return Some((next, gain - fleet.lock(m, r, None)));
+        return Some((next, gain));
     }
     let (out, loss) = swap(fleet, r, m)?;
     let unload = Step::Unload {
@@ -134,7 +134,7 @@
         model: out,
         instead: m,
     };
-    let gain = gain - loss * HYSTERESIS - LEAST_GAIN - fleet.lock(m, r, Some(out));
+    let gain = gain - loss * HYSTERESIS - LEAST_GAIN;
     Some((Next::Now(unload), gain))
 }
 
