--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -134,6 +134,7 @@
         .map(|n| Replica {
             free_mb: 20_000.0,
             held: vec![n % models, (n + 1) % models, (n + 7) % models],
+            coming: Vec::new(),
             copied: Vec::new(),
             idle: n % 4 == 0,
             stays: true,
