--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -6,6 +6,8 @@
 use platform_standin::replica::Fault;
 use rstest::rstest;
 use site::{PATIENCE, ask, daemon, engine, request, store, until, web};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn a_stream_is_passed_on_whole_and_signed() {
@@ -125,6 +127,20 @@
     reading.abort();
 }
 
+#[tokio::test]
+async fn a_client_that_leaves_before_its_request_is_read_leaves_nothing_behind() {
+    let store = store().await;
+    let replica = web(&store, "i-1").await;
+    let daemon = daemon(&store, "d1").await;
+    let mut client = TcpStream::connect(daemon.callers()).await.unwrap();
+    let head = "POST /again/x HTTP/1.1\r\nhost: a.example\r\nrequest-id: half\r\ncontent-length: 1000\r\n\r\nabc";
+    client.write_all(head.as_bytes()).await.unwrap();
+    until(|| daemon.state().in_flight() == 1).await;
+    drop(client);
+    until(|| daemon.state().in_flight() == 0).await;
+    assert_eq!(replica.seen("half").arrived, 0);
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_never_looks_whole() {
     let store = store().await;
