Test: the place that costs least for a nowhere model, with demands at which the plan before chose another

Read again against the plan before: the test passed on it, so that it proved nothing. With a demand of 1 in place of 8 it fails there, and holds now; what it asserts stays.

--- a/crates/place/tests/copies.rs
+++ b/crates/place/tests/copies.rs
@@ -98,7 +98,7 @@
 /// its own worth drowned what was given up.
 #[test]
 fn a_model_that_is_nowhere_takes_the_place_that_costs_least() {
-    let models = [model(8.0), model(0.0), model(0.0)];
+    let models = [model(1.0), model(0.0), model(0.0)];
     let mut kept = replica(&[0], 0.0);
     kept.copied = vec![2];
     let mut busy = replica(&[1], 0.0);
