Models take turns where there are fewer places than models

A copy that came stays as long as its load took. Growth takes no last copy that is asked for. Room is promised: all that must go is planned at once, and the load follows. A load from the weight store is worth its time against a disk's. Hosts name models that are missing to the leader at once and hear when they come, room included; a request waits for that word up to 60 ms. Where there are places for all models, last copies stay as before.

--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -25,6 +25,8 @@
     Digest(Digest),
     /// A host needs an adapter somewhere.
     Want(Want),
+    /// A host has a request for a model that is on no replica.
+    Missing(Missing),
     /// The leader says where an adapter is.
     Placed(Placed),
     /// Where the hosts of a part of the fleet take datagrams, from the leader to the one that passes
@@ -44,6 +46,7 @@
             Message::Digest(Digest { plans: Some(_), .. }) => "plans",
             Message::Digest(_) => "digest",
             Message::Want(_) => "want",
+            Message::Missing(_) => "missing",
             Message::Placed(_) => "placed",
             Message::Part(_) => "part",
             Message::Pass(_) => "pass",
@@ -246,7 +249,7 @@
 }
 
 /// Request for an adapter.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Want {
     /// Service that serves the model.
     pub service: Name,
@@ -258,6 +261,15 @@
     pub beside: bool,
 }
 
+/// Request for a model that is on no replica.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Missing {
+    /// Service that serves the model.
+    pub service: Name,
+    /// The model.
+    pub model: Name,
+}
+
 /// Place of an adapter.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Placed {
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -52,6 +52,13 @@
 /// heartbeats, some 4 s, which is most of the time that a copy elsewhere needs.
 const LOST_AFTER: Span = Span::from_ms(400);
 
+/// Model that a replica is about to give up, once hosts have been told for long enough.
+#[derive(Debug, Clone)]
+struct Closing {
+    model: Name,
+    due: Time,
+}
+
 /// What is believed of one replica.
 #[derive(Debug, Clone)]
 pub struct Known {
@@ -67,14 +74,17 @@
     pub calling: bool,
     /// Whether it must be asked before the next order, and not before when.
     pub doubtful: Option<Time>,
-    /// Model that it is about to give up, and since when hosts have been told.
-    pub closing: Option<(Name, Time)>,
-    /// Model for which it gives one up, or gave one up last.
-    room_for: Option<Name>,
+    /// Models that it is about to give up, in turn.
+    closing: VecDeque<Closing>,
+    /// Model for which it gives others up, or gave them up and does not load it yet, and when it should
+    /// be there.
+    room_for: Option<(Name, Time)>,
     /// Since when several hosts cannot reach it.
     absent: Option<Time>,
     /// Model that it loaded last, and when that was known.
     pub loaded: Option<(Name, Time)>,
+    /// Time that this load took, for which the model is to stay at the least.
+    stays: Span,
     /// Model that it gave up last, and when that was ordered.
     pub unloaded: Option<(Name, Time)>,
     used: HashMap<(Name, Name), Time>,
@@ -90,10 +100,11 @@
             queue: VecDeque::new(),
             calling: false,
             doubtful: Some(Time(0)),
-            closing: None,
+            closing: VecDeque::new(),
             room_for: None,
             absent: None,
             loaded: None,
+            stays: Span::ZERO,
             unloaded: None,
             used: HashMap::new(),
             ordered: Time(0),
@@ -117,10 +128,55 @@
         self.absent.is_some_and(|at| now.since(at) >= LOST_AFTER)
     }
 
-    /// Notes that it is to give up a model, so that another one finds room.
-    pub fn close(&mut self, model: Name, instead: Name, now: Time) {
-        self.closing = Some((model, now));
-        self.room_for = Some(instead);
+    /// Notes that it is to give up models, each from its time on, so that another one finds room and is
+    /// there at some time.
+    pub fn close(
+        &mut self,
+        models: impl IntoIterator<Item = (Name, Time)>,
+        instead: Name,
+        there: Time,
+    ) {
+        let models = models.into_iter();
+        self.closing = models.map(|(model, due)| Closing { model, due }).collect();
+        self.room_for = Some((instead, there));
+    }
+
+    /// Model that is on its way to it, and when it should be there.
+    pub fn awaited(&self) -> Option<(&Name, Time)> {
+        let pending = self.pending.as_ref();
+        let pending = pending.filter(|p| p.job.operation == Operation::Load);
+        let promised = self.room_for.as_ref().map(|(model, at)| (model, *at));
+        pending.map(|p| (&p.job.model, p.due)).or(promised)
+    }
+
+    /// Takes out the next model to be given up, if its time has come and no other order is in hand.
+    pub fn take_closed(&mut self, now: Time) -> Option<Name> {
+        let is_due = self.closing.front().is_some_and(|c| now >= c.due);
+        if !is_due || !self.is_idle() {
+            return None;
+        }
+        self.closing.pop_front().map(|c| c.model)
+    }
+
+    /// Whether it is about to give up a model.
+    pub fn closes(&self, model: &Name) -> bool {
+        self.closing.iter().any(|c| c.model == *model)
+    }
+
+    /// Whether it may be given something else to do: no order is in hand, and none stands in a plan.
+    pub fn is_free(&self) -> bool {
+        self.is_idle() && self.closing.is_empty()
+    }
+
+    /// Notes that the model it has made room for is loaded, or is not wanted any more.
+    pub fn room_used(&mut self) {
+        self.room_for = None;
+    }
+
+    /// Model that it loaded so lately that giving it up would waste the load.
+    pub fn fresh(&self, now: Time) -> Option<&Name> {
+        let (model, at) = self.loaded.as_ref()?;
+        (now.since(*at) < self.stays).then_some(model)
     }
 
     /// Models that it is giving up, or is about to.
@@ -128,7 +184,7 @@
         let orders = self.pending.iter().map(|p| &p.job).chain(&self.queue);
         let unloads = |job: &&Job| job.operation == Operation::Unload && job.adapter.is_none();
         let unloads = orders.filter(unloads).map(|job| &job.model);
-        let closing = self.closing.iter().map(|(model, _)| model);
+        let closing = self.closing.iter().map(|c| &c.model);
         closing.chain(unloads).collect()
     }
 
@@ -137,9 +193,9 @@
         !self.going().is_empty()
     }
 
-    /// Model for which it is making room.
+    /// Model for which it is making room, or has made it.
     pub fn room_for(&self) -> Option<&Name> {
-        self.room_for.as_ref().filter(|_| self.makes_room())
+        self.room_for.as_ref().map(|(model, _)| model)
     }
 
     /// Whether it may be asked for a report now.
@@ -171,6 +227,7 @@
                 let job = pending.job.clone();
                 self.pending = None;
                 self.loaded = Some((job.model.clone(), now));
+                self.stays = job.takes;
                 self.effect(&job, now);
             } else if (overdue || !loads && !holds) && self.doubtful.is_none() {
                 self.doubt(now);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -17,7 +17,7 @@
 
 use crate::message::{self, Digest, Message, Placed};
 use crate::readers::Candidate;
-use crate::state::{State, Wanted};
+use crate::state::{State, Wanted, Wish};
 use bytes::Bytes;
 use parking_lot::Mutex;
 use parts::Part;
@@ -26,9 +26,9 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use tokio::net::UdpSocket;
-use unit::{Name, Span, Time};
+use unit::{Span, Time};
 
-/// Time in which one adapter is asked for only once.
+/// Time in which one adapter or model is asked for only once.
 const ASKED_ONCE: Span = Span::from_ms(60);
 
 /// Age at which a host no longer passes on by what the leader named: it names several times in that.
@@ -101,6 +101,7 @@
                 self.state.changed.notify_waiters();
             }
             Message::Want(want) => self.inbox.want(want),
+            Message::Missing(missing) => self.inbox.miss(missing),
             Message::Digest(digest) => self.digest(digest, now),
             Message::Placed(placed) => self.placed(placed),
             Message::Part(hosts) => *self.passes_to.lock() = (hosts, now),
@@ -242,23 +243,26 @@
         }
     }
 
-    /// Passes the adapters that requests here want on to the leader.
+    /// Passes the adapters and models that requests here lack on to the leader.
     pub async fn ask(self: Arc<Self>, mut wanted: Wanted) {
-        let mut asked: HashMap<(Name, Name, bool), Time> = HashMap::new();
-        while let Some(want) = wanted.recv().await {
+        let mut asked: HashMap<Wish, Time> = HashMap::new();
+        while let Some(wish) = wanted.recv().await {
             let now = self.state.now();
             asked.retain(|_, at| now.since(*at) < ASKED_ONCE);
-            let key = (want.model.clone(), want.adapter.clone(), want.beside);
-            if asked.contains_key(&key) {
+            if asked.contains_key(&wish) {
                 continue;
             }
             let Some(leader) = self.state.leader.lock().clone() else {
                 continue;
             };
-            asked.insert(key, now);
+            asked.insert(wish.clone(), now);
+            let message = match wish {
+                Wish::Adapter(want) => Message::Want(want),
+                Wish::Model(missing) => Message::Missing(missing),
+            };
             match leader.peers == self.state.settings.peers {
-                true => self.inbox.want(want),
-                false => self.send(&Message::Want(want), leader.peers).await,
+                true => self.take(message, leader.peers),
+                false => self.send(&message, leader.peers).await,
             }
         }
     }
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -1,6 +1,6 @@
 //! What other hosts have told the leader, while this host leads.
 
-use crate::message::{Load, Row, Sums, Use, Want};
+use crate::message::{Load, Missing, Row, Sums, Use, Want};
 use crate::readers::Candidate;
 use parking_lot::Mutex;
 use std::collections::HashMap;
@@ -27,9 +27,11 @@
     hosts: Mutex<HashMap<Name, Told>>,
     /// Adapters wanted since they were taken out last.
     wants: Mutex<Vec<Want>>,
+    /// Models that are on no replica and were asked for, since they were taken out last.
+    missing: Mutex<Vec<Missing>>,
     /// Uses of adapters since they were taken out last.
     uses: Mutex<Vec<Use>>,
-    /// Notified when an adapter is wanted.
+    /// Notified when an adapter or a model is wanted.
     pub wanted: Notify,
 }
 
@@ -82,6 +84,11 @@
         std::mem::take(&mut *self.wants.lock())
     }
 
+    /// Takes out the models that are on no replica and were asked for.
+    pub fn missing(&self) -> Vec<Missing> {
+        std::mem::take(&mut *self.missing.lock())
+    }
+
     /// Takes out the adapters that were used.
     pub fn uses(&self) -> Vec<Use> {
         std::mem::take(&mut *self.uses.lock())
@@ -134,6 +141,12 @@
         self.wanted.notify_one();
     }
 
+    /// Takes in that a host has a request for a model that is on no replica.
+    pub(super) fn miss(&self, missing: Missing) {
+        self.missing.lock().push(missing);
+        self.wanted.notify_one();
+    }
+
     /// Short names of replicas that several hosts could not reach, and that fewer hosts have requests at.
     ///
     /// The second part tells a replica that is down from hosts whose links are.
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -13,7 +13,7 @@
 mod service;
 
 use crate::leader::Term;
-use crate::message::{Load, Row, Use, short};
+use crate::message::{Load, Missing, Row, Use, short};
 use crate::orders::{Bucket, Known};
 use crate::peers::Peers;
 use crate::state::State;
@@ -75,14 +75,17 @@
         tokio::select! {
             _ = tick.tick() => {
                 planner.sync();
-                if acts {
-                    planner.plan();
+                if acts && planner.plan() {
+                    next_digest = tokio::time::Instant::now();
                 }
             }
             _ = planner.peers.inbox.wanted.notified() => {
                 if acts {
                     planner.sync();
                     planner.place_adapters();
+                    if planner.note_missing() && planner.plan() {
+                        next_digest = tokio::time::Instant::now();
+                    }
                 }
             }
             _ = changes.tick(), if !planner.peers.is_direct() => {
@@ -150,19 +153,38 @@
         book.note_uses(self.peers.inbox.uses(), now);
     }
 
-    /// Plans for each service whose replicas run models, and gives the orders that can be given.
-    fn plan(self: &Arc<Self>) {
+    /// Plans for each service whose replicas run models, and gives the orders that can be given. Tells
+    /// whether the plan has changed.
+    fn plan(self: &Arc<Self>) -> bool {
         let routes = self.state.table.lock().routes.clone();
-        let Some(routes) = routes else { return };
+        let Some(routes) = routes else { return false };
         self.measure(&routes);
         self.order_closed();
+        let mut changed = false;
         for (service, engine) in routes.engines() {
-            self.plan_service(service, engine);
+            changed |= self.plan_service(service, engine);
             self.fetch_ahead(service, engine);
         }
         for id in self.waiting() {
             self.drive(id);
         }
+        changed
+    }
+
+    /// Notes the models that hosts have requests for and that are on no replica; tells whether the plan
+    /// has not known of one.
+    fn note_missing(&self) -> bool {
+        let missing = self.peers.inbox.missing();
+        let mut book = self.book.lock();
+        let mut news = false;
+        for Missing { service, model } in missing {
+            let awaited = book.known.values().filter_map(Known::awaited);
+            if !awaited.map(|(m, _)| m).any(|m| *m == model) {
+                let demand = book.demand.entry((service, model)).or_default();
+                news |= demand.note_missing();
+            }
+        }
+        news
     }
 
     /// Replicas that must be asked for a report, or that orders wait for.
--- a/crates/front/src/planner/adapters.rs
+++ b/crates/front/src/planner/adapters.rs
@@ -201,7 +201,7 @@
 /// Whether a replica holds a model, and goes on holding it, so that an adapter of it may come.
 fn may_take(known: &Known, model: &Name) -> bool {
     let holds = known.held.iter().any(|h| h.model == *model);
-    let closes = known.closing.as_ref().is_some_and(|(m, _)| m == model);
+    let closes = known.closes(model);
     let pending = known.pending.as_ref();
     let unloading = pending.is_some_and(|p| p.job.operation == Operation::Unload);
     holds && !closes && !unloading
--- a/crates/front/src/planner/ahead.rs
+++ b/crates/front/src/planner/ahead.rs
@@ -62,6 +62,6 @@
         models: known.held.iter().filter_map(|h| index(&h.model)).collect(),
         free: (engine.adapters as usize).saturating_sub(known.adapters_due()),
         adapters: held.collect(),
-        idle: known.is_idle() && known.closing.is_none(),
+        idle: known.is_free(),
     }
 }
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -4,7 +4,6 @@
 use crate::message::{Digest, Load, MOST_DATAGRAM, Message, Plans, Row, short};
 use crate::orders::Known;
 use crate::readers;
-use platform::replica::Operation;
 use std::collections::HashMap;
 use unit::{Name, Span, Time};
 
@@ -160,12 +159,10 @@
     }
 }
 
-/// Model that a replica is loading, and the time left, in milliseconds.
+/// Model that is on its way to a replica, and the time left, in milliseconds.
 fn coming(known: &Known, now: Time) -> Option<(Name, u32)> {
-    let pending = known.pending.as_ref()?;
-    let loads = pending.job.operation == Operation::Load;
-    let ms = pending.due.since(now).ms() as u32;
-    loads.then(|| (pending.job.model.clone(), ms))
+    let (model, due) = known.awaited()?;
+    Some((model.clone(), due.since(now).ms() as u32))
 }
 
 /// Models that a replica is about to give up, gives up, or gave up a moment ago.
--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -1,21 +1,31 @@
 //! Planning of one service: which replicas load and unload which models.
 
-use super::{Demand, Planner, entries, taken};
+use super::{Book, Demand, Planner, demand, entries, taken};
 use crate::message::Load;
 use crate::orders::{Bucket, Job, Known};
 use place::copies::{self, Step};
 use platform::config::{self, Engine};
 use platform::replica::{Entry, Operation};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use tracing::info;
 use unit::{Name, Span, Time};
 
 /// Time between telling hosts that a model goes and ordering it: two rounds of sums.
 const CLOSING: Span = Span::from_ms(500);
 
+/// The same for a model that nobody asks for: a request that comes all the same is refused unrun by
+/// the replica, and goes elsewhere.
+const CLOSING_IDLE: Span = Span::from_ms(100);
+
+/// Time from the plan to give a model up until its memory is known to be free, where few requests run.
+const MAKES_ROOM: Span = Span::from_ms(1_200);
+
 /// Time that an unload of a model is expected to take at the most.
 const UNLOAD: Span = Span::from_secs(5);
 
+/// Least time in seconds that a load from the weight store is taken for.
+const LEAST_LOAD: f64 = 0.001;
+
 /// Steps planned at once, for each replica.
 const STEPS_PER_REPLICA: usize = 1;
 
@@ -25,8 +35,7 @@
         let now = self.state.now();
         let mut book = self.book.lock();
         for known in book.known.values_mut() {
-            let due = |closing: &mut (Name, Time)| now.since(closing.1) >= CLOSING;
-            if let Some((model, _)) = known.closing.take_if(due) {
+            if let Some(model) = known.take_closed(now) {
                 known.queue.push_back(Job {
                     operation: Operation::Unload,
                     model,
@@ -38,23 +47,28 @@
         }
     }
 
-    /// Plans the next steps of one service: loads are queued, unloads are announced first.
-    pub(super) fn plan_service(&self, service: &Name, engine: &Engine) {
+    /// Plans the next steps of one service: loads are queued, unloads are announced first. Tells whether
+    /// there are any.
+    pub(super) fn plan_service(&self, service: &Name, engine: &Engine) -> bool {
         let now = self.state.now();
         let loads = self.peers.inbox.loads(now);
         let entries = entries(&self.state.table.lock(), service);
         let mut book = self.book.lock();
         let book = &mut *book;
+        let replicas = replicas(&entries, &book.known, engine, &loads, now);
+        book.note_held(service, engine, &replicas, now);
+        let models = models(service, engine, &book.demand, now);
         let new = || self.bucket(engine, now);
         let bucket = book.buckets.entry(service.clone()).or_insert_with(new);
-        let models = models(service, engine, &book.demand);
-        let replicas = replicas(&entries, &book.known, engine, &loads, now);
         let most = entries.len() * STEPS_PER_REPLICA;
-        for step in copies::plan(&replicas, &models, bucket.available(now), most) {
-            let (Step::Load { replica, .. } | Step::Unload { replica, .. }) = step;
+        let steps = copies::plan(&replicas, &models, bucket.available(now), most);
+        let any = !steps.is_empty();
+        for step in steps {
+            let (Step::Load { replica, .. } | Step::Unload { replica, .. }) = &step;
+            let replica = *replica;
             let entry = &entries[replica];
             let known = book.known.entry(entry.id.clone()).or_default();
-            tell(step, entry, engine, &models);
+            tell(&step, entry, engine, &models);
             match step {
                 Step::Load {
                     model, from_store, ..
@@ -64,13 +78,27 @@
                     }
                     let job = load_job(entry, &engine.models[model], from_store);
                     known.queue.push_back(job);
+                    known.room_used();
                 }
-                Step::Unload { model, instead, .. } => {
+                Step::Unload {
+                    models: gone,
+                    instead,
+                    ..
+                } => {
                     let name = |model: usize| engine.models[model].name.clone();
-                    known.close(name(model), name(instead), now);
+                    let due = |m: usize| match models[m].demand > 0.0 {
+                        true => now + CLOSING,
+                        false => now + CLOSING_IDLE,
+                    };
+                    let from_store = !replicas[replica].copied.contains(&instead);
+                    let takes = load_job(entry, &engine.models[instead], from_store).takes;
+                    let there = now + MAKES_ROOM * gone.len() as f64 + takes;
+                    let gone = gone.into_iter().map(|m| (name(m), due(m)));
+                    known.close(gone, name(instead), there);
                 }
             }
         }
+        any
     }
 
     /// Bucket of a service's loads at the beginning of a term.
@@ -86,17 +114,45 @@
     }
 }
 
+impl Book {
+    /// Notes which models of a service are on a replica.
+    fn note_held(
+        &mut self,
+        service: &Name,
+        engine: &Engine,
+        replicas: &[copies::Replica],
+        now: Time,
+    ) {
+        let staying = replicas.iter().filter(|r| r.stays);
+        let held: HashSet<usize> = staying.flat_map(|r| &r.held).copied().collect();
+        for (m, model) in engine.models.iter().enumerate() {
+            let key = (service.clone(), model.name.clone());
+            if let Some(demand) = self.demand.get_mut(&key) {
+                demand.note_held(held.contains(&m), now);
+            }
+        }
+    }
+}
+
 /// Tells of a step, with the demand that it follows from.
-fn tell(step: Step, entry: &Entry, engine: &Engine, models: &[copies::Model]) {
+fn tell(step: &Step, entry: &Entry, engine: &Engine, models: &[copies::Model]) {
     let name = |model: usize| &*engine.models[model].name;
     match step {
         Step::Load {
             model, from_store, ..
         } => {
-            info!(target: "planner", event = "load", replica = &*entry.id, model = name(model), from_store, demand = models[model].demand, recent = models[model].recent, "a copy is added")
+            let planned = &models[*model];
+            info!(target: "planner", event = "load", replica = &*entry.id, model = name(*model), from_store, demand = planned.demand, recent = planned.recent, unserved = planned.unserved, "a copy is added")
         }
-        Step::Unload { model, instead, .. } => {
-            info!(target: "planner", event = "close", replica = &*entry.id, model = name(model), instead = name(instead), demand = models[model].demand, wanted = models[instead].demand, "a copy makes room")
+        Step::Unload {
+            models: gone,
+            instead,
+            ..
+        } => {
+            for model in gone {
+                let (demand, wanted) = (models[*model].demand, models[*instead].demand);
+                info!(target: "planner", event = "close", replica = &*entry.id, model = name(*model), instead = name(*instead), demand, wanted, "a copy makes room")
+            }
         }
     }
 }
@@ -122,14 +178,20 @@
     service: &Name,
     engine: &Engine,
     demand: &HashMap<(Name, Name), Demand>,
+    now: Time,
 ) -> Vec<copies::Model> {
+    let of = |model: &config::Model| demand.get(&(service.clone(), model.name.clone()));
+    let known = engine.models.iter().filter_map(of);
+    let expected = demand::expected(known, engine.models.len(), now);
     let seen_by_plan = |model: &config::Model| {
-        let key = (service.clone(), model.name.clone());
-        let demand = demand.get(&key).copied().unwrap_or_default();
+        let demand = of(model).copied().unwrap_or_default();
         copies::Model {
             memory_mb: model.memory_mb,
             demand: demand.now,
             recent: demand.recent,
+            unserved: demand.unserved.map_or(0.0, |at| now.since(at).secs()),
+            from_store: model.load_disk.as_secs_f64() / model.load.as_secs_f64().max(LEAST_LOAD),
+            expected,
         }
     };
     engine.models.iter().map(seen_by_plan).collect()
@@ -149,14 +211,14 @@
         let load = taken(entry, loads);
         copies::Replica {
             stays: !entry.leaving && !known.is_lost(now),
-            ..replica(entry, known, engine, load)
+            ..replica(entry, known, engine, load, now)
         }
     };
     entries.iter().map(seen_by_plan).collect()
 }
 
 /// One replica as the plan sees it.
-fn replica(entry: &Entry, known: &Known, engine: &Engine, load: f64) -> copies::Replica {
+fn replica(entry: &Entry, known: &Known, engine: &Engine, load: f64, now: Time) -> copies::Replica {
     let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
     let goes = known.going();
     let held = known.held.iter().filter(|h| !goes.contains(&&h.model));
@@ -171,8 +233,10 @@
         free_mb: known.free_mb(engine),
         held,
         coming,
+        fresh: known.fresh(now).and_then(index).into_iter().collect(),
         copied: copies.filter_map(index).collect(),
-        idle: known.is_idle() && known.closing.is_none(),
+        promised: known.room_for().and_then(index),
+        idle: known.is_free(),
         unloading: known.makes_room(),
         stays: !entry.leaving,
         load,
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -2,9 +2,9 @@
 
 use super::{Entry, RETURN_LATER, RETURN_RANGE, tell};
 use crate::attempt::{Call, Place};
-use crate::message::Want;
+use crate::message::{Missing, Want};
 use crate::respond::Fault;
-use crate::state::State;
+use crate::state::{State, Wish};
 use crate::table::{Choice, Nowhere};
 use crate::waiting::Turn;
 use route::batch;
@@ -19,6 +19,13 @@
 /// When a client may come back whose replicas could not be reached: about a restart's time.
 const RETURN_UNREACHABLE: Span = Span::from_ms(800);
 
+/// Time within which the leader answers when a model that is on no replica is there, if it can come: a
+/// few ways between hosts and one plan.
+const LEADER_ANSWERS: Span = Span::from_ms(60);
+
+/// Time from a copy's arrival until all hosts know of it: a round of sums.
+const TOLD_WITHIN: Span = Span::from_ms(300);
+
 /// Expected time to the first token, as a part of its target, beyond which a request is refused.
 const REFUSED_BEYOND: f64 = 1.2;
 
@@ -97,9 +104,17 @@
             (until, Fault::not_run("model_loading", message, coming))
         }
         Nowhere::NoModel(coming) => {
-            let wait = coming.unwrap_or(RETURN_LATER).max(RETURN_RANGE.0);
+            let until = match coming {
+                Some(_) => now,
+                None => {
+                    want_model(state, call);
+                    call.arrived + LEADER_ANSWERS
+                }
+            };
+            let wait = coming.map_or(RETURN_LATER, |c| c + TOLD_WITHIN);
             let message = "No replica holds the model at the moment.";
-            (now, Fault::not_run("no_model", message, wait))
+            let wait = wait.max(RETURN_RANGE.0);
+            (until, Fault::not_run("no_model", message, wait))
         }
         Nowhere::NoAdapter => {
             want_adapter(state, call, false);
@@ -124,12 +139,23 @@
 fn want_adapter(state: &State, call: &Call, beside: bool) {
     if let (Some(model), Some(adapter)) = (&call.ask.model, &call.ask.adapter) {
         // The task that receives lives as long as the daemon.
-        let _ = state.wanted.send(Want {
+        let _ = state.wanted.send(Wish::Adapter(Want {
             service: call.service.clone(),
             model: model.clone(),
             adapter: adapter.clone(),
             beside,
-        });
+        }));
+    }
+}
+
+/// Tells the leader that a request's model is on no replica, so that it comes before the next plan.
+fn want_model(state: &State, call: &Call) {
+    if let Some(model) = &call.ask.model {
+        // The task that receives lives as long as the daemon.
+        let _ = state.wanted.send(Wish::Model(Missing {
+            service: call.service.clone(),
+            model: model.clone(),
+        }));
     }
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -1,7 +1,7 @@
 //! What the parts of a daemon share.
 
 use crate::log::Log;
-use crate::message::Want;
+use crate::message::{Missing, Want};
 use crate::pool::Pool;
 use crate::readers::Readers;
 use crate::settings::Settings;
@@ -44,8 +44,8 @@
     pub has_led: AtomicBool,
     /// Who leads, if that is known.
     pub leader: Mutex<Option<Leader>>,
-    /// Adapters wanted here, to be sent to the leader.
-    pub wanted: tokio::sync::mpsc::UnboundedSender<Want>,
+    /// Adapters and models wanted here, to be told to the leader.
+    pub wanted: tokio::sync::mpsc::UnboundedSender<Wish>,
     draining: watch::Sender<bool>,
     in_flight: AtomicUsize,
     start: Instant,
@@ -65,8 +65,17 @@
 /// First time a clock shows, so that "long ago" is before it.
 const FIRST: u64 = 3_600_000_000;
 
-/// Receiver of the adapters wanted at this host.
-pub type Wanted = tokio::sync::mpsc::UnboundedReceiver<Want>;
+/// What requests here lack.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Wish {
+    /// An adapter.
+    Adapter(Want),
+    /// A model.
+    Model(Missing),
+}
+
+/// Receiver of what is wanted at this host.
+pub type Wanted = tokio::sync::mpsc::UnboundedReceiver<Wish>;
 
 /// Makes the shared state.
 pub fn open(
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -249,9 +249,22 @@
         engine(&store, "i-2", &["m1"]).await,
     ];
     let daemon = daemon(&store, "d1").await;
+    // A load takes 0.2 s of a target of a second: a request waits for it once the leader has said so.
+    let m2 = "m2".into();
+    let awaited = || {
+        let state = daemon.state();
+        let coming = state.table.lock().coming(&m2, state.now());
+        coming.is_some() || replicas.iter().any(|r| r.models().contains_key("m2"))
+    };
+    until(awaited).await;
     let (_, answer) = ask(&daemon, "/stream/x", Some("m2")).await;
+    assert_eq!(answer.status(), 200);
+    // A model that cannot come is refused once the leader has had time to say so.
+    let start = Instant::now();
+    let (_, answer) = ask(&daemon, "/stream/x", Some("m9")).await;
     assert_eq!(answer.status(), 503);
     assert!(answer.header("retry-after").is_some());
+    assert!(start.elapsed() < Duration::from_millis(500));
     until(|| replicas.iter().any(|r| r.models().contains_key("m2"))).await;
     until(|| replicas.iter().any(|r| r.models().contains_key("m3"))).await;
     sleep(Duration::from_millis(400)).await;
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -1,9 +1,10 @@
 //! Which models each replica of a service should hold, and the next orders towards that.
 //!
-//! Pure: counts and demand in, steps out. Every model keeps a copy on a replica that stays. Memory
-//! left over is filled, since copies that are there before the demand comes cost least; demand that
-//! no copy covers goes first. Loads from copies at hand go before loads from the weight store, which
-//! allows only so many a second.
+//! Pure: counts and demand in, steps out. Every model that is asked for gets a copy on a replica that
+//! stays; where there are fewer places than models, idle ones give way, and those that are asked for
+//! take turns. Memory left over is filled, since copies that are there before the demand comes cost
+//! least; demand that no copy covers goes first. Loads from copies at hand go before loads from the
+//! weight store, which allows only so many a second.
 //!
 //! `fleet` is what a plan knows while it is made, `step` finds the next step.
 
@@ -16,6 +17,10 @@
 /// some seconds, in which its replica takes no other order; the rest can follow a shift of demand.
 const MAKING_ROOM: f64 = 1.0 / 6.0;
 
+/// Demand, in replicas kept busy, from which a model counts as asked for: the recent demand of a single
+/// request fades to this in half a minute.
+pub const ASKED: f64 = 0.005;
+
 /// Model as the plan sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct Model {
@@ -25,6 +30,13 @@
     pub demand: f64,
     /// Demand of the last while, more slowly smoothed.
     pub recent: f64,
+    /// Time for which it has been asked for and on no replica, in seconds.
+    pub unserved: f64,
+    /// Part of a copy's value that it keeps when it comes from the weight store: the time of a load from
+    /// a disk over that from there, since a copy is worth the more the sooner it is there.
+    pub from_store: f64,
+    /// Demand that may come without notice, before a copy could be back.
+    pub expected: f64,
 }
 
 /// Replica as the plan sees it; models by index.
@@ -36,6 +48,10 @@
     pub held: Vec<usize>,
     /// Models that it is loading, or for which it is making room.
     pub coming: Vec<usize>,
+    /// Model for which it has made room, and which it does not load yet.
+    pub promised: Option<usize>,
+    /// Models that it holds since a moment ago: they do not give way yet, unless there are other copies.
+    pub fresh: Vec<usize>,
     /// Models of which it keeps a copy outside the accelerator.
     pub copied: Vec<usize>,
     /// Whether it takes an order now.
@@ -49,7 +65,7 @@
 }
 
 /// Order that the plan wants given.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
     /// Load a model on a replica.
     Load {
@@ -60,12 +76,12 @@
         /// Whether it comes from the weight store.
         from_store: bool,
     },
-    /// Unload a model, to make room for another.
+    /// Unload models, to make room for another.
     Unload {
         /// Index of the replica.
         replica: usize,
-        /// Index of the model.
-        model: usize,
+        /// Indices of the models.
+        models: Vec<usize>,
         /// Index of the model that is to come.
         instead: usize,
     },
@@ -78,7 +94,7 @@
         store_loads,
         unloads: unloads(replicas),
     };
-    let mut steps = Vec::new();
+    let mut steps = step::promised(&mut fleet, &mut bounds);
     while steps.len() < most {
         let Some(step) = step::best(&fleet, &bounds) else {
             break;
@@ -87,7 +103,7 @@
             Step::Load { from_store, .. } => bounds.store_loads -= usize::from(from_store),
             Step::Unload { .. } => bounds.unloads = bounds.unloads.saturating_sub(1),
         }
-        fleet.take(step);
+        fleet.take(&step);
         steps.push(step);
     }
     steps
--- a/crates/place/src/copies/fleet.rs
+++ b/crates/place/src/copies/fleet.rs
@@ -1,7 +1,7 @@
 //! What a plan of copies knows while it is made: counts of copies, demand on each replica, and what
 //! copies are worth.
 
-use super::{Model, Replica, Step};
+use super::{ASKED, Model, Replica, Step};
 
 /// Part of a copy in place of none, by which the value of a model's first copy is reckoned.
 const NO_COPY: f64 = 0.5;
@@ -13,6 +13,11 @@
 /// Least weight of a model that nobody asks for now, so that leftover memory is spread.
 const UNASKED: f64 = 0.05;
 
+/// Time in seconds after which a model that is asked for and on no replica is worth twice as much:
+/// about that of a load from a disk, with room made for it. So models that are asked for alike take
+/// turns, however few places there are.
+const UNSERVED_DOUBLES: f64 = 4.0;
+
 /// Copies of one model on replicas that stay.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Count {
@@ -27,6 +32,8 @@
     pub(super) replicas: Vec<Replica>,
     pub(super) models: &'a [Model],
     pub(super) counts: Vec<Count>,
+    /// Whether there are fewer places than models, so that not all of them can be there at once.
+    pub(super) scarce: bool,
     /// Demand that falls on each replica when that for a model is shared evenly by its copies.
     demand: Vec<f64>,
 }
@@ -38,6 +45,7 @@
             replicas: replicas.to_vec(),
             models,
             counts: Vec::new(),
+            scarce: places(replicas, models) < models.len(),
             demand: Vec::new(),
         };
         fleet.count();
@@ -45,29 +53,39 @@
     }
 
     /// Takes in a step that is to be done; its replica does no other.
-    pub(super) fn take(&mut self, step: Step) {
+    pub(super) fn take(&mut self, step: &Step) {
         match step {
             Step::Load { replica, model, .. } => {
-                let replica = &mut self.replicas[replica];
-                replica.coming.push(model);
-                replica.free_mb -= self.models[model].memory_mb;
+                let replica = &mut self.replicas[*replica];
+                replica.coming.push(*model);
+                replica.free_mb -= self.models[*model].memory_mb;
                 replica.idle = false;
             }
             Step::Unload {
                 replica,
-                model,
+                models,
                 instead,
             } => {
-                let replica = &mut self.replicas[replica];
-                replica.held.retain(|m| *m != model);
+                let replica = &mut self.replicas[*replica];
+                replica.held.retain(|m| !models.contains(m));
                 // The room is meant for that model, so no other replica loads it on top.
-                replica.coming.push(instead);
+                replica.coming.push(*instead);
                 replica.idle = false;
             }
         }
         self.count();
     }
 
+    /// Lets a replica that has made room wait, so that the room stays; or forgets what the room was for.
+    pub(super) fn settle(&mut self, r: usize, waits: bool) {
+        let replica = &mut self.replicas[r];
+        replica.idle &= !waits;
+        if !waits && let Some(model) = replica.promised.take() {
+            replica.coming.retain(|m| *m != model);
+        }
+        self.count();
+    }
+
     /// Brings counts and what follows from them up to date.
     fn count(&mut self) {
         self.counts = counts(&self.replicas, self.models.len());
@@ -89,8 +107,12 @@
     fn value(&self, model: usize, count: usize, others: f64) -> f64 {
         let model = &self.models[model];
         let n = (count as f64).max(NO_COPY);
+        let demand = match count {
+            0 => model.demand.max(model.expected),
+            _ => model.demand,
+        };
         // A copy relieves the others the less, the more its replica has to do already.
-        let asked = (1.0 + RELIEVED) * model.demand + model.recent;
+        let asked = (1.0 + RELIEVED) * demand + model.recent;
         let relieved = asked / (1.0 + others);
         // Copies so valued go by the square root of demand: demand moves from the busiest model to one
         // that few asked for within less time than weights need to come, so that the next ones must
@@ -100,23 +122,47 @@
 
     /// What one more copy of a model gains on a replica, at the most: nothing is given up for it.
     pub(super) fn gain(&self, model: usize, r: usize) -> f64 {
-        self.value(model, self.counts[model].all, self.demand[r])
+        self.value(model, self.counts[model].all, self.demand[r]) * self.patience(model)
     }
 
     /// What one more copy of a model gains on an empty replica.
     pub(super) fn most_gain(&self, model: usize) -> f64 {
-        self.value(model, self.counts[model].all, 0.0)
+        self.value(model, self.counts[model].all, 0.0) * self.patience(model)
+    }
+
+    /// Factor by which a model is worth more the longer it was on no replica.
+    fn patience(&self, model: usize) -> f64 {
+        if self.counts[model].all > 0 {
+            return 1.0;
+        }
+        1.0 + self.models[model].unserved / UNSERVED_DOUBLES
+    }
+
+    /// Whether a model is to be on some replica: each, while there are places for all; else those that
+    /// are asked for.
+    pub(super) fn is_needed(&self, model: usize) -> bool {
+        let model = &self.models[model];
+        !self.scarce || model.demand + model.recent > ASKED
     }
 
     /// What is lost when a replica gives up a copy.
     pub(super) fn loss(&self, model: usize, r: usize) -> f64 {
         let count = self.counts[model].all.max(1);
         let own = self.models[model].demand / count as f64;
-        let left = (count - 1).max(1);
+        let left = count - 1;
         self.value(model, left, (self.demand[r] - own).max(0.0))
     }
 }
 
+/// Models that the replicas hold or have room for.
+fn places(replicas: &[Replica], models: &[Model]) -> usize {
+    let memory: f64 = models.iter().map(|m| m.memory_mb).sum();
+    let mean = memory / models.len().max(1) as f64;
+    let staying = replicas.iter().filter(|r| r.stays);
+    let of_one = |r: &Replica| on(r).count() + (r.free_mb.max(0.0) / mean.max(1.0)) as usize;
+    staying.map(of_one).sum()
+}
+
 /// Models that a replica holds or will.
 fn on(replica: &Replica) -> impl Iterator<Item = &usize> {
     replica.held.iter().chain(&replica.coming)
--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -3,9 +3,6 @@
 use super::Step;
 use super::fleet::Fleet;
 
-/// Part of a model's value that a load from the weight store keeps: it takes several times as long.
-const FROM_STORE: f64 = 0.6;
-
 /// Part of a copy's value that is lost on a replica whose places are all taken.
 const LOADED: f64 = 0.3;
 
@@ -26,7 +23,8 @@
 /// How much a step is wanted; the greater one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Score {
-    /// Whether it brings a model that is nowhere: that goes before all others.
+    /// Whether it brings a model that is asked for and nowhere, and takes no last copy of another one: that
+    /// goes before all others.
     urgent: bool,
     /// What it gains, less what is given up for it.
     gain: f64,
@@ -47,13 +45,43 @@
     Wait,
 }
 
+/// Loads of models for which replicas have made room: these come before all else, since the room was
+/// paid for. A replica whose model must wait for the weight store keeps the room.
+pub(super) fn promised(fleet: &mut Fleet, bounds: &mut Bounds) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for replica in 0..fleet.replicas.len() {
+        let of = &fleet.replicas[replica];
+        let Some(model) = of.promised.filter(|_| of.idle && of.stays) else {
+            continue;
+        };
+        let from_store = !of.copied.contains(&model);
+        let fits = fleet.models[model].memory_mb <= of.free_mb && !of.held.contains(&model);
+        if fits && fleet.is_needed(model) && from_store && bounds.store_loads == 0 {
+            fleet.settle(replica, true);
+            continue;
+        }
+        fleet.settle(replica, false);
+        if fits && fleet.is_needed(model) {
+            bounds.store_loads -= usize::from(from_store);
+            let step = Step::Load {
+                replica,
+                model,
+                from_store,
+            };
+            fleet.take(&step);
+            steps.push(step);
+        }
+    }
+    steps
+}
+
 /// The step with the highest score, of all idle replicas and models.
 pub(super) fn best(fleet: &Fleet, bounds: &Bounds) -> Option<Step> {
     let wanted = wanted(fleet);
     let mut best: Option<(Step, Score)> = None;
     for (r, replica) in fleet.replicas.iter().enumerate() {
         if replica.idle && replica.stays {
-            let above = best.map(|(_, score)| score);
+            let above = best.as_ref().map(|(_, score)| *score);
             best = best_of(fleet, r, &wanted, bounds, above).or(best);
         }
     }
@@ -63,7 +91,7 @@
 /// Models by what one more copy gains at the most, the greatest first.
 fn wanted(fleet: &Fleet) -> Vec<(usize, Score)> {
     let score = |m: usize| Score {
-        urgent: fleet.counts[m].all == 0,
+        urgent: fleet.counts[m].all == 0 && fleet.is_needed(m),
         gain: fleet.most_gain(m),
     };
     let models = 0..fleet.models.len();
@@ -89,10 +117,11 @@
         if most.is_some_and(|most| *score <= most) {
             break;
         }
-        let Some((next, gain)) = next(fleet, r, *m, bounds) else {
+        let Some((next, gain, turns)) = next(fleet, r, *m, bounds) else {
             continue;
         };
-        let score = Score { gain, ..*score };
+        let urgent = score.urgent && !turns;
+        let score = Score { urgent, gain };
         let waits = matches!(next, Next::Now(Step::Unload { .. })) && bounds.unloads == 0;
         // A model that is nowhere does not wait for others.
         let allowed = !waits || score.urgent;
@@ -107,14 +136,18 @@
     best
 }
 
-/// The next step towards one more copy of a model on a replica, and what it gains.
-fn next(fleet: &Fleet, r: usize, m: usize, bounds: &Bounds) -> Option<(Next, f64)> {
+/// The next step towards one more copy of a model on a replica, what it gains, and whether another model
+/// is on no replica after it.
+fn next(fleet: &Fleet, r: usize, m: usize, bounds: &Bounds) -> Option<(Next, f64, bool)> {
     if fleet.is_on(m, r) {
         return None;
     }
     let replica = &fleet.replicas[r];
     let from_store = !replica.copied.contains(&m);
-    let part = if from_store { FROM_STORE } else { 1.0 };
+    let part = match from_store {
+        true => fleet.models[m].from_store,
+        false => 1.0,
+    };
     let gain = fleet.gain(m, r) * part * (1.0 - LOADED * replica.load.min(1.0));
     if fleet.models[m].memory_mb <= replica.free_mb {
         let load = Step::Load {
@@ -126,33 +159,60 @@
             true => Next::Wait,
             false => Next::Now(load),
         };
-        return Some((next, gain));
+        return Some((next, gain, false));
+    }
+    if !fleet.is_needed(m) {
+        // It may be asked for, and so may those that would go for it.
+        return None;
     }
-    let (out, loss) = swap(fleet, r, m)?;
+    let swap = swap(fleet, r, m)?;
+    let gain = gain - swap.lost * HYSTERESIS - LEAST_GAIN * swap.models.len() as f64;
     let unload = Step::Unload {
         replica: r,
-        model: out,
+        models: swap.models,
         instead: m,
     };
-    let gain = gain - loss * HYSTERESIS - LEAST_GAIN;
-    Some((Next::Now(unload), gain))
+    Some((Next::Now(unload), gain, swap.turns))
+}
+
+/// Models that give way to another one on a replica.
+struct Swap {
+    /// Those that go, the least valued first.
+    models: Vec<usize>,
+    /// Value of all that go.
+    lost: f64,
+    /// Whether one of them is on no other replica.
+    turns: bool,
 }
 
-/// The first model to give up for another, and the value of all that must go; none when what may
-/// go does not make room.
-fn swap(fleet: &Fleet, r: usize, wanted: usize) -> Option<(usize, f64)> {
+/// What must go for a model on a replica; none when what may go does not make room.
+fn swap(fleet: &Fleet, r: usize, wanted: usize) -> Option<Swap> {
     let replica = &fleet.replicas[r];
-    let loose = replica.held.iter().filter(|m| fleet.counts[**m].held >= 2);
+    let needed = fleet.models[wanted].memory_mb - replica.free_mb;
+    let memory = |m: usize| fleet.models[m].memory_mb;
+    let is_last = |m: usize| fleet.counts[m].held < 2;
+    let is_nowhere = fleet.counts[wanted].all == 0;
+    // One more copy is worth no last one of a model that is asked for: that would take it back.
+    let may_go = |m: &&usize| match is_last(**m) {
+        true => fleet.scarce && !replica.fresh.contains(m) && (is_nowhere || !fleet.is_needed(**m)),
+        false => true,
+    };
+    let loose = replica.held.iter().filter(may_go);
     let mut loose: Vec<(usize, f64)> = loose.map(|m| (*m, fleet.loss(*m, r))).collect();
     loose.sort_by(|a, b| a.1.total_cmp(&b.1));
-    let mut free = replica.free_mb;
-    let mut lost = 0.0;
-    for (model, loss) in &loose {
-        free += fleet.models[*model].memory_mb;
-        lost += loss;
-        if free >= fleet.models[wanted].memory_mb {
-            return Some((loose[0].0, lost));
-        }
-    }
-    None
+    let gone = |models: &[(usize, f64)]| Swap {
+        models: models.iter().map(|(m, _)| *m).collect(),
+        lost: models.iter().map(|(_, loss)| loss).sum(),
+        turns: models.iter().any(|(m, _)| is_last(*m)),
+    };
+    let several = (1..=loose.len()).find(|n| {
+        let freed: f64 = loose[..*n].iter().map(|(m, _)| memory(*m)).sum();
+        freed >= needed
+    });
+    let several = gone(&loose[..several?]);
+    // Each order takes a second and more: one large model goes rather than two small ones.
+    let one = loose.iter().find(|(m, _)| memory(*m) >= needed);
+    let one = one.map(|one| gone(&[*one]));
+    one.filter(|one| one.lost <= several.lost + LEAST_GAIN)
+        .or(Some(several))
 }
