--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -42,6 +42,9 @@
 /// Processor, in cores, from which a host leads as well as any.
 const ENOUGH_CORES: f64 = 0.5;
 
+/// Pause between two tries to renew a lease that could not be renewed in time.
+const RETRY: Duration = Duration::from_millis(200);
+
 /// Pause between looks whether the lease is free.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -80,6 +83,15 @@
         Instant::now() < *self.until.lock()
     }
 
+    /// Lets the term hold until shortly before its lease ends; tells whether it holds now.
+    fn extend(&self, lease_ends: Instant) -> bool {
+        let until = lease_ends - MARGIN;
+        let mut held = self.until.lock();
+        *held = until.max(*held);
+        drop(held);
+        self.holds()
+    }
+
     /// Ends the term; no order is given after this.
     pub fn end(&self) {
         *self.until.lock() = Instant::now();
@@ -105,6 +117,9 @@
         if let Some((lease, term)) = acquire(&state).await {
             let work = tokio::spawn(lead(term.clone()));
             hold(&state, &lease, &term).await;
+            while resume(&state, &lease, &term).await {
+                hold(&state, &lease, &term).await;
+            }
             work.abort();
             give_up(&state, lease, &term).await;
         }
@@ -240,9 +255,7 @@
         let left = term.until.lock().saturating_duration_since(asked);
         match tokio::time::timeout(left, state.store.renew(lease.id)).await {
             Ok(Ok(ttl)) => {
-                let until = asked + ttl.saturating_sub(MARGIN);
-                let mut held = term.until.lock();
-                *held = until.max(*held);
+                term.extend(asked + ttl);
             }
             Ok(Err(platform::Error::LeaseEnded { lease })) => {
                 warn!(target: "leader", event = "lease_ended", lease, "the lease has ended");
@@ -257,6 +270,31 @@
     }
 }
 
+/// Goes on with a term that could not be renewed in time, once the store answers again, if the lease has
+/// waited meanwhile: as long as the entry stands under it, nobody else can have led. Tells whether the
+/// term goes on.
+async fn resume(state: &State, lease: &Lease, term: &Term) -> bool {
+    while !state.is_draining() && !state.is_led_by_another() {
+        let asked = Instant::now();
+        match state.store.renew(lease.id).await {
+            Ok(ttl) => return stands(state, lease, term).await && term.extend(asked + ttl),
+            Err(platform::Error::LeaseEnded { .. }) => return false,
+            Err(_) => tokio::time::sleep(RETRY).await,
+        }
+    }
+    false
+}
+
+/// Whether a term's entry still stands in the store under its lease.
+async fn stands(state: &State, lease: &Lease, term: &Term) -> bool {
+    let item = state.store.get(KEY, Freshness::Newest).await;
+    let stands = item.ok().flatten().is_some_and(|i| i.lease == lease.id);
+    if stands {
+        info!(target: "leader", event = "resumed", term = term.token, "the store answers again, and the term goes on");
+    }
+    stands
+}
+
 /// Ends a term and its lease.
 async fn give_up(state: &State, lease: Lease, term: &Term) {
     term.end();
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -60,7 +60,8 @@
     planned_at: Time,
 }
 
-/// Works until the term ends.
+/// Works until another host leads. Orders are given while the term holds; sums are told also while the
+/// store is away and the term cannot be renewed, since hosts that hear none all choose alike.
 pub async fn run(state: Arc<State>, peers: Arc<Peers>, term: Term) {
     let planner = Arc::new(open(state, peers, term));
     let quiet = planner.quiet_until();
@@ -70,8 +71,8 @@
     let mut changes = tokio::time::interval(CHANGES);
     changes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0;
-    while planner.term.holds() {
-        let acts = tokio::time::Instant::now() >= quiet;
+    while planner.may_tell() {
+        let acts = planner.term.holds() && tokio::time::Instant::now() >= quiet;
         tokio::select! {
             _ = tick.tick() => {
                 planner.sync();
@@ -129,6 +130,11 @@
         self.term.since + wait
     }
 
+    /// Whether this host may tell sums: its term holds, or no other host is known to lead.
+    fn may_tell(&self) -> bool {
+        self.term.holds() || !self.state.is_led_by_another()
+    }
+
     /// Takes in the replicas' entries, and what hosts told of the use of adapters.
     fn sync(&self) {
         let now = self.state.now();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -148,6 +148,14 @@
             .is_some_and(|l| l.peers == self.settings.peers)
     }
 
+    /// Whether another host leads, as far as this one knows.
+    pub fn is_led_by_another(&self) -> bool {
+        let leader = self.leader.lock();
+        leader
+            .as_ref()
+            .is_some_and(|l| l.peers != self.settings.peers)
+    }
+
     /// Counts a request in until the guard is dropped.
     pub fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/front/src/table/told.rs
+++ b/crates/front/src/table/told.rs
@@ -70,6 +70,11 @@
 }
 
 impl Table {
+    /// Time since the leader last told its plans.
+    pub fn told_plans_age(&self, now: Time) -> Span {
+        now.since(self.told.loaded.at)
+    }
+
     /// Notes which replicas have just loaded which models.
     pub fn set_loaded(&mut self, loaded: Vec<(Name, Name)>, now: Time) {
         self.told.loaded.set(loaded, now);
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -9,6 +9,7 @@
 use site::{ask, configuration, daemon, engine, store, until, web};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use unit::Span;
 
 #[tokio::test]
 async fn a_configuration_is_in_force_everywhere_in_seconds_and_never_reverts() {
@@ -241,6 +242,50 @@
     assert!(leader(&second).unwrap().term > before.term);
 }
 
+/// large inc-f019: after an outage of 10 s in which the lease had waited, its holder had given it up, and
+/// the next one gave its first order 4.8 s after the store's return.
+#[tokio::test]
+async fn a_leader_goes_on_after_an_outage_in_which_its_lease_waited() {
+    let store = store().await;
+    let first = daemon(&store, "d1").await;
+    let second = daemon(&store, "d2").await;
+    let leader = |daemon: &front::Daemon| daemon.state().leader.lock().clone();
+    let before = leader(&second);
+    store.set_mode(Mode::Silent);
+    for _ in 0..45 {
+        store.extend_leases();
+        sleep(Duration::from_millis(100)).await;
+    }
+    let sums_at = |daemon: &front::Daemon| {
+        let state = daemon.state();
+        state.table.lock().told_plans_age(state.now())
+    };
+    let age = sums_at(&second);
+    assert!(age < Span::from_secs(1), "sums are told on: {age}");
+    store.set_mode(Mode::Up);
+    let engine = engine(&store, "i-1", &["m1"]).await;
+    let start = Instant::now();
+    until(|| engine.models().contains_key("m2")).await;
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(2_500), "{took:?}");
+    assert_eq!(leader(&first), before);
+    assert_eq!(leader(&second), before);
+}
+
+/// A lease that ended in the outage is not resumed: another host may have led meanwhile.
+#[tokio::test]
+async fn a_leader_whose_lease_ended_in_an_outage_starts_a_new_term() {
+    let store = store().await;
+    let first = daemon(&store, "d1").await;
+    let leader = |daemon: &front::Daemon| daemon.state().leader.lock().clone();
+    let before = leader(&first).unwrap();
+    store.set_mode(Mode::Silent);
+    sleep(Duration::from_millis(4_500)).await;
+    store.end_leases();
+    store.set_mode(Mode::Up);
+    until(|| leader(&first).is_some_and(|l| l.term > before.term)).await;
+}
+
 #[tokio::test]
 async fn a_model_that_nobody_holds_is_loaded_and_served() {
     let store = store().await;
