--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -32,8 +32,8 @@
     pub recent: f64,
     /// Time for which it has been asked for and on no replica, in seconds.
     pub unserved: f64,
-    /// Part of a first copy's value that it keeps when it comes from the weight store: the time of a load
-    /// from a disk over that from there, since none of its requests is served until then.
+    /// Part of a copy's value that it keeps when it comes from the weight store: the time of a load from
+    /// a disk over that from there, since a copy is worth the more the sooner it is there.
     pub from_store: f64,
     /// Demand that may come without notice, before a copy could be back.
     pub expected: f64,
--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -3,10 +3,6 @@
 use super::Step;
 use super::fleet::Fleet;
 
-/// Part of the value of one more copy that it keeps when it comes from the weight store: demand that
-/// has moved stays for some tens of seconds, of which the load takes several.
-const FROM_STORE: f64 = 0.6;
-
 /// Part of a copy's value that is lost on a replica whose places are all taken.
 const LOADED: f64 = 0.3;
 
@@ -148,10 +144,9 @@
     }
     let replica = &fleet.replicas[r];
     let from_store = !replica.copied.contains(&m);
-    let part = match (from_store, fleet.counts[m].all) {
-        (true, 0) => fleet.models[m].from_store,
-        (true, _) => FROM_STORE,
-        (false, _) => 1.0,
+    let part = match from_store {
+        true => fleet.models[m].from_store,
+        false => 1.0,
     };
     let gain = fleet.gain(m, r) * part * (1.0 - LOADED * replica.load.min(1.0));
     if fleet.models[m].memory_mb <= replica.free_mb {
