A term that was fenced or given up is over for good; a resumed renewal tells its errors

Read over as a newcomer would: a fenced term could have been extended by the next renewal while its entry still stood, and the errors of the renewals after an outage went untold. No change where neither happens.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -181,9 +181,9 @@
 /// Pauses after no call was answered. The store's return is seen at once by those that read it for all,
 /// and by hosts that cannot work without; the others, which are many, ask it seldom.
 async fn pause_after_failure(state: &State) {
-    let waits_for_all = state.table.lock().routes.is_none();
+    let has_nothing = state.table.lock().routes.is_none();
     let is_direct = readers::is_direct(state);
-    if waits_for_all || is_direct || state.leads() || readers::reads(state) {
+    if has_nothing || is_direct || state.leads() || readers::reads(state) {
         tokio::time::sleep(PAUSE).await;
         return;
     }
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -74,27 +74,35 @@
     pub since: Instant,
     /// Whether no host has ever led before, so that no order can be under way.
     pub is_first: bool,
-    until: Arc<Mutex<Instant>>,
+    held: Arc<Mutex<Held>>,
+}
+
+/// How long a term holds.
+struct Held {
+    /// Shortly before its lease ends, by this host's steady clock.
+    until: Instant,
+    /// Whether it is over for good, since it was given up or a later holder gives orders.
+    over: bool,
 }
 
 impl Term {
     /// Whether the term still holds, by this host's steady clock.
     pub fn holds(&self) -> bool {
-        Instant::now() < *self.until.lock()
+        let held = self.held.lock();
+        !held.over && Instant::now() < held.until
     }
 
     /// Lets the term hold until shortly before its lease ends; tells whether it holds now.
     fn extend(&self, lease_ends: Instant) -> bool {
-        let until = lease_ends - MARGIN;
-        let mut held = self.until.lock();
-        *held = until.max(*held);
+        let mut held = self.held.lock();
+        held.until = held.until.max(lease_ends - MARGIN);
         drop(held);
         self.holds()
     }
 
     /// Ends the term; no order is given after this.
     pub fn end(&self) {
-        *self.until.lock() = Instant::now();
+        self.held.lock().over = true;
     }
 }
 
@@ -186,7 +194,10 @@
         token,
         since: Instant::now(),
         is_first,
-        until: Arc::new(Mutex::new(asked + lease.ttl.saturating_sub(MARGIN))),
+        held: Arc::new(Mutex::new(Held {
+            until: asked + lease.ttl.saturating_sub(MARGIN),
+            over: false,
+        })),
     };
     Some((lease, term))
 }
@@ -252,7 +263,7 @@
             }
         }
         let asked = Instant::now();
-        let left = term.until.lock().saturating_duration_since(asked);
+        let left = term.held.lock().until.saturating_duration_since(asked);
         match tokio::time::timeout(left, state.store.renew(lease.id)).await {
             Ok(Ok(ttl)) => {
                 term.extend(asked + ttl);
@@ -276,23 +287,32 @@
 async fn resume(state: &State, lease: &Lease, term: &Term) -> bool {
     while !state.is_draining() && !state.is_led_by_another() {
         let asked = Instant::now();
-        match state.store.renew(lease.id).await {
-            Ok(ttl) => return stands(state, lease, term).await && term.extend(asked + ttl),
-            Err(platform::Error::LeaseEnded { .. }) => return false,
-            Err(_) => tokio::time::sleep(RETRY).await,
+        match renew(state, lease).await {
+            Ok(Some(ttl)) => {
+                info!(target: "leader", event = "resumed", term = term.token, "the store answers again, and the term goes on");
+                return term.extend(asked + ttl);
+            }
+            Ok(None) => return false,
+            Err(why) => {
+                state.log.notable(|| {
+                    warn!(target: "leader", event = "not_renewed", why = %why, "the lease could not be renewed yet")
+                });
+                tokio::time::sleep(RETRY).await;
+            }
         }
     }
     false
 }
 
-/// Whether a term's entry still stands in the store under its lease.
-async fn stands(state: &State, lease: &Lease, term: &Term) -> bool {
-    let item = state.store.get(KEY, Freshness::Newest).await;
-    let stands = item.ok().flatten().is_some_and(|i| i.lease == lease.id);
-    if stands {
-        info!(target: "leader", event = "resumed", term = term.token, "the store answers again, and the term goes on");
-    }
-    stands
+/// Renews a lease under which the leader's entry still stands; none when the lease or the entry is gone.
+async fn renew(state: &State, lease: &Lease) -> Result<Option<Duration>, platform::Error> {
+    let ttl = match state.store.renew(lease.id).await {
+        Ok(ttl) => ttl,
+        Err(platform::Error::LeaseEnded { .. }) => return Ok(None),
+        Err(why) => return Err(why),
+    };
+    let item = state.store.get(KEY, Freshness::Newest).await?;
+    Ok(item.filter(|i| i.lease == lease.id).map(|_| ttl))
 }
 
 /// Ends a term and its lease.
