--- a/crates/place/tests/paging.rs
+++ b/crates/place/tests/paging.rs
@@ -169,7 +169,7 @@
         20..28 | 36..48 => rare(m, now, 7.0),
         _ => 0.0,
     };
-    let mut served = vec![false; 48];
+    let mut served = [false; 48];
     for _ in 0..150 {
         fleet.tick(demand);
         for (m, served) in served.iter_mut().enumerate() {
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -128,18 +128,19 @@
             memory_mb: 60_000.0,
             demand: if m % 10 == 0 { 14.0 } else { 0.5 },
             recent: 0.5,
+            unserved: 0.0,
+            from_store: 0.25,
+            expected: 0.0,
         })
         .collect();
     let held: Vec<Replica> = (0..replicas)
         .map(|n| Replica {
             free_mb: 20_000.0,
             held: vec![n % models, (n + 1) % models, (n + 7) % models],
-            coming: Vec::new(),
-            copied: Vec::new(),
             idle: n % 4 == 0,
             stays: true,
-            unloading: false,
             load: 0.3,
+            ..Replica::default()
         })
         .collect();
     each(|| {
