What gives way is chosen before it is written down; whether a replica stays is said in one place

The plan made both lists of what could go for a model, for each model and replica, and threw one away; it now picks the slice and makes one. replica() said that a replica stays and its only caller said it again with what it lacked, which replica() now has.

--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -208,11 +208,7 @@
     let nothing = Known::default();
     let seen_by_plan = |entry: &Entry| {
         let known = known.get(&entry.id).unwrap_or(&nothing);
-        let load = taken(entry, loads);
-        copies::Replica {
-            stays: !entry.leaving && !known.is_lost(now),
-            ..replica(entry, known, engine, load, now)
-        }
+        replica(entry, known, engine, taken(entry, loads), now)
     };
     entries.iter().map(seen_by_plan).collect()
 }
@@ -238,7 +234,7 @@
         promised: known.room_for().and_then(index),
         idle: known.is_free(),
         unloading: known.makes_room(),
-        stays: !entry.leaving,
+        stays: !entry.leaving && !known.is_lost(now),
         load,
     }
 }
--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -200,19 +200,19 @@
     let loose = replica.held.iter().filter(may_go);
     let mut loose: Vec<(usize, f64)> = loose.map(|m| (*m, fleet.loss(*m, r))).collect();
     loose.sort_by(|a, b| a.1.total_cmp(&b.1));
-    let gone = |models: &[(usize, f64)]| Swap {
-        models: models.iter().map(|(m, _)| *m).collect(),
-        lost: models.iter().map(|(_, loss)| loss).sum(),
-        turns: models.iter().any(|(m, _)| is_last(*m)),
-    };
     let several = (1..=loose.len()).find(|n| {
         let freed: f64 = loose[..*n].iter().map(|(m, _)| memory(*m)).sum();
         freed >= needed
     });
-    let several = gone(&loose[..several?]);
+    let several = &loose[..several?];
+    let lost = |models: &[(usize, f64)]| -> f64 { models.iter().map(|(_, loss)| loss).sum() };
     // Each order takes a second and more: one large model goes rather than two small ones.
     let one = loose.iter().find(|(m, _)| memory(*m) >= needed);
-    let one = one.map(|one| gone(&[*one]));
-    one.filter(|one| one.lost <= several.lost + LEAST_GAIN)
-        .or(Some(several))
+    let one = one.filter(|(_, loss)| *loss <= lost(several) + LEAST_GAIN);
+    let gone = one.map_or(several, std::slice::from_ref);
+    Some(Swap {
+        models: gone.iter().map(|(m, _)| *m).collect(),
+        lost: lost(gone),
+        turns: gone.iter().any(|(m, _)| is_last(*m)),
+    })
 }
