Client accounts and keys: read once, told to replicas, withdrawn by the age of what a host knows

Cause: the code knew no keys. Accounts are decoded in platform/account.rs; a request's key is taken out of its header fields, under any spelling and however often it stands there, and the replica is told the account by coveford alone. A host keeps the time at which the store was asked for what it knows, on its own steady clock: answers and the words of readers count from the question, so that one that waited for a frozen host proves nothing. It rests on keys for 0.8 of the bound on withdrawals, judges each sending anew, and says 503 with a time, and not ready to the balancer, beyond. Unknown keys are final only for a host that is up to date.

--- a/crates/bundle/src/ini.rs
+++ b/crates/bundle/src/ini.rs
@@ -235,18 +235,24 @@
     where
         T: FromStr + PartialOrd + fmt::Display + Copy,
     {
-        let Some(text) = self.text(key) else {
-            return default;
-        };
+        self.optional(key, allowed).unwrap_or(default)
+    }
+
+    /// Value of a key within a range, if one is given.
+    pub fn optional<T>(&mut self, key: &'static str, allowed: RangeInclusive<T>) -> Option<T>
+    where
+        T: FromStr + PartialOrd + fmt::Display + Copy,
+    {
+        let text = self.text(key)?;
         let (low, high) = (*allowed.start(), *allowed.end());
         match text.parse::<T>() {
-            Ok(value) if allowed.contains(&value) => value,
+            Ok(value) if allowed.contains(&value) => Some(value),
             _ => {
                 self.refuse(
                     key,
                     format!("'{text}' is not allowed; give a value from {low} to {high}."),
                 );
-                default
+                None
             }
         }
     }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -6,6 +6,7 @@
 pub use call::Call;
 pub use place::Place;
 
+use crate::accounts::{self, Refusal};
 use crate::state::State;
 use crate::table::Choice;
 use conn::{Body, Error, Line};
@@ -39,12 +40,17 @@
     Failing(u16),
     /// Its time ran out; it may have run.
     Late,
+    /// Its key does not let it go on; nothing was handed to a connection.
+    Barred(Refusal),
 }
 
 impl Failed {
     /// Whether it is proven that the request did not run there and will not.
     pub fn proves_not_run(&self) -> bool {
-        matches!(self, Failed::Unsent(_) | Failed::NotRun(_))
+        matches!(
+            self,
+            Failed::Unsent(_) | Failed::NotRun(_) | Failed::Barred(_)
+        )
     }
 }
 
@@ -56,6 +62,7 @@
             Failed::Lost(why) => write!(f, "lost: {why}"),
             Failed::Failing(status) => write!(f, "the replica failed it with status {status}"),
             Failed::Late => f.write_str("its time ran out"),
+            Failed::Barred(why) => write!(f, "not let on: {why}"),
         }
     }
 }
@@ -75,7 +82,10 @@
         Some(line) => line,
         None => open(state, call, choice, &place).await?,
     };
-    let request = request(state, call, choice, last_event);
+    // At the last moment before each sending: the key may have gone since the one before.
+    let account = accounts::confirm(state, call).map_err(Failed::Barred)?;
+    let account = account.as_ref().map(|a| &*a.name);
+    let request = request(state, call, choice, last_event, account);
     let answered = line.send(request, call.left(state.now())).await;
     let response = match answered {
         Ok(response) => response,
@@ -176,17 +186,24 @@
 const WAY_BACK: Span = Span::from_ms(5);
 
 /// Request as it goes to the replica.
-fn request(state: &State, call: &Call, choice: &Choice, last_event: Option<u64>) -> Request<Body> {
+fn request(
+    state: &State,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<u64>,
+    account: Option<&str>,
+) -> Request<Body> {
     let left = Span::from(call.left(state.now())).saturating_sub(WAY_BACK);
     let mut request = Request::new(Body::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = ingress::forwarded(
-        &call.headers,
-        &choice.replica,
-        left.std(),
-        call.route.priority,
+    let direction = ingress::Direction {
+        replica: &choice.replica,
+        left: left.std(),
+        priority: call.priority,
         last_event,
-    );
+        account,
+    };
+    *request.headers_mut() = ingress::forwarded(&call.headers, &direction);
     request
 }
--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -1,5 +1,6 @@
 //! Request of a client, as it is sent to replicas.
 
+use crate::accounts::Caller;
 use crate::table::Want;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -20,6 +21,10 @@
     pub route: Arc<Route>,
     /// Service of that route that it goes to.
     pub service: Name,
+    /// Whose request it is.
+    pub caller: Caller,
+    /// Its rank of urgency, 0 first: its account's, or else its route's.
+    pub priority: u8,
     /// Its method.
     pub method: Method,
     /// Its path and query.
@@ -49,7 +54,7 @@
         Want {
             service: &self.service,
             ask: &self.ask,
-            priority: self.route.priority,
+            priority: self.priority,
             gap: self.route.gap.map(Span::from),
             avoid,
             only,
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -28,6 +28,10 @@
 /// watch that a silent outage swallowed must not hang on long after the store's return.
 const WAIT_PART: f64 = 0.75;
 
+/// Time that a watch waits for a change, as a part of the bound on withdrawals of keys: what it tells is
+/// as old as the question, and keys are rested on for 0.8 of the bound.
+const WAIT_PART_OF_WITHDRAWAL: f64 = 0.25;
+
 /// Time that a watch of a host that reads the store for others waits, and the pause after it, each
 /// as a part of the same bound: these hear of a change after both at the most, and must hear as soon
 /// that their reader is cut off.
@@ -99,10 +103,12 @@
 
 /// Reads all that stands in the store.
 async fn read(state: &State) -> Next {
+    // An answer tells what stood when it was asked for; it may have waited for this host since.
+    let asked = state.now();
     let listing = state.store.range("", Freshness::Newest).await;
     match heard(state, listing) {
         Some(listing) => {
-            readers::note_whole(state, &listing.found, listing.revision, state.now());
+            readers::note_whole(state, &listing.found, listing.revision, asked);
             Next::Whole(listing)
         }
         None => Next::Failed,
@@ -112,6 +118,7 @@
 /// Waits for the store's next changes.
 async fn watch(state: &State, after: u64) -> Next {
     let named = state.readers.named.notified();
+    let asked = state.now();
     let changes = tokio::select! {
         changes = state.store.watch("", after, wait(state)) => changes,
         // From now on others rest on this host's news: a long watch would let them grow old.
@@ -124,7 +131,7 @@
     let Some(changes) = heard(state, changes) else {
         return Next::Failed;
     };
-    readers::note(state, &changes.found, changes.revision, state.now());
+    readers::note(state, &changes.found, changes.revision, asked);
     Next::Watched(changes)
 }
 
@@ -158,7 +165,11 @@
         true => READER_PART,
         false => WAIT_PART,
     };
-    shortest_bound(state).mul_f64(part)
+    let wait = shortest_bound(state).mul_f64(part);
+    match state.settings.bounds.withdrawal {
+        Some(bound) => wait.min(bound.mul_f64(WAIT_PART_OF_WITHDRAWAL)),
+        None => wait,
+    }
 }
 
 /// The shortest time within which what stands in the store must be followed.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! only what lies below it; `run` starts them all. Locks are taken in this order: [`waiting::Waiting`], then
 //! [`table::Table`]; none is held across an await.
 
+pub mod accounts;
 pub mod attempt;
 pub mod error;
 pub mod events;
--- a/crates/front/src/readers/answer.rs
+++ b/crates/front/src/readers/answer.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
+use unit::Time;
 
 /// Time in which the body of a question must have come: it is some bytes in one packet with its head.
 const QUESTION_LIMIT: Duration = Duration::from_secs(1);
@@ -25,8 +26,9 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
+    let begin = state.now();
     wait_for_news(&state, &question).await;
-    let answer = rmp_serde::to_vec(&current(&state, question.after));
+    let answer = rmp_serde::to_vec(&current(&state, question.after, begin));
     let answer = answer.expect("an answer is plain data");
     *response.body_mut() = whole(answer.into());
     response
@@ -52,8 +54,8 @@
     }
 }
 
-/// What this host can say now of the changes after a revision.
-fn current(state: &State, after: u64) -> Answer {
+/// What this host can say now of the changes after a revision, to a question that came at `begin`.
+fn current(state: &State, after: u64, begin: Time) -> Answer {
     let now = state.now();
     let settling = state.table.lock().view.settling(now);
     let recent = state.readers.recent.lock();
@@ -63,7 +65,8 @@
     };
     Answer {
         revision: recent.revision(),
-        age_ms: recent.age(now).ms() as u32,
+        age_ms: recent.age(now).ms().ceil() as u32,
+        held_ms: now.since(begin).ms() as u32,
         settling_ms: settling.map(|since| since.ms() as u32),
         news,
     }
--- a/crates/front/src/readers/message.rs
+++ b/crates/front/src/readers/message.rs
@@ -28,8 +28,10 @@
 pub(super) struct Answer {
     /// Revision of the store up to which it has heard.
     pub(super) revision: u64,
-    /// Time since it heard that, in milliseconds.
+    /// Time since the store was asked for that, in milliseconds.
     pub(super) age_ms: u32,
+    /// Time for which the reader held the question, in milliseconds.
+    pub(super) held_ms: u32,
     /// Time since the store came back from an outage, in milliseconds, while that matters.
     pub(super) settling_ms: Option<u32>,
     /// What the host does not know yet.
--- a/crates/front/src/readers/question.rs
+++ b/crates/front/src/readers/question.rs
@@ -22,8 +22,8 @@
 
 /// Age of a reader's own news at which a host no longer rests on it, as a part of the shortest
 /// bound: a head pauses and waits for a sixth of it each, the reader that asks the head waits for
-/// [`HELD_PART`], and the store may be slow.
-const OLD_PART: f64 = 0.6;
+/// [`HELD_PART`], the store may be slow, and news are as old as the question that brought them.
+const OLD_PART: f64 = 0.75;
 
 /// What a reader told.
 #[derive(Debug)]
@@ -87,6 +87,7 @@
         wait_ms: wait.as_millis() as u32,
     };
     let limit = wait + ANSWER_LIMIT;
+    let asked = state.now();
     let pool = &state.readers.pool;
     let exchange = pool.exchange(reader, request(reader, &question), limit, MOST_ANSWER);
     let reply = timeout(limit, exchange).await;
@@ -100,13 +101,15 @@
         let back = before(state.now(), Span::from_ms(u64::from(ms)));
         state.table.lock().view.store_came_back(back);
     }
-    take(state, answer, after, age)
+    // What the answer waited for this host, which may have stood still, makes it older.
+    let answered = asked + Span::from_ms(u64::from(answer.held_ms));
+    take(state, answer, after, before(answered, age))
 }
 
-/// Keeps what a reader told, to pass it on, and gives it to this host.
-fn take(state: &State, answer: Answer, after: u64, age: Span) -> Result<Heard, Error> {
+/// Keeps what a reader told, which stood in the store at `confirmed`, to pass it on, and gives it to this
+/// host.
+fn take(state: &State, answer: Answer, after: u64, confirmed: Time) -> Result<Heard, Error> {
     let revision = answer.revision;
-    let confirmed = before(state.now(), age);
     match answer.news {
         News::Changes(rows) => {
             let found: Vec<Change> = rows.into_iter().map(Change::from).collect();
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -339,11 +339,13 @@
                 };
                 info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %why, outcome, "a broken stream is taken up elsewhere")
             });
-            if let Ok(sent) = sent
-                && sent.response.status().is_success()
-            {
-                self.source = Some(Source::from(sent));
-                return true;
+            match sent {
+                Ok(sent) if sent.response.status().is_success() => {
+                    self.source = Some(Source::from(sent));
+                    return true;
+                }
+                Err(Failed::Barred(_)) => return false,
+                _ => {}
             }
         }
         false
--- a/crates/front/src/respond.rs
+++ b/crates/front/src/respond.rs
@@ -75,6 +75,10 @@
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.status == StatusCode::UNAUTHORIZED {
+            let (name, scheme) = platform::account::challenge();
+            headers.insert(name, scheme);
+        }
         if let Some(wait) = self.retry_after {
             headers.insert(RETRY_AFTER, platform::ingress::retry_after(wait.std()));
         }
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -1,5 +1,6 @@
 //! A configuration in the form in which requests use it.
 
+use crate::accounts::{self, Accounts};
 use platform::config::{Config, Engine, Limits, Route, Service};
 use route::routing::Routing;
 use std::collections::HashMap;
@@ -15,6 +16,8 @@
     pub revision: u64,
     /// Bounds on what clients may send.
     pub limits: Limits,
+    /// Client accounts; none when requests need no key.
+    pub accounts: Option<Accounts>,
     table: Routing<Route>,
     services: HashMap<Name, Arc<Service>>,
 }
@@ -33,6 +36,7 @@
         version: config.version,
         revision,
         limits: config.limits,
+        accounts: config.accounts.map(accounts::build),
         table: Routing::new(routes),
         services: services.collect(),
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,5 +1,6 @@
 //! Starting, draining and ending a daemon on a platform.
 
+use crate::accounts;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::peers::{self, Peers};
 use crate::settings::{self, Settings};
@@ -198,7 +199,8 @@
 fn serve_readiness(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
     let state = state.clone();
     let answer = move |request: Request<Incoming>| {
-        let status = match (request.uri().path(), state.is_ready()) {
+        let is_ready = state.is_ready() && accounts::may_serve(&state);
+        let status = match (request.uri().path(), is_ready) {
             (names::READY, true) => StatusCode::OK,
             (names::READY, false) => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::NOT_FOUND,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -190,7 +190,7 @@
 fn may_go_on(state: &State, call: &Call, last: &Failed, same: bool) -> bool {
     let now = state.now();
     let allowed = match last {
-        Failed::Late => false,
+        Failed::Late | Failed::Barred(_) => false,
         Failed::Lost(_) | Failed::Failing(_) => call.route.kind.is_repeatable() && !same,
         Failed::NotRun(_) | Failed::Unsent(_) => true,
     };
@@ -216,6 +216,9 @@
 
 /// Answer to a request that is given up.
 fn give_up(state: &State, call: &Call, last: &Failed, may_have_run: bool) -> Fault {
+    if let (false, Failed::Barred(refusal)) = (may_have_run, last) {
+        return refusal.fault();
+    }
     if !may_have_run {
         let wait = RETURN_RANGE.0;
         return Fault::not_run(
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -188,7 +188,7 @@
     let now = state.now();
     let again = state.table.lock().choose(&call.want(&[], None), now);
     match again {
-        Ok(choice) if choice.held_up && call.route.priority >= GIVES_WAY => {
+        Ok(choice) if choice.held_up && call.priority >= GIVES_WAY => {
             let expected = now.since(call.arrived) + choice.first_token;
             Err(overloaded(expected, target, coming))
         }
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -1,6 +1,7 @@
 //! Reading a request: its route, its header fields, its body.
 
 use super::RETURN_LATER;
+use crate::accounts::{self, Caller};
 use crate::attempt::Call;
 use crate::respond::Fault;
 use crate::routes::Routes;
@@ -59,7 +60,8 @@
     request: Request<Incoming>,
     arrived: Time,
 ) -> Result<Call, Fault> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let caller = accounts::identify(state, routes, &route, &mut head.headers)?;
     let ask = ingress::ask(&head.headers);
     let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + Span::from(patience);
@@ -73,6 +75,8 @@
     Ok(Call {
         id,
         service,
+        priority: rank(&caller, &route),
+        caller,
         route,
         method: head.method,
         uri: path(head.uri),
@@ -85,6 +89,12 @@
     })
 }
 
+/// Rank of a request: its account's goes before its route's.
+fn rank(caller: &Caller, route: &Route) -> u8 {
+    let account = caller.account.as_ref();
+    account.and_then(|a| a.priority).unwrap_or(route.priority)
+}
+
 /// Path and query of a target, without its host.
 fn path(uri: Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -50,6 +50,9 @@
     pub configuration: Duration,
     /// Time within which a leaving replica must get no new work.
     pub leaving: Duration,
+    /// Time within which a key that was taken away runs nothing more, on every host; none when only hosts
+    /// that reach the store are bound.
+    pub withdrawal: Option<Duration>,
     /// Retries allowed, as a share of the requests of a service.
     pub retry_share: f64,
     /// Retries allowed beside that share, over all hosts.
@@ -145,6 +148,9 @@
         lease: seconds(fields.value("lease_ms", 3_000.0, 100.0..=600_000.0) / 1e3),
         configuration: seconds(fields.value("configuration_ms", 2_000.0, 10.0..=600_000.0) / 1e3),
         leaving: seconds(fields.value("leaving_ms", 2_000.0, 10.0..=600_000.0) / 1e3),
+        withdrawal: fields
+            .optional("withdrawal_ms", 100.0..=600_000.0)
+            .map(|ms: f64| seconds(ms / 1e3)),
         retry_share: fields.value("retry_share", 0.2, 0.0..=10.0),
         retry_slack: fields.value("retry_slack", 10.0, 0.0..=1e6),
         retry_window: seconds(fields.value("retry_window_seconds", 10.0, 0.1..=3_600.0)),
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -65,7 +65,7 @@
             Ticket {
                 caller: call.route.name.clone(),
                 weight: 1,
-                priority: HIGHEST.saturating_sub(call.route.priority),
+                priority: HIGHEST.saturating_sub(call.priority),
                 arrived: call.arrived,
                 deadline: until,
                 payload: Waiter {
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -10,7 +10,7 @@
 use platform::replica::Entry;
 use platform_standin::replica::{self, Options, Replica};
 use platform_standin::store::{self, Store};
-use platform_standin::{Route, ports};
+use platform_standin::{Account, Route, ports};
 use serde_json::Value;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -42,6 +42,25 @@
     )
 }
 
+/// The configuration with client accounts, in which `/open/` needs no key.
+pub fn with_accounts(version: u64, accounts: &[Account]) -> Value {
+    let mut configuration = configuration(version);
+    let open = Route::new("open", Kind::Repeatable, "web", 2).open_to_all();
+    let open = platform_standin::configuration(version, &[open]);
+    let routes = configuration["routes"].as_array_mut().unwrap();
+    routes.push(open["routes"][0].clone());
+    platform_standin::with_accounts(configuration, accounts)
+}
+
+/// Account with keys and nothing else.
+pub fn account(name: &'static str, keys: &[&'static str]) -> Account {
+    Account {
+        name,
+        keys: keys.to_vec(),
+        ..Account::default()
+    }
+}
+
 /// Starts a replica of the model service.
 pub async fn engine(store: &Store, id: &str, models: &[&str]) -> Replica {
     let options = Options {
@@ -70,6 +89,7 @@
         lease: Duration::from_millis(300),
         configuration: Duration::from_secs(2),
         leaving: Duration::from_secs(2),
+        withdrawal: Some(Duration::from_secs(3)),
         retry_share: 0.2,
         retry_slack: 20.0,
         retry_window: Duration::from_secs(10),
@@ -163,7 +183,27 @@
 
 /// Sends a request and reads its whole answer.
 pub async fn ask(daemon: &Daemon, path: &str, model: Option<&str>) -> (String, Answer) {
-    let (id, request) = request(path, model);
+    send(daemon, request(path, model)).await
+}
+
+/// Sends a request with a key and reads its whole answer.
+pub async fn ask_with(
+    daemon: &Daemon,
+    key: &str,
+    path: &str,
+    model: Option<&str>,
+) -> (String, Answer) {
+    let (id, mut request) = request(path, model);
+    let key = format!("Token {key}").parse().unwrap();
+    request.headers_mut().insert("authorization", key);
+    send(daemon, (id, request)).await
+}
+
+/// Sends a request that was made and reads its whole answer.
+pub async fn send(
+    daemon: &Daemon,
+    (id, request): (String, Request<conn::Body>),
+) -> (String, Answer) {
     let mut line = Line::open(daemon.callers(), PATIENCE).await.unwrap();
     let reply = line.exchange(request, PATIENCE, 1 << 20).await;
     (id, Answer(reply))
