An account's rank goes first, and its route's decides among accounts of one rank

Cause: with the account's rank alone, and all accounts of one rank, look-ups that can wait stood beside photos that cannot. Where there are no accounts the route's rank stands as before.

--- a/crates/front/src/accounts.rs
+++ b/crates/front/src/accounts.rs
@@ -15,7 +15,7 @@
 use platform::account::{self, Account, Key};
 use platform::config::Route;
 use platform::ingress;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use tracing::{error, info};
 use unit::{Name, Span};
@@ -33,6 +33,8 @@
 pub struct Accounts {
     by_key: HashMap<Key, Arc<Account>>,
     by_name: HashMap<Name, Arc<Account>>,
+    /// Ranks that accounts have, the most urgent first.
+    ranks: Vec<u8>,
 }
 
 /// Makes the form in which requests use them. A key that two accounts hold stands for neither: nobody
@@ -53,11 +55,13 @@
         }
         by_name.insert(account.name.clone(), account);
     }
+    let ranks: BTreeSet<u8> = by_name.values().filter_map(|a| a.priority).collect();
     let single = by_key.into_iter();
     let by_key = single.filter_map(|(key, holder)| Some((key, holder?)));
     Accounts {
         by_key: by_key.collect(),
         by_name,
+        ranks: ranks.into_iter().collect(),
     }
 }
 
@@ -72,6 +76,17 @@
         self.by_name.get(name)
     }
 
+    /// Rank of an account's requests on a route: the account's goes first, and the route's decides among
+    /// those of one rank. `levels` are the ranks that routes may have.
+    ///
+    /// Where all accounts have one rank, as where none has any, the route's rank stays as it is; with the
+    /// account's alone, look-ups that can wait went before photos that cannot.
+    pub fn rank(&self, account: &Account, route: &Route, levels: u8) -> u8 {
+        let rank = account.priority.unwrap_or(route.priority);
+        let before = self.ranks.partition_point(|r| *r < rank) as u8;
+        before.saturating_mul(levels).saturating_add(route.priority)
+    }
+
     /// All accounts.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -1,6 +1,7 @@
 //! A configuration in the form in which requests use it.
 
 use crate::accounts::{self, Accounts};
+use platform::account::Account;
 use platform::config::{Config, Engine, Limits, Route, Service};
 use route::routing::Routing;
 use std::collections::HashMap;
@@ -19,11 +20,15 @@
     /// Client accounts; none when requests need no key.
     pub accounts: Option<Accounts>,
     table: Routing<Route>,
+    /// Ranks of urgency that its routes may have: one more than the highest number.
+    levels: u8,
     services: HashMap<Name, Arc<Service>>,
 }
 
 /// Makes the form from a configuration.
 pub fn build(config: Config, revision: u64) -> Routes {
+    let highest = config.routes.iter().map(|r| r.priority).max();
+    let levels = highest.unwrap_or_default().saturating_add(1);
     let services = config
         .services
         .into_iter()
@@ -38,6 +43,7 @@
         limits: config.limits,
         accounts: config.accounts.map(accounts::build),
         table: Routing::new(routes),
+        levels,
         services: services.collect(),
     }
 }
@@ -48,6 +54,14 @@
         self.table.find(host, path)
     }
 
+    /// Rank of a request on a route, 0 first.
+    pub fn rank(&self, account: Option<&Arc<Account>>, route: &Route) -> u8 {
+        match (&self.accounts, account) {
+            (Some(accounts), Some(account)) => accounts.rank(account, route, self.levels),
+            _ => route.priority,
+        }
+    }
+
     /// Service of a name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -1,7 +1,7 @@
 //! Reading a request: its route, its header fields, its body.
 
 use super::RETURN_LATER;
-use crate::accounts::{self, Caller};
+use crate::accounts;
 use crate::attempt::Call;
 use crate::respond::Fault;
 use crate::routes::Routes;
@@ -75,7 +75,7 @@
     Ok(Call {
         id,
         service,
-        priority: rank(&caller, &route),
+        priority: routes.rank(caller.account.as_ref(), &route),
         caller,
         route,
         method: head.method,
@@ -89,12 +89,6 @@
     })
 }
 
-/// Rank of a request: its account's goes before its route's.
-fn rank(caller: &Caller, route: &Route) -> u8 {
-    let account = caller.account.as_ref();
-    account.and_then(|a| a.priority).unwrap_or(route.priority)
-}
-
 /// Path and query of a target, without its host.
 fn path(uri: Uri) -> Uri {
     let path = uri.path_and_query().cloned();
