--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -1,5 +1,9 @@
 //! What daemons tell each other in datagrams.
 
+mod quota;
+
+pub use quota::{Question, Refund, Verdict};
+
 use crate::readers::Reader;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -32,6 +36,12 @@
     /// Where the hosts of a part of the fleet take datagrams, from the leader to the one that passes
     /// on to them.
     Part(Vec<SocketAddr>),
+    /// A host asks the leader whether an account may have one more request run.
+    Question(Question),
+    /// The leader's answer to the question of that number.
+    Verdict(u32, Verdict),
+    /// A host gives back what a request did not use.
+    Refund(Refund),
     /// A datagram of the leader, to be taken in and passed on to the hosts of that part.
     Pass(Bytes),
 }
@@ -49,6 +59,9 @@
             Message::Missing(_) => "missing",
             Message::Placed(_) => "placed",
             Message::Part(_) => "part",
+            Message::Question(_) => "question",
+            Message::Verdict(..) => "verdict",
+            Message::Refund(_) => "refund",
             Message::Pass(_) => "pass",
         }
     }
--- /dev/null
+++ b/crates/front/src/message/quota.rs
@@ -0,0 +1,51 @@
+//! What hosts and the one that gives out tell each other of what client accounts may use.
+
+use serde::{Deserialize, Serialize};
+use unit::Name;
+
+/// Question of a host: may one more request of an account run?
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Question {
+    /// Number under which it is answered.
+    pub number: u32,
+    /// The host.
+    pub host: Name,
+    /// The account.
+    pub account: Name,
+    /// Units that the request uses at the most.
+    pub units: f32,
+    /// Units that the host used by its share since it was answered last.
+    pub alone: f32,
+}
+
+/// Answer to a question.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It may run.
+    Given {
+        /// Units that all hosts were given in the last window.
+        all: f32,
+        /// Units that could be given out at once.
+        left: f32,
+    },
+    /// The account is over its limit.
+    Refused {
+        /// Time after which there will be enough, in milliseconds.
+        wait_ms: u32,
+    },
+    /// The host that was asked does not give out.
+    Elsewhere,
+}
+
+/// Units of a request that did not run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Refund {
+    /// The host.
+    pub host: Name,
+    /// The account.
+    pub account: Name,
+    /// How many.
+    pub units: f32,
+    /// Time since they were given, in milliseconds.
+    pub age_ms: u32,
+}
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -14,6 +14,9 @@
 /// Routes that have metrics of their own; the rest share one name.
 const MOST_ROUTES: usize = 200;
 
+/// Accounts with metrics of their own, times what may be decided of a request; the rest share one name.
+const MOST_ACCOUNTS: usize = 300;
+
 const METADATA: Metadata<'static> = Metadata::new("coveford", Level::INFO, None);
 
 /// Metrics; a recorder of its own, so that daemons in one process stay apart.
@@ -22,6 +25,8 @@
     handle: PrometheusHandle,
     ends: Mutex<HashMap<(Name, &'static str), Counter>>,
     waits: Mutex<HashMap<Name, Histogram>>,
+    /// Requests of accounts with a limit, by what was decided.
+    accounts: Mutex<HashMap<(Name, &'static str), Counter>>,
     /// Datagrams sent and their bytes, by kind.
     datagrams: Mutex<HashMap<&'static str, (Counter, Counter)>>,
 }
@@ -38,6 +43,7 @@
         handle,
         ends: Mutex::default(),
         waits: Mutex::default(),
+        accounts: Mutex::default(),
         datagrams: Mutex::default(),
     }
 }
@@ -76,6 +82,23 @@
         counter.increment(1);
     }
 
+    /// Counts what was decided of a request by its account's limit.
+    pub fn account(&self, account: &Name, decision: &'static str) {
+        let mut accounts = self.accounts.lock();
+        let is_known = accounts.contains_key(&(account.clone(), decision));
+        let account = match is_known || accounts.len() < MOST_ACCOUNTS {
+            true => account.clone(),
+            false => "other".into(),
+        };
+        let counter = accounts
+            .entry((account.clone(), decision))
+            .or_insert_with(|| {
+                let labels = [("account", &*account), ("decision", decision)];
+                self.counter("coveford_account_requests_total", &labels)
+            });
+        counter.increment(1);
+    }
+
     /// Records the time to the first byte of an answer.
     pub fn first_byte(&self, route: &Name, took: Span) {
         let mut waits = self.waits.lock();
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,12 +5,13 @@
 //! sooner. A lost datagram only makes a sum older; sums past their
 //! age are not used.
 //!
-//! Its parts: `inbox` is what hosts told the leader, `sums` when this host tells what it has in
+//! Its parts: `inbox` is what hosts told the leader, `quota` what client accounts may use, `sums` when this host tells what it has in
 //! flight, `parts` which hosts pass on what the leader tells all. The datagrams themselves are in
 //! [`message`].
 
 mod inbox;
 pub mod parts;
+mod quota;
 mod sums;
 
 pub use inbox::Inbox;
@@ -21,6 +22,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use parts::Part;
+use quota::Quotas;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,6 +54,8 @@
     tellings: AtomicU32,
     /// Parts of a large fleet, while this host leads.
     parts: Mutex<Vec<Part>>,
+    /// What client accounts may use.
+    quotas: Quotas,
     /// Hosts that this one passes on to, and when the leader named them.
     passes_to: Mutex<(Vec<SocketAddr>, Time)>,
 }
@@ -65,6 +69,7 @@
         others: Mutex::default(),
         tellings: AtomicU32::new(0),
         parts: Mutex::default(),
+        quotas: Quotas::default(),
         passes_to: Mutex::default(),
     })
 }
@@ -81,6 +86,7 @@
             };
             match message::decode(&buffer[..length]) {
                 Ok(Message::Pass(bytes)) => self.pass(bytes, from).await,
+                Ok(Message::Question(question)) => self.answer(question, from).await,
                 Ok(message) => self.take(message, from),
                 Err(why) => self.state.log.notable(|| {
                     tracing::warn!(target: "peers", event = "malformed", from = %from, why = %why, "a datagram cannot be read")
@@ -92,8 +98,14 @@
     fn take(&self, message: Message, from: SocketAddr) {
         let now = self.state.now();
         match message {
-            Message::Sums(sums) => self.inbox.put(sums, from, now),
-            Message::Loads(sums) => self.inbox.put_loads(sums, now),
+            Message::Sums(sums) => {
+                self.heard(&sums.host, now);
+                self.inbox.put(sums, from, now);
+            }
+            Message::Loads(sums) => {
+                self.heard(&sums.host, now);
+                self.inbox.put_loads(sums, now);
+            }
             Message::Direct(sums) => {
                 let mut table = self.state.table.lock();
                 table.told_by(&sums.host, &sums.loads, now);
@@ -105,8 +117,10 @@
             Message::Digest(digest) => self.digest(digest, now),
             Message::Placed(placed) => self.placed(placed),
             Message::Part(hosts) => *self.passes_to.lock() = (hosts, now),
-            Message::Pass(_) => self.state.log.notable(|| {
-                tracing::warn!(target: "peers", event = "malformed", from = %from, "a datagram to be passed on holds another one")
+            Message::Verdict(number, verdict) => self.answered(number, verdict),
+            Message::Refund(refund) => self.take_back(&refund),
+            Message::Pass(_) | Message::Question(_) => self.state.log.notable(|| {
+                tracing::warn!(target: "peers", event = "malformed", from = %from, "a datagram to be passed on holds one that is not for all")
             }),
         }
     }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -16,6 +16,7 @@
 use crate::message::{Load, Missing, Row, Use, short};
 use crate::orders::{Bucket, Known};
 use crate::peers::Peers;
+use crate::shares;
 use crate::state::State;
 use crate::table::Table;
 use conn::Pool;
@@ -63,6 +64,7 @@
 /// Works until another host leads. Orders are given while the term holds; sums are told also while the
 /// store is away and the term cannot be renewed, since hosts that hear none all choose alike.
 pub async fn run(state: Arc<State>, peers: Arc<Peers>, term: Term) {
+    peers.give_out(term.clone(), shares::tolerance(&state.settings.bounds));
     let planner = Arc::new(open(state, peers, term));
     let quiet = planner.quiet_until();
     let mut tick = tokio::time::interval(TICK);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -143,6 +143,7 @@
     let peers = peers::open(state.clone(), socket);
     let entry = serve::Entry {
         state: state.clone(),
+        peers: peers.clone(),
         waiting: Arc::default(),
     };
     let daemon = Daemon {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -5,6 +5,8 @@
 mod tell;
 
 use crate::attempt::{Call, Failed, Sent, send};
+use crate::peers::Peers;
+use crate::quota;
 use crate::relay;
 use crate::respond::{Body, Fault, close};
 use crate::state::State;
@@ -36,6 +38,8 @@
 pub struct Entry {
     /// What the parts of the daemon share.
     pub state: Arc<State>,
+    /// Other hosts.
+    pub peers: Arc<Peers>,
     /// Requests that wait for a replica.
     pub waiting: Arc<Mutex<Waiting>>,
 }
@@ -69,8 +73,7 @@
     })?;
     let route = read::route(state, &routes, &request)?;
     let call = Arc::new(read::call(state, &routes, route, request, arrived).await?);
-    note_arrival(state, &call);
-    let answered = attempts(entry, &call).await;
+    let answered = let_in(entry, &call).await;
     match &answered {
         Ok(response) => tell::answered(state, &call, response),
         Err(fault) => tell::failed(state, &call, fault),
@@ -78,6 +81,19 @@
     answered
 }
 
+/// Sends a request, if its account may have it run.
+async fn let_in(entry: &Entry, call: &Arc<Call>) -> Result<Response<Body>, Fault> {
+    let state = &entry.state;
+    let grant = quota::admit(state, &entry.peers, call).await?;
+    note_arrival(state, call);
+    let answered = attempts(entry, call).await;
+    let has_not_run = answered.as_ref().is_err_and(|f| f.retry_after.is_some());
+    if let Some(grant) = grant.filter(|_| has_not_run) {
+        grant.give_back(state).await;
+    }
+    answered
+}
+
 /// Counts a request in the demand and in the retry budget of its service.
 fn note_arrival(state: &State, call: &Call) {
     let bounds = &state.settings.bounds;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -53,6 +53,12 @@
     /// Time within which a key that was taken away runs nothing more, on every host; none when only hosts
     /// that reach the store are bound.
     pub withdrawal: Option<Duration>,
+    /// Window in which the use of client accounts is counted.
+    pub quota_window: Duration,
+    /// Part by which an account may exceed its limit in that window.
+    pub quota_overage: f64,
+    /// Units by which it may exceed it beside that part.
+    pub quota_slack: f64,
     /// Retries allowed, as a share of the requests of a service.
     pub retry_share: f64,
     /// Retries allowed beside that share, over all hosts.
@@ -151,6 +157,9 @@
         withdrawal: fields
             .optional("withdrawal_ms", 100.0..=600_000.0)
             .map(|ms: f64| seconds(ms / 1e3)),
+        quota_window: seconds(fields.value("quota_window_seconds", 8.0, 0.1..=3_600.0)),
+        quota_overage: fields.value("quota_overage", 0.0, 0.0..=100.0),
+        quota_slack: fields.value("quota_slack", 0.0, 0.0..=1e12),
         retry_share: fields.value("retry_share", 0.2, 0.0..=10.0),
         retry_slack: fields.value("retry_slack", 10.0, 0.0..=1e6),
         retry_window: seconds(fields.value("retry_window_seconds", 10.0, 0.1..=3_600.0)),
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -5,6 +5,7 @@
 use crate::pool::Pool;
 use crate::readers::Readers;
 use crate::settings::Settings;
+use crate::shares::{self, Shares};
 use crate::table::Table;
 use parking_lot::Mutex;
 use platform::store::Store;
@@ -34,6 +35,8 @@
     pub store: Store,
     /// Who reads the store, and what this host can pass on of it.
     pub readers: Readers,
+    /// Shares of what client accounts may use.
+    pub shares: Shares,
     /// Connections to replicas.
     pub pool: Pool,
     /// Logs and metrics.
@@ -93,6 +96,7 @@
         eased: Notify::new(),
         store: platform::store::open(settings.store, store_limit),
         readers: Readers::default(),
+        shares: shares::open(&settings.bounds),
         pool: Pool::default(),
         log,
         bodies: Arc::new(Semaphore::new(bodies)),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod limit;
 pub mod queue;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod service;
--- /dev/null
+++ b/crates/route/src/quota.rs
@@ -0,0 +1,85 @@
+//! Quotas of client accounts, held over all hosts: no network, no clock.
+//!
+//! One host, the one that leads, runs the [`Limiter`]: a token bucket for each account, which every host
+//! asks before it lets a request in. Its state is lost with it, so that a new limiter starts with empty
+//! buckets: rate and burst then hold over any number of successors, and nothing has to be handed over.
+//!
+//! A host that gets no answer goes on by its [`Share`] of what the limiter gave out lately, for
+//! [`ALONE_FOR`] at the most. Shares of all hosts add up to one, so together they stay within
+//! [`ALONE_PART`] of the rate; a host that has just started has no share. The limiter sets aside the
+//! shares of hosts that it does not hear.
+
+mod ledger;
+mod limiter;
+mod share;
+
+pub use ledger::Ledger;
+pub use limiter::{Limiter, Units};
+pub use share::Share;
+
+use unit::Span;
+
+/// Time for which a host without an answer goes on by its share: the lease of a leader that died, and
+/// the election of the next one.
+pub const ALONE_FOR: Span = Span::from_ms(5_000);
+
+/// Part of an account's rate that all hosts use together by their shares. The burst may have been used
+/// just before, and the hosts do not fall silent at the same moment: `tests/quota.rs` plays both.
+pub const ALONE_PART: f64 = 0.65;
+
+/// Age up to which units of a request that did not run are given back. What is given back lets as much
+/// run later, so a window may hold what the account gains in this time beyond its limit.
+pub const GIVEN_BACK_WITHIN: Span = Span::from_ms(500);
+
+/// Rate and burst of one account over all hosts, in its own units.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Units a second.
+    pub rate: f64,
+    /// Units on top of that.
+    pub burst: f64,
+}
+
+/// What a host is told with units that it is given; it knows its share by that.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Given {
+    /// Units that all hosts were given in the last window, these included.
+    pub all: f64,
+    /// Units that could be given out at once.
+    pub left: f64,
+}
+
+/// What may be used beyond the limits, in any window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// Length of the window.
+    pub window: Span,
+    /// Part of the limit by which it may be exceeded.
+    pub overage: f64,
+    /// Units on top of that.
+    pub slack: f64,
+}
+
+/// Part of the slack by which a bucket may be overdrawn; as much is left for the successor that starts
+/// with an empty bucket where this one left an overdrawn one.
+const OVERDRAFT_PART: f64 = 0.4;
+
+/// Overage that answers on their way, units given back and shares need together. Where less is allowed,
+/// as much less is given out.
+const NEEDED_OVERAGE: f64 = 0.1;
+
+impl Tolerance {
+    /// Units by which a bucket may be overdrawn.
+    fn overdraft(&self) -> f64 {
+        self.slack * OVERDRAFT_PART
+    }
+
+    /// Limit by which units are given out, for what an account may use.
+    fn given_out(&self, limit: Limit) -> Limit {
+        let part = ((1.0 + self.overage) / (1.0 + NEEDED_OVERAGE)).min(1.0);
+        Limit {
+            rate: limit.rate * part,
+            burst: limit.burst * part,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/quota/limiter.rs
@@ -0,0 +1,235 @@
+//! The one place that gives out what accounts may use.
+
+use super::{ALONE_FOR, ALONE_PART, GIVEN_BACK_WITHIN, Given, Ledger, Limit, Tolerance};
+use std::collections::HashMap;
+use unit::{Name, Span, Time};
+
+/// Part of the rate that a new limiter leaves for [`ALONE_FOR`] to hosts that it has not heard of and that
+/// may go on by their shares.
+const LEFT_TO_UNHEARD: f64 = 0.1;
+
+/// Silence after which a host counts as one that goes on by its share: hosts tell what they have in
+/// flight at least three times in a second.
+const SILENT_AFTER: Span = Span::from_ms(700);
+
+/// Time after which is looked again which hosts are silent.
+const LOOK: Span = Span::from_ms(100);
+
+/// Time over which refused requests count as a queue before the next one that is told when to come back.
+const QUEUE: Span = Span::from_ms(1_000);
+
+/// Longest time after which an account over its limit is told to come back.
+const LONGEST_WAIT: Span = Span::from_secs(10);
+
+/// Token buckets of all accounts.
+#[derive(Debug)]
+pub struct Limiter {
+    tolerance: Tolerance,
+    /// When it began.
+    since: Time,
+    accounts: HashMap<Name, Account>,
+    hosts: Hosts,
+}
+
+/// Bucket of one account, and who used it.
+#[derive(Debug)]
+struct Account {
+    /// Units that may be given out now; below nothing when it is overdrawn.
+    level: f64,
+    /// When the level was brought up to date.
+    at: Time,
+    /// What each host was given.
+    hosts: HashMap<Name, Ledger>,
+    /// Since when each host was in touch when it last told what it used alone.
+    reported: HashMap<Name, Time>,
+    /// What all were given.
+    given: Ledger,
+    /// What was refused lately.
+    refused: Ledger,
+}
+
+/// Units that a host asks for, gives back or has used.
+#[derive(Debug, Clone, Copy)]
+pub struct Units<'a> {
+    /// The account.
+    pub account: &'a Name,
+    /// Its limit by the newest configuration.
+    pub limit: Limit,
+    /// The host.
+    pub host: &'a Name,
+    /// How many.
+    pub count: f64,
+}
+
+impl Limiter {
+    /// Makes one with empty buckets: what a predecessor gave out last is not known.
+    pub fn new(tolerance: Tolerance, now: Time) -> Limiter {
+        Limiter {
+            tolerance,
+            since: now,
+            accounts: HashMap::new(),
+            hosts: Hosts::default(),
+        }
+    }
+
+    /// Notes that a host is in touch.
+    pub fn heard(&mut self, host: &Name, now: Time) {
+        self.hosts.heard(host, now);
+    }
+
+    /// Gives out units of an account, or tells the time after which there will be enough.
+    pub fn give(&mut self, units: Units, now: Time) -> Result<Given, Span> {
+        self.heard(units.host, now);
+        let window = self.tolerance.window;
+        let overdraft = self.tolerance.overdraft();
+        let limit = self.tolerance.given_out(units.limit);
+        let account = self.account(units.account, limit, now);
+        // A request that is larger than a full bucket is let in by a full one.
+        let needed = units.count.min(limit.burst + overdraft);
+        let missing = needed - overdraft - account.level;
+        if missing > 0.0 {
+            let queue = account.refused.used(now);
+            account.refused.add(units.count, now);
+            let wait = Span::from_secs_f64((missing + queue) / limit.rate);
+            return Err(wait.min(LONGEST_WAIT));
+        }
+        account.level -= units.count;
+        account.given.add(units.count, now);
+        let ledger = account.hosts.entry(units.host.clone());
+        let ledger = ledger.or_insert_with(|| Ledger::new(window));
+        ledger.add(units.count, now);
+        Ok(Given {
+            all: account.given.used(now),
+            left: account.level,
+        })
+    }
+
+    /// Takes back units that were given out at `given` and not used, if that was a moment ago.
+    pub fn take_back(&mut self, units: Units, given: Time, now: Time) {
+        if now.since(given) > GIVEN_BACK_WITHIN {
+            return;
+        }
+        let limit = self.tolerance.given_out(units.limit);
+        let account = self.account(units.account, limit, now);
+        account.level = (account.level + units.count).min(limit.burst);
+        account.given.remove(units.count, given);
+        if let Some(ledger) = account.hosts.get_mut(units.host) {
+            ledger.remove(units.count, given);
+        }
+    }
+
+    /// Takes in what a host has used by its share since it was answered last. While the host was silent its
+    /// share was set aside, and before this limiter began nothing was given out: that is not counted again.
+    pub fn used_alone(&mut self, units: Units, now: Time) {
+        self.heard(units.host, now);
+        let since = self.hosts.in_touch_since(units.host);
+        let limit = self.tolerance.given_out(units.limit);
+        let account = self.account(units.account, limit, now);
+        let before = account.reported.insert(units.host.clone(), since);
+        if before == Some(since) {
+            account.level -= units.count;
+        }
+    }
+
+    /// Units given out of an account in the last window.
+    pub fn given(&mut self, account: &str, now: Time) -> f64 {
+        let account = self.accounts.get_mut(account);
+        account.map_or(0.0, |a| a.given.used(now))
+    }
+
+    /// The account with its level brought up to date.
+    fn account(&mut self, name: &Name, limit: Limit, now: Time) -> &mut Account {
+        let window = self.tolerance.window;
+        self.hosts.look(window, now);
+        if !self.accounts.contains_key(name) {
+            let new = Account::new(window, now);
+            self.accounts.insert(name.clone(), new);
+        }
+        let account = self.accounts.get_mut(name).expect("it was just put in");
+        let set_aside = account.share_of(&self.hosts.silent) * ALONE_PART;
+        let set_aside = match now.since(self.since) < ALONE_FOR {
+            true => set_aside.max(LEFT_TO_UNHEARD),
+            false => set_aside,
+        };
+        let gained = now.since(account.at).secs() * limit.rate * (1.0 - set_aside);
+        account.level = (account.level + gained).min(limit.burst);
+        account.at = now;
+        account
+    }
+}
+
+impl Account {
+    fn new(window: Span, now: Time) -> Account {
+        Account {
+            level: 0.0,
+            at: now,
+            hosts: HashMap::new(),
+            reported: HashMap::new(),
+            given: Ledger::new(window),
+            refused: Ledger::new(QUEUE),
+        }
+    }
+
+    /// Share of hosts that fell silent, in what all were given when each was last heard.
+    fn share_of(&self, silent: &HashMap<Name, Time>) -> f64 {
+        let share = |(host, at): (&Name, &Time)| {
+            let used = self.hosts.get(host)?.used(*at);
+            (used > 0.0).then(|| used / self.given.used(*at).max(used))
+        };
+        silent.iter().filter_map(share).sum::<f64>().min(1.0)
+    }
+}
+
+/// When each host was last heard.
+#[derive(Debug, Default)]
+struct Hosts {
+    heard: HashMap<Name, Heard>,
+    /// Hosts that fell silent and may go on by their shares, and when they were last heard.
+    silent: HashMap<Name, Time>,
+    /// When that was last looked for.
+    looked: Time,
+}
+
+/// When a host was heard.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    last: Time,
+    /// When it was heard first, or again after a silence.
+    since: Time,
+}
+
+impl Hosts {
+    fn heard(&mut self, host: &Name, now: Time) {
+        self.silent.remove(host);
+        let first = Heard {
+            last: now,
+            since: now,
+        };
+        match self.heard.get_mut(host) {
+            Some(heard) if now.since(heard.last) > SILENT_AFTER => *heard = first,
+            Some(heard) => heard.last = now,
+            None => {
+                self.heard.insert(host.clone(), first);
+            }
+        }
+    }
+
+    /// Since when a host is in touch.
+    fn in_touch_since(&self, host: &Name) -> Time {
+        self.heard.get(host).map_or(Time(0), |heard| heard.since)
+    }
+
+    /// Finds the hosts that are silent, and forgets those that were so for a window after their shares ended.
+    fn look(&mut self, window: Span, now: Time) {
+        if now.since(self.looked) < LOOK {
+            return;
+        }
+        self.looked = now;
+        let kept = SILENT_AFTER + ALONE_FOR + window;
+        self.heard.retain(|_, heard| now.since(heard.last) < kept);
+        let last = self.heard.iter().map(|(host, heard)| (host, heard.last));
+        let is_alone = |at: Time| (SILENT_AFTER..ALONE_FOR + SILENT_AFTER).contains(&now.since(at));
+        let silent = last.filter(|(_, at)| is_alone(*at));
+        self.silent = silent.map(|(host, at)| (host.clone(), at)).collect();
+    }
+}
--- /dev/null
+++ b/crates/route/src/quota/share.rs
@@ -0,0 +1,159 @@
+//! What one host may use of one account while it gets no answer.
+
+use super::{ALONE_FOR, ALONE_PART, Given, Ledger, Limit, Tolerance};
+use unit::{Span, Time};
+
+/// Longest time since the last answer for which a share is gathered when a host begins to go on by it: a
+/// host that sees few requests of an account needs as long for one.
+const GATHERED: Span = Span::from_ms(1_500);
+
+/// Time of the rate that all hosts have at once, by their shares, when they begin to go on alone, as far as
+/// the bucket held that: half of the requests come sooner after the one before than a pace would allow.
+const AT_ONCE: Span = Span::from_ms(600);
+
+/// Pace of a host alone, at the most, as a multiple of what it was given: what it was given in some
+/// seconds tells its share only roughly.
+const MOST_PACE: f64 = 2.0;
+
+/// One host's share of one account.
+#[derive(Debug, Clone)]
+pub struct Share {
+    tolerance: Tolerance,
+    /// What the host was given.
+    given: Ledger,
+    /// What the limiter told last.
+    told: Given,
+    /// When the last question was asked that was answered.
+    asked: Option<Time>,
+    /// When it was last given something at once for going on alone.
+    began: Option<Time>,
+    /// What the host uses alone since it gets no answer.
+    alone: Option<Alone>,
+    /// Units used alone that the limiter has not been told of.
+    untold: f64,
+}
+
+/// Bucket of a host that goes on alone.
+#[derive(Debug, Clone)]
+struct Alone {
+    /// Limit of the account that it rests on.
+    limit: Limit,
+    /// Units a second.
+    pace: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Alone {
+    /// The bucket with what it has gathered until now; a lower limit lowers its pace and what it holds.
+    fn gathered(self, now: Time, limit: Limit) -> Alone {
+        let level = self.level + now.since(self.at).secs() * self.pace;
+        let factor = (limit.rate / self.limit.rate).min(1.0);
+        Alone {
+            limit,
+            pace: self.pace * factor,
+            level: level * factor,
+            at: now,
+        }
+    }
+}
+
+impl Share {
+    /// Share of a host that was given nothing yet.
+    pub fn new(tolerance: Tolerance) -> Share {
+        Share {
+            tolerance,
+            given: Ledger::new(tolerance.window),
+            told: Given::default(),
+            asked: None,
+            began: None,
+            alone: None,
+            untold: 0.0,
+        }
+    }
+
+    /// Notes that the limiter gave units to a question of `asked`.
+    pub fn given(&mut self, units: f64, told: Given, asked: Time) {
+        self.given.add(units, asked);
+        self.told = told;
+    }
+
+    /// Notes that the limiter answered a question of `asked`, in which it was told of `told` units used
+    /// alone.
+    pub fn answered(&mut self, asked: Time, told: f64) {
+        self.asked = self.asked.max(Some(asked));
+        self.alone = None;
+        self.untold = (self.untold - told).max(0.0);
+    }
+
+    /// Units used alone that the limiter has not been told of.
+    pub fn untold(&self) -> f64 {
+        self.untold
+    }
+
+    /// Takes units out that were given for a question of `asked` and not used.
+    pub fn take_back(&mut self, units: f64, asked: Time) {
+        self.given.remove(units, asked);
+    }
+
+    /// Uses units without an answer; otherwise the time after which there will be enough, if ever.
+    pub fn use_alone(&mut self, limit: Limit, units: f64, now: Time) -> Result<(), Option<Span>> {
+        let is_young = |asked: &Time| now.since(*asked) < ALONE_FOR;
+        let Some(asked) = self.asked.filter(is_young) else {
+            return Err(None);
+        };
+        let limit = self.tolerance.given_out(limit);
+        let pace = self.pace(limit, now);
+        let alone = match self.alone.take() {
+            Some(alone) => alone.gathered(now, limit),
+            None => {
+                let since = now.since(asked).min(GATHERED);
+                Alone {
+                    limit,
+                    pace,
+                    level: pace * since.secs() + self.take_left(limit, now),
+                    at: now,
+                }
+            }
+        };
+        let alone = self.alone.insert(alone);
+        if alone.level < units {
+            let missing = units - alone.level;
+            let wait = (alone.pace > 0.0).then(|| Span::from_secs_f64(missing / alone.pace));
+            return Err(wait);
+        }
+        alone.level -= units;
+        self.untold += units;
+        Ok(())
+    }
+
+    /// Units a second that this host uses alone: its part in what all were given, of a part of the rate.
+    fn pace(&self, limit: Limit, now: Time) -> f64 {
+        let usual = self.given.used(now) / self.tolerance.window.secs();
+        let part = self.part(now) * limit.rate * ALONE_PART;
+        part.min(usual * MOST_PACE)
+    }
+
+    /// This host's part in what all were given.
+    fn part(&self, now: Time) -> f64 {
+        let own = self.given.used(now);
+        if own > 0.0 {
+            own / self.told.all.max(own)
+        } else {
+            0.0
+        }
+    }
+
+    /// Units that this host has at once when it begins to go on alone; none again within a window, or
+    /// answers that are lost now and then would give them each time.
+    fn take_left(&mut self, limit: Limit, now: Time) -> f64 {
+        let window = self.tolerance.window;
+        let is_recent = |at: Time| now.since(at) < window;
+        if self.began.is_some_and(is_recent) {
+            return 0.0;
+        }
+        self.began = Some(now);
+        let most = limit.rate * AT_ONCE.secs();
+        self.part(now) * self.told.left.clamp(0.0, most)
+    }
+}
--- a/crates/unit/src/time.rs
+++ b/crates/unit/src/time.rs
@@ -40,6 +40,11 @@
         Span(secs * 1_000_000)
     }
 
+    /// Makes a span from seconds with a fraction; what is longer than can be told is the longest.
+    pub fn from_secs_f64(secs: f64) -> Span {
+        Span((secs * 1e6) as u64)
+    }
+
     /// The span in seconds, with its fraction.
     pub fn secs(self) -> f64 {
         self.0 as f64 / 1e6
