--- a/crates/cli/src/gauges.rs
+++ b/crates/cli/src/gauges.rs
@@ -16,6 +16,10 @@
 /// Longest text that is read, in bytes.
 const MOST_BYTES: usize = 4 << 20;
 
+/// Age of what a daemon knows of keys that is told as a finding, in milliseconds: daemons that reach the
+/// store or a reader know them to be less than half as old.
+const OLD_KEYS_MS: u64 = 3_000;
+
 /// Path of the metrics.
 const PATH: &str = "/metrics";
 
@@ -38,6 +42,10 @@
     pub store_away: bool,
     /// Requests in flight.
     pub in_flight: u64,
+    /// Client accounts of its configuration; none when requests need no key.
+    pub accounts: Option<u64>,
+    /// Age of what it knows of keys, in milliseconds.
+    pub keys_age_ms: Option<u64>,
 }
 
 /// Asks all daemons at once; one that does not answer says why in [`Daemon::unreachable`].
@@ -82,6 +90,8 @@
         leads: whole("coveford_leads ") == Some(1),
         store_away: whole("coveford_store_away ") == Some(1),
         in_flight: whole("coveford_in_flight ").unwrap_or_default(),
+        accounts: whole("coveford_accounts "),
+        keys_age_ms: gauge("coveford_keys_age_seconds ").map(|s| (s * 1e3) as u64),
     }
 }
 
@@ -95,9 +105,20 @@
         "IN FLIGHT",
         "LEADS",
         "STORE",
+        "ACCOUNTS",
+        "KEYS AGE",
     ];
     let rows = daemons.iter().map(|d| {
-        let [configuration, replicas, hosts, in_flight, leads, store] = figures(d);
+        let [
+            configuration,
+            replicas,
+            hosts,
+            in_flight,
+            leads,
+            store,
+            accounts,
+            keys,
+        ] = figures(d);
         let daemon = d.addr.to_string();
         [
             daemon,
@@ -107,15 +128,17 @@
             in_flight,
             leads,
             store,
+            accounts,
+            keys,
         ]
     });
     render::table(header, rows.collect())
 }
 
 /// What the table says of a daemon beside its address: its figures, or why it gave none.
-fn figures(daemon: &Daemon) -> [String; 6] {
+fn figures(daemon: &Daemon) -> [String; 8] {
     match &daemon.unreachable {
-        Some(why) => [why.as_str(), "", "", "", "", ""].map(str::to_owned),
+        Some(why) => [why.as_str(), "", "", "", "", "", "", ""].map(str::to_owned),
         None => [
             daemon.configuration.to_string(),
             daemon.replicas.to_string(),
@@ -123,6 +146,10 @@
             daemon.in_flight.to_string(),
             if daemon.leads { "yes" } else { "" }.to_owned(),
             if daemon.store_away { "away" } else { "there" }.to_owned(),
+            daemon.accounts.map_or(String::new(), |n| n.to_string()),
+            daemon
+                .keys_age_ms
+                .map_or(String::new(), |ms| format!("{ms} ms")),
         ],
     }
 }
@@ -151,6 +178,14 @@
             "The store does not answer {away} of them; they route on by what they knew."
         ));
     }
+    let old = |d: &&&Daemon| d.keys_age_ms.is_some_and(|ms| ms > OLD_KEYS_MS);
+    let unsure = answered.iter().filter(old).count();
+    if unsure > 0 {
+        found.push(format!(
+            "{unsure} of them last heard of keys over {} s ago; beyond 0.8 of the bound on withdrawals they refuse requests with keys.",
+            OLD_KEYS_MS / 1_000
+        ));
+    }
     found
 }
 
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -115,10 +115,11 @@
                 self.number("entry")
             ),
             ("request", "refused") => format!(
-                "It was given up with status {} after {ms:.0} ms: {} ({why}).{}",
+                "It was given up with status {} after {ms:.0} ms: {} ({why}).{}{}",
                 self.number("status"),
                 self.text("reason"),
-                self.come_back()
+                self.come_back(),
+                self.knowledge()
             ),
             ("request", "broken") => format!(
                 "Its stream was broken off after {ms:.0} ms behind event {}, since the replica's answer was {why}; tried: {}.",
@@ -143,10 +144,28 @@
             Some(ms) => {
                 format!(" It had not run; the client was asked to come back in {ms:.0} ms.")
             }
+            None if self.number("status") < 500.0 => {
+                " It has not run, and would be refused again.".to_owned()
+            }
             None => " Whether it ran is not known.".to_owned(),
         }
     }
 
+    /// Account of a refused request, and how old the host's knowledge of keys was.
+    fn knowledge(&self) -> String {
+        let account = match self.text("account") {
+            "" => String::new(),
+            account => format!(" Its account is {account}."),
+        };
+        match self.measured("age_ms") {
+            Some(age) => format!(
+                "{account} The host knew the keys of configuration {}, as of {age:.0} ms before.",
+                self.number("version")
+            ),
+            None => account,
+        }
+    }
+
     /// Any other line: its message and its fields.
     fn plain(&self) -> String {
         let told = ["timestamp", "level", "target", "message", "host", "event"];
--- a/crates/cli/tests/gauges.rs
+++ b/crates/cli/tests/gauges.rs
@@ -49,6 +49,21 @@
     assert!(found[2].contains("The store does not answer 1 of them"));
 }
 
+#[test]
+fn a_daemon_that_cannot_confirm_keys_is_said() {
+    let text = "coveford_configuration_version 38\ncoveford_leads 1\ncoveford_accounts 16\ncoveford_keys_age_seconds 4.125\n";
+    let daemon = read(ADDR.parse().unwrap(), text);
+    assert_eq!(
+        (daemon.accounts, daemon.keys_age_ms),
+        (Some(16), Some(4_125))
+    );
+    let found = findings(&[daemon]);
+    assert!(
+        found[0].contains("1 of them last heard of keys over 3 s ago"),
+        "{found:?}"
+    );
+}
+
 #[tokio::test]
 async fn daemons_that_do_not_answer_are_told() {
     // A port that was free a moment ago.
--- a/crates/cli/tests/story.rs
+++ b/crates/cli/tests/story.rs
@@ -9,6 +9,9 @@
 {"host":"b3","timestamp":"2026-08-12T10:31:44.682705Z","level":"INFO","message":"a sending brought no answer","event":"failed","id":"a12038f8ce540c5a","replica":"i-94c4785f64","addr":"10.2.64.32:8784","entry":12,"candidates":3,"why":"lost: it broke","target":"request"}
 {"host":"b3","timestamp":"2026-08-12T10:31:44.682805Z","level":"WARN","message":"the request is given up","event":"refused","id":"a12038f8ce540c5a","route":"r-jpn73r9","status":502,"reason":"lost","ms":1.176,"why":"The answer could not be had","target":"request"}
 {"host":"a1","timestamp":"2026-08-12T10:31:59.682805Z","level":"WARN","message":"the request is given up","event":"refused","id":"e3d534c64079d1c7","route":"r-jpn73r9","status":503,"reason":"overloaded","retry_after_ms":810.0,"ms":0.2,"why":"The request would wait 1.31 s for its first token.","target":"request"}
+{"host":"a2","timestamp":"2026-08-12T10:31:59.700000Z","level":"INFO","message":"a request is not let in by its key","event":"refused","id":"k1","route":"r-1","status":401,"reason":"key_unknown","key":"3f09ac","version":38,"age_ms":412.0,"ms":0.0,"why":"No account holds this key.","target":"request"}
+{"host":"a2","timestamp":"2026-08-12T10:31:59.710000Z","level":"INFO","message":"a request is not let in by its key","event":"refused","id":"k2","route":"r-1","status":503,"reason":"key_unconfirmed","account":"hule930","version":38,"age_ms":4120.0,"retry_after_ms":500.0,"ms":0.0,"why":"This host last heard of the accounts' keys 4.12 s ago.","target":"request"}
+{"host":"a2","timestamp":"2026-08-12T10:31:59.720000Z","level":"WARN","message":"the request is given up","event":"refused","id":"q1","route":"r-1","account":"hule930","status":429,"reason":"over_quota","retry_after_ms":640.0,"ms":1.4,"why":"Account hule930 is over its limit of 10985 a second and 39546 at once; this request uses 1632.","target":"request"}
 not a line of a log
 "#;
 
@@ -39,6 +42,25 @@
     assert!(story[0].contains("come back in 810 ms"));
 }
 
+#[test]
+fn a_refused_key_leads_to_what_the_host_knew() {
+    let story = tell("k1", &read(DAY));
+    assert!(story[0].contains("status 401"), "{}", story[0]);
+    assert!(story[0].contains("It has not run, and would be refused again."));
+    assert!(story[0].contains("configuration 38, as of 412 ms before"));
+    let story = tell("k2", &read(DAY));
+    assert!(story[0].contains("come back in 500 ms. Its account is hule930."));
+    assert!(story[0].contains("as of 4120 ms before"));
+}
+
+#[test]
+fn a_refusal_over_the_limit_tells_account_limit_and_use() {
+    let story = tell("q1", &read(DAY));
+    assert!(story[0].contains("over its limit of 10985 a second"));
+    assert!(story[0].contains("this request uses 1632"));
+    assert!(story[0].contains("come back in 640 ms. Its account is hule930."));
+}
+
 #[test]
 fn an_unknown_request_has_no_story() {
     assert!(tell("nobody", &read(DAY)).is_empty());
--- a/crates/front/src/accounts.rs
+++ b/crates/front/src/accounts.rs
@@ -6,6 +6,7 @@
 //! that host's word, and the time on the way is counted in.
 
 use crate::attempt::Call;
+use crate::readers;
 use crate::respond::Fault;
 use crate::routes::Routes;
 use crate::settings::Bounds;
@@ -126,8 +127,19 @@
     };
     match refusal {
         Some(refusal) if !route.public => {
-            tell(state, &refusal, id, account, routes.version);
-            Err(refusal.fault())
+            let fault = refusal.fault();
+            tell(
+                state,
+                &refusal,
+                &fault,
+                &Refused {
+                    id,
+                    route,
+                    account: account.map(|a| &**a),
+                    version: routes.version,
+                },
+            );
+            Err(fault)
         }
         _ => Ok(Caller {
             key: key.ok(),
@@ -250,24 +262,28 @@
     }
 }
 
-/// Tells why a request is not let in.
-fn tell(
-    state: &State,
-    refusal: &Refusal,
+/// Request that is not let in by its key, as it is told.
+struct Refused<'a> {
     id: Option<Name>,
-    account: Option<&Arc<Account>>,
+    route: &'a Route,
+    account: Option<&'a Account>,
+    /// Version of the configuration that was gone by.
     version: u64,
-) {
-    let reason = refusal.reason();
-    state.log.metrics.ended(&"none".into(), reason);
-    let account = account.map(|a| &*a.name);
+}
+
+/// Tells why a request is not let in.
+fn tell(state: &State, refusal: &Refusal, fault: &Fault, refused: &Refused) {
+    state.log.metrics.ended(&refused.route.name, fault.reason);
     let key = match refusal {
         Refusal::Unknown { digest } => Some(digest.as_str()),
         _ => None,
     };
     state.log.notable(|| {
+        let (id, route) = (refused.id.as_deref(), &*refused.route.name);
+        let account = refused.account.map(|a| &*a.name);
         let age_ms = known_age(state).ms();
-        let source = if state.table.lock().view.is_away() { "store away" } else { "store or reader" };
-        info!(target: "request", event = "refused", id = id.as_deref(), reason, account, key, version, age_ms, source, why = %refusal, "a request is not let in by its key")
+        let store = if readers::is_cut(state) { "failing" } else { "answering" };
+        let retry_after_ms = fault.retry_after.map(|s| s.ms());
+        info!(target: "request", event = "refused", id, route, account, key, status = fault.status.as_u16(), reason = fault.reason, version = refused.version, age_ms, store, retry_after_ms, ms = 0.0, why = %refusal, "a request is not let in by its key")
     });
 }
--- a/crates/front/src/message/quota.rs
+++ b/crates/front/src/message/quota.rs
@@ -18,6 +18,18 @@
     pub alone: f32,
 }
 
+impl Question {
+    /// Whether its numbers can be counted.
+    pub fn is_sound(&self) -> bool {
+        is_sound(self.units) && is_sound(self.alone)
+    }
+}
+
+/// Whether a number of units can be counted.
+fn is_sound(units: f32) -> bool {
+    units.is_finite() && units >= 0.0
+}
+
 /// Answer to a question.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Verdict {
@@ -49,3 +61,10 @@
     /// Time since they were given, in milliseconds.
     pub age_ms: u32,
 }
+
+impl Refund {
+    /// Whether its number can be counted.
+    pub fn is_sound(&self) -> bool {
+        is_sound(self.units)
+    }
+}
--- a/crates/front/src/peers/quota.rs
+++ b/crates/front/src/peers/quota.rs
@@ -92,6 +92,9 @@
 
     /// What this host says to a question; none when it does not give out.
     fn judge(&self, question: &Question) -> Option<Verdict> {
+        if !question.is_sound() {
+            return None;
+        }
         let limit = self.limit_of(&question.account)?;
         let now = self.state.now();
         self.with_limiter(|limiter| {
@@ -133,7 +136,8 @@
 
     /// Takes units back.
     pub(super) fn take_back(&self, refund: &Refund) {
-        let Some(limit) = self.limit_of(&refund.account) else {
+        let limit = self.limit_of(&refund.account);
+        let Some(limit) = limit.filter(|_| refund.is_sound()) else {
             return;
         };
         let now = self.state.now();
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -149,7 +149,7 @@
     let daemon = Daemon {
         callers: serve_callers(&entry, callers)?,
         _readiness: serve_readiness(&state, readiness)?,
-        _metrics: serve_metrics(&state, metrics)?,
+        _metrics: serve_metrics(&state, &peers, metrics)?,
         _answers: serve_hosts(&state, answers)?,
         _tasks: tasks(&entry, &peers, wanted),
         state,
@@ -213,10 +213,15 @@
     conn::serve(listener, OTHER_CONNECTIONS, answer).context(RuntimeSnafu)
 }
 
-fn serve_metrics(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
-    let state = state.clone();
+fn serve_metrics(
+    state: &Arc<State>,
+    peers: &Arc<Peers>,
+    listener: TcpListener,
+) -> Result<Server, Error> {
+    let (state, peers) = (state.clone(), peers.clone());
     let answer = move |_: Request<Incoming>| {
         gauges(&state);
+        account_gauges(&state, &peers);
         let text = state.log.metrics.render();
         async move { Ok(Response::new(respond::whole(text.into()))) }
     };
@@ -233,6 +238,34 @@
     conn::serve(listener, HOST_CONNECTIONS, answer).context(RuntimeSnafu)
 }
 
+/// Accounts whose use is told each by itself at the host that gives out; the rest are not told.
+const MOST_ACCOUNTS: usize = 100;
+
+/// Tells what accounts were given in the last window, at the host that gives out.
+fn account_gauges(state: &State, peers: &Peers) {
+    let routes = state.table.lock().routes.clone();
+    let accounts = routes.as_ref().and_then(|r| r.accounts.as_ref());
+    let Some(accounts) = accounts else { return };
+    let metrics = &state.log.metrics;
+    metrics
+        .gauge("coveford_accounts", &[])
+        .set(accounts.all().count() as f64);
+    let age = crate::accounts::known_age(state);
+    metrics
+        .gauge("coveford_keys_age_seconds", &[])
+        .set(age.secs());
+    for account in accounts.all().take(MOST_ACCOUNTS) {
+        let given = peers.given_out(&account.name);
+        if let (Some(given), Some(quota)) = (given, account.quota) {
+            let labels = [("account", &*account.name)];
+            metrics.gauge("coveford_account_given", &labels).set(given);
+            metrics
+                .gauge("coveford_account_rate", &labels)
+                .set(quota.rate);
+        }
+    }
+}
+
 /// Brings the gauges up to date before they are read.
 fn gauges(state: &State) {
     use std::sync::atomic::Ordering::Relaxed;
--- a/crates/route/src/quota/limiter.rs
+++ b/crates/route/src/quota/limiter.rs
@@ -84,6 +84,10 @@
         let overdraft = self.tolerance.overdraft();
         let limit = self.tolerance.given_out(units.limit);
         let account = self.account(units.account, limit, now);
+        // What never fits into a window would leave the account in debt for longer than one.
+        if units.count > limit.rate * window.secs() + limit.burst {
+            return Err(LONGEST_WAIT);
+        }
         // A request that is larger than a full bucket is let in by a full one.
         let needed = units.count.min(limit.burst + overdraft);
         let missing = needed - overdraft - account.level;
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -378,6 +378,25 @@
     assert_eq!(share.use_alone(limit, 1.0, at(0)), Err(None));
 }
 
+/// A request of more than a whole window holds is refused, and leaves no debt that would lock the account.
+#[test]
+fn a_request_that_never_fits_takes_nothing() {
+    let (account, host): (Name, Name) = ("mine".into(), "h".into());
+    let limit = Limit {
+        rate: 10_000.0,
+        burst: 10_000.0,
+    };
+    let units = |count| Units {
+        account: &account,
+        limit,
+        host: &host,
+        count,
+    };
+    let mut limiter = Limiter::new(TOLERANCE, at(0));
+    assert!(limiter.give(units(1e19), at(10_000)).is_err());
+    assert!(limiter.give(units(1_600.0), at(10_000)).is_ok());
+}
+
 /// The time that is told is the time after which the same request is let in.
 #[test]
 fn the_time_to_come_back_is_true() {
