Hosts of a large fleet begin with one page of the store, and hear the rest from readers

Ruled out: the leader's entry (its takeover works at 69 hosts), quotas (55 of 627 refusals). The first page holds the configuration and the leader's entry: with it a host can lead, or find who leads, and hears the rest from the readers that are named. Ready only once replicas are known. Tests: a_host_of_a_large_fleet_begins_with_one_page, the_first_hosts_of_a_fleet_begin_without_a_leader.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -4,12 +4,14 @@
 //! changes of that time come together. In a large fleet most hosts hear of the changes from
 //! [`readers`].
 
+mod begin;
+
 use crate::readers::Heard;
 use crate::state::{self, State};
 use crate::view::News;
 use crate::{leader, readers, routes};
 use platform::names;
-use platform::store::{Change, Freshness, Item, Listing};
+use platform::store::{Change, Item, Listing};
 use platform::{config, replica};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -97,21 +99,7 @@
     }
     match after {
         Some(after) => watch(state, after).await,
-        None => read(state).await,
-    }
-}
-
-/// Reads all that stands in the store.
-async fn read(state: &State) -> Next {
-    // An answer tells what stood when it was asked for; it may have waited for this host since.
-    let asked = state.now();
-    let listing = state.store.range("", Freshness::Newest).await;
-    match heard(state, listing) {
-        Some(listing) => {
-            readers::note_whole(state, &listing.found, listing.revision, asked);
-            Next::Whole(listing)
-        }
-        None => Next::Failed,
+        None => begin::read(state).await,
     }
 }
 
@@ -261,6 +249,7 @@
         table.apply(&news);
         news
     };
+    state.knows_replicas.store(true, Ordering::Relaxed);
     told(state, news, listing.revision);
     if !has_leader {
         set_leader(state, None);
--- a/crates/front/src/readers/question.rs
+++ b/crates/front/src/readers/question.rs
@@ -20,6 +20,10 @@
 /// Time beyond that in which an answer must have come; hosts of a hall are within milliseconds.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
 
+/// Time in which all that stands must have come: a megabyte for some thousands of replicas, over the link
+/// of a weak host.
+const WHOLE_LIMIT: Duration = Duration::from_millis(4_000);
+
 /// Age of a reader's own news at which a host no longer rests on it, as a part of the shortest
 /// bound: a head pauses and waits for a sixth of it each, the reader that asks the head waits for
 /// [`HELD_PART`], the store may be slow, and news are as old as the question that brought them.
@@ -86,7 +90,10 @@
         after,
         wait_ms: wait.as_millis() as u32,
     };
-    let limit = wait + ANSWER_LIMIT;
+    let limit = match after {
+        0 => WHOLE_LIMIT,
+        _ => wait + ANSWER_LIMIT,
+    };
     let asked = state.now();
     let pool = &state.readers.pool;
     let exchange = pool.exchange(reader, request(reader, &question), limit, MOST_ANSWER);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -43,6 +43,8 @@
     pub log: Log,
     /// Memory for bodies, in KB.
     pub bodies: Arc<Semaphore>,
+    /// Whether all that stood in the store was heard once, the replicas' entries among it.
+    pub knows_replicas: AtomicBool,
     /// Whether any host has ever led, as far as this one knows.
     pub has_led: AtomicBool,
     /// Who leads, if that is known.
@@ -100,6 +102,7 @@
         pool: Pool::default(),
         log,
         bodies: Arc::new(Semaphore::new(bodies)),
+        knows_replicas: AtomicBool::new(false),
         has_led: AtomicBool::new(false),
         leader: Mutex::default(),
         wanted,
@@ -141,7 +144,8 @@
 
     /// Whether requests can be routed.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table.lock().routes.is_some()
+        let knows_replicas = self.knows_replicas.load(Ordering::Relaxed);
+        !self.is_draining() && knows_replicas && self.table.lock().routes.is_some()
     }
 
     /// Whether this host leads, as far as it knows.
--- a/crates/front/tests/readers.rs
+++ b/crates/front/tests/readers.rs
@@ -262,6 +262,57 @@
     assert_eq!((calls(&reader), calls(&host)), before);
 }
 
+/// At 300 hosts and 3,000 replicas all hosts that started at once read seven pages each: a gigabyte over the
+/// store's link, for so long that calls ran out of time and were made anew, for half a minute.
+#[tokio::test]
+async fn a_host_of_a_large_fleet_begins_with_one_page() {
+    let store = store().await;
+    // More entries than the stand-in's page of 20 holds.
+    let mut replicas = Vec::new();
+    for i in 0..30 {
+        replicas.push(web(&store, &format!("i-{i}")).await);
+    }
+    let first = daemon(&store, "d0").await;
+    until(|| first.state().leads()).await;
+    let mut hosts = Vec::new();
+    for i in 1..18 {
+        hosts.push(daemon(&store, &format!("d{i}")).await);
+    }
+    until(|| first.state().table.lock().hosts == 18).await;
+    let begin = Instant::now();
+    let last = daemon(&store, "d18").await;
+    assert!(
+        begin.elapsed() < Duration::from_millis(1_500),
+        "{:?}",
+        begin.elapsed()
+    );
+    let reads = last.state().store.calls().reads.load(Ordering::Relaxed);
+    assert_eq!(reads, 1, "the rest came from a reader");
+    let known = last.state().table.lock().view.all().count();
+    assert_eq!(known, 30);
+    assert_eq!(ask(&last, "/again/x", None).await.1.status(), 200);
+}
+
+/// Nobody leads, and the store holds more than a page: the first hosts elect one and read it in time.
+#[tokio::test]
+async fn the_first_hosts_of_a_fleet_begin_without_a_leader() {
+    let store = store().await;
+    let mut replicas = Vec::new();
+    for i in 0..30 {
+        replicas.push(web(&store, &format!("i-{i}")).await);
+    }
+    let begin = Instant::now();
+    let (a, b) = tokio::join!(daemon(&store, "d1"), daemon(&store, "d2"));
+    assert!(
+        begin.elapsed() < Duration::from_millis(2_500),
+        "{:?}",
+        begin.elapsed()
+    );
+    for host in [&a, &b] {
+        assert_eq!(host.state().table.lock().view.all().count(), 30);
+    }
+}
+
 fn candidate(hall: &str, port: u16, cores: f32) -> Candidate {
     Candidate {
         hall: hall.into(),
