A host never replaces another host's entry when it tries to lead

Cause: let a host write its own entry anew; which entry that is was read when the transaction was made, so that a host which heard of the new leader between its look and its try put it out. At 298 hosts that start at once a host with 0.12 of a core did so 0.07 s after the first had won (log of a changed copy of the site), and leaders went on changing: two holders within the lease, and nobody to give out. Test another_host_s_entry_is_never_replaced.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -225,6 +225,13 @@
     }
 }
 
+/// Revision of the entry that a host may write anew when it tries to lead; 0 where there must be none. Another
+/// host's is never replaced: it may have become known only now, while this host was about to try.
+pub fn replaces(known: Option<&Leader>, own: SocketAddr) -> u64 {
+    let left = known.filter(|leader| leader.peers == own);
+    left.map_or(0, |leader| leader.term)
+}
+
 /// Transaction that creates the leader's entry, or takes over the one that an earlier process here left.
 fn creation(state: &State, lease: &Lease, is_first: bool) -> Transaction {
     let entry = Entry {
@@ -232,7 +239,7 @@
         peers: state.settings.peers,
     };
     let value = serde_json::to_vec(&entry).expect("an entry is plain data");
-    let left = state.leader.lock().as_ref().map_or(0, |left| left.term);
+    let left = replaces(state.leader.lock().as_ref(), state.settings.peers);
     let mut txn = Transaction {
         expected: vec![(KEY.into(), left)],
         writes: vec![(KEY.into(), value, lease.id)],
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -271,6 +271,27 @@
     assert_eq!(leader(&second).map(|l| l.term), Some(term));
 }
 
+/// At 298 hosts that started at once, a host that was about to try heard of the leader just then, and took
+/// that for an entry of its own: it put the leader out, and so did others after it.
+#[test]
+fn another_host_s_entry_is_never_replaced() {
+    let own = "127.0.0.1:7001".parse().unwrap();
+    let leader = |peers: &str| front::state::Leader {
+        name: "d1".into(),
+        peers: peers.parse().unwrap(),
+        term: 3,
+    };
+    assert_eq!(front::leader::replaces(None, own), 0);
+    assert_eq!(
+        front::leader::replaces(Some(&leader("127.0.0.1:7002")), own),
+        0
+    );
+    assert_eq!(
+        front::leader::replaces(Some(&leader("127.0.0.1:7001")), own),
+        3
+    );
+}
+
 /// large inc-f019: after an outage of 10 s in which the lease had waited, its holder had given it up, and
 /// the next one gave its first order 4.8 s after the store's return.
 #[tokio::test]
