Deployments without quotas start; a plan of a large fleet is made beside the leader's other work

Test the_template_is_whole_without_accounts. Second: on the copy of the site with 298 hosts and 3,000 replicas leaders lost their leases every 6 s, since a plan holds the only thread for seconds. Beyond 500 replicas a plan is made on a thread of its own and does not hold the book; a step on a replica of which something else is believed by then is left out, and loads from the store are counted when the step is taken.

--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -26,12 +26,17 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tracing::info;
 use unit::{Name, Time};
 
 /// Pause between two plans.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Replicas beyond which a plan is made on a thread of its own: it takes some 30 ms there on half a core,
+/// and a thread's wake-ups cost more than they save below.
+const MANY_REPLICAS: usize = 500;
+
 /// Pause after a plan, as a multiple of the time that it took: at some thousands of replicas a plan takes
 /// parts of a second, in which nothing is told, answered or renewed here.
 const REST: u32 = 4;
@@ -73,27 +78,37 @@
     let quiet = planner.quiet_until();
     let mut next_plan = tokio::time::Instant::now();
     let mut next_digest = next_plan;
+    let mut planning: Option<JoinHandle<bool>> = None;
+    let mut begun = next_plan;
     let mut changes = tokio::time::interval(CHANGES);
     changes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0;
     while planner.may_tell() {
         let acts = planner.term.holds() && tokio::time::Instant::now() >= quiet;
         tokio::select! {
-            _ = tokio::time::sleep_until(next_plan) => {
-                let begin = tokio::time::Instant::now();
+            _ = tokio::time::sleep_until(next_plan), if planning.is_none() => {
+                begun = tokio::time::Instant::now();
                 planner.sync();
-                if acts && planner.plan() {
-                    next_digest = tokio::time::Instant::now();
+                if acts {
+                    planning = Some(planner.begin_plan());
                 }
-                let rest = TICK.max(begin.elapsed() * REST);
-                next_plan = tokio::time::Instant::now() + rest;
+                next_plan = begun + TICK;
+            }
+            changed = ended(&mut planning) => {
+                planning = None;
+                let now = tokio::time::Instant::now();
+                if changed {
+                    next_digest = now;
+                }
+                next_plan = now + TICK.max(begun.elapsed() * REST);
             }
             _ = planner.peers.inbox.wanted.notified() => {
                 if acts {
                     planner.sync();
                     planner.place_adapters();
-                    if planner.note_missing() && planner.plan() {
-                        next_digest = tokio::time::Instant::now();
+                    if planner.note_missing() && planning.is_none() {
+                        begun = tokio::time::Instant::now();
+                        planning = Some(planner.begin_plan());
                     }
                 }
             }
@@ -109,6 +124,15 @@
     }
 }
 
+/// Waits for the end of a plan that is being made; tells whether it changed anything.
+async fn ended(planning: &mut Option<JoinHandle<bool>>) -> bool {
+    match planning {
+        // A plan that broke off changed nothing that hosts must be told at once.
+        Some(plan) => plan.await.unwrap_or(false),
+        None => std::future::pending().await,
+    }
+}
+
 /// Makes the planner of a term, which knows nothing of any replica yet.
 fn open(state: Arc<State>, peers: Arc<Peers>, term: Term) -> Planner {
     Planner {
@@ -167,6 +191,17 @@
         book.note_uses(self.peers.inbox.uses(), now);
     }
 
+    /// Makes a plan beside this host's other work: on a thread of its own where there are so many replicas
+    /// that it takes parts of a second.
+    fn begin_plan(self: &Arc<Self>) -> JoinHandle<bool> {
+        let planner = self.clone();
+        let replicas = self.state.table.lock().view.all().count();
+        match replicas > MANY_REPLICAS {
+            true => tokio::task::spawn_blocking(move || planner.plan()),
+            false => tokio::spawn(async move { planner.plan() }),
+        }
+    }
+
     /// Plans for each service whose replicas run models, and gives the orders that can be given. Tells
     /// whether the plan has changed.
     fn plan(self: &Arc<Self>) -> bool {
--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -49,26 +49,67 @@
 
     /// Plans the next steps of one service: loads are queued, unloads are announced first. Tells whether
     /// there are any.
+    ///
+    /// The book is not held while the plan is made, which takes parts of a second in a large fleet; a step
+    /// on a replica of which something else is believed by then is left to the next plan.
     pub(super) fn plan_service(&self, service: &Name, engine: &Engine) -> bool {
         let now = self.state.now();
         let loads = self.peers.inbox.loads(now);
         let entries = entries(&self.state.table.lock(), service);
+        let (replicas, models, available) = {
+            let mut book = self.book.lock();
+            let book = &mut *book;
+            let replicas = replicas(&entries, &book.known, engine, &loads, now);
+            book.note_held(service, engine, &replicas, now);
+            let models = models(service, engine, &book.demand, now);
+            let new = || self.bucket(engine, now);
+            let bucket = book.buckets.entry(service.clone()).or_insert_with(new);
+            (replicas, models, bucket.available(now))
+        };
+        let most = entries.len() * STEPS_PER_REPLICA;
+        let steps = copies::plan(&replicas, &models, available, most);
+        let plan = Plan {
+            service,
+            engine,
+            entries: &entries,
+            replicas: &replicas,
+            models: &models,
+        };
+        self.take_steps(&plan, steps)
+    }
+
+    /// Queues the steps of a plan; tells whether there are any.
+    fn take_steps(&self, plan: &Plan, steps: Vec<Step>) -> bool {
+        let now = self.state.now();
         let mut book = self.book.lock();
         let book = &mut *book;
-        let replicas = replicas(&entries, &book.known, engine, &loads, now);
-        book.note_held(service, engine, &replicas, now);
-        let models = models(service, engine, &book.demand, now);
-        let new = || self.bucket(engine, now);
-        let bucket = book.buckets.entry(service.clone()).or_insert_with(new);
-        let most = entries.len() * STEPS_PER_REPLICA;
-        let steps = copies::plan(&replicas, &models, bucket.available(now), most);
-        let any = !steps.is_empty();
+        let Some(bucket) = book.buckets.get_mut(plan.service) else {
+            return false;
+        };
+        let mut begun = HashSet::new();
+        let mut any = false;
         for step in steps {
             let (Step::Load { replica, .. } | Step::Unload { replica, .. }) = &step;
             let replica = *replica;
-            let entry = &entries[replica];
-            let known = book.known.entry(entry.id.clone()).or_default();
-            tell(&step, entry, engine, &models);
+            let entry = &plan.entries[replica];
+            // A replica that is gone meanwhile is not planned for any more.
+            let Some(known) = book.known.get_mut(&entry.id) else {
+                continue;
+            };
+            let is_as_planned = begun.contains(&replica) || plan.holds(replica, known, now);
+            let needs_store = matches!(
+                step,
+                Step::Load {
+                    from_store: true,
+                    ..
+                }
+            );
+            if !is_as_planned || (needs_store && bucket.available(now) == 0) {
+                continue;
+            }
+            begun.insert(replica);
+            any = true;
+            tell(&step, entry, plan.engine, plan.models);
             match step {
                 Step::Load {
                     model, from_store, ..
@@ -76,7 +117,7 @@
                     if from_store {
                         bucket.take();
                     }
-                    let job = load_job(entry, &engine.models[model], from_store);
+                    let job = load_job(entry, &plan.engine.models[model], from_store);
                     known.queue.push_back(job);
                     known.room_used();
                 }
@@ -84,18 +125,7 @@
                     models: gone,
                     instead,
                     ..
-                } => {
-                    let name = |model: usize| engine.models[model].name.clone();
-                    let due = |m: usize| match models[m].demand > 0.0 {
-                        true => now + CLOSING,
-                        false => now + CLOSING_IDLE,
-                    };
-                    let from_store = !replicas[replica].copied.contains(&instead);
-                    let takes = load_job(entry, &engine.models[instead], from_store).takes;
-                    let there = now + MAKES_ROOM * gone.len() as f64 + takes;
-                    let gone = gone.into_iter().map(|m| (name(m), due(m)));
-                    known.close(gone, name(instead), there);
-                }
+                } => plan.close(replica, known, gone, instead, now),
             }
         }
         any
@@ -114,6 +144,46 @@
     }
 }
 
+/// What a plan of one service was made from.
+struct Plan<'a> {
+    service: &'a Name,
+    engine: &'a Engine,
+    entries: &'a [Entry],
+    replicas: &'a [copies::Replica],
+    models: &'a [copies::Model],
+}
+
+impl Plan<'_> {
+    /// Whether what is believed of a replica is still what the plan was made from, but for its load.
+    fn holds(&self, replica: usize, known: &Known, now: Time) -> bool {
+        let planned = &self.replicas[replica];
+        let entry = &self.entries[replica];
+        self::replica(entry, known, self.engine, planned.load, now) == *planned
+    }
+
+    /// Announces that a replica gives models up, to make room for another.
+    fn close(
+        &self,
+        replica: usize,
+        known: &mut Known,
+        gone: Vec<usize>,
+        instead: usize,
+        now: Time,
+    ) {
+        let entry = &self.entries[replica];
+        let name = |model: usize| self.engine.models[model].name.clone();
+        let due = |m: usize| match self.models[m].demand > 0.0 {
+            true => now + CLOSING,
+            false => now + CLOSING_IDLE,
+        };
+        let from_store = !self.replicas[replica].copied.contains(&instead);
+        let takes = load_job(entry, &self.engine.models[instead], from_store).takes;
+        let there = now + MAKES_ROOM * gone.len() as f64 + takes;
+        let gone = gone.into_iter().map(|m| (name(m), due(m)));
+        known.close(gone, name(instead), there);
+    }
+}
+
 impl Book {
     /// Notes which models of a service are on a replica.
     fn note_held(
--- a/crates/front/tests/malformed.rs
+++ b/crates/front/tests/malformed.rs
@@ -57,6 +57,49 @@
     assert_eq!(read(SETTINGS).unwrap().log.sample, 8);
 }
 
+/// The template that the platform fills, on a deployment that has no accounts: what stands only where there
+/// are some is left out with its gaps. With an empty value a daemon would not start.
+#[test]
+fn the_template_is_whole_without_accounts() {
+    let template = include_str!("../../../deploy/settings.ini");
+    let mut text = String::new();
+    let mut rest = template;
+    while let Some(begin) = rest.find("{{#") {
+        text.push_str(&rest[..begin]);
+        let name = &rest[begin + 3..begin + rest[begin..].find("}}").unwrap()];
+        let end = format!("{{{{/{name}}}}}");
+        rest = &rest[rest.find(&end).unwrap() + end.len()..];
+    }
+    text.push_str(rest);
+    let words = [
+        ("{{node}}", "h1"),
+        ("{{zone}}", "a"),
+        ("{{ip}}", "127.0.0.1"),
+        ("{{port_range.0}}", "7000"),
+        ("{{listen.front}}", "127.0.0.1:1"),
+        ("{{listen.ready}}", "127.0.0.1:2"),
+        ("{{provider.address}}", "127.0.0.1:3"),
+        ("{{bounds.retry_budget}}", "0.2"),
+        ("{{bounds.retry_slack}}", "58"),
+        ("{{bounds.grace_s}}", "8"),
+        ("{{bounds.budget_window_s}}", "10"),
+        ("{{bounds.ceiling_window_s}}", "5"),
+        ("{{bounds.ceiling_overage}}", "1.1"),
+        ("{{limits.max_fds}}", "4100"),
+        ("{{limits.memory_mb}}", "260"),
+        ("{{limits.cpu_share}}", "0.25"),
+        ("{{bounds.lease_ms}}", "3000"),
+        ("{{bounds.config_apply_ms}}", "2000"),
+        ("{{bounds.drain_ms}}", "2000"),
+    ];
+    for (gap, word) in words {
+        text = text.replace(gap, word);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    let settings = read(&text).unwrap();
+    assert_eq!(settings.bounds.withdrawal, None);
+}
+
 #[test]
 fn a_sample_of_none_is_refused() {
     let wrong = SETTINGS.replace("sample = 8", "sample = 0");
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -40,7 +40,7 @@
 }
 
 /// Replica as the plan sees it; models by index.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Replica {
     /// Memory that nothing takes, in MB, with room kept for its adapters.
     pub free_mb: f64,
