--- a/crates/front/src/peers/quota.rs
+++ b/crates/front/src/peers/quota.rs
@@ -3,6 +3,7 @@
 use super::Peers;
 use crate::leader::Term;
 use crate::message::{Message, Question, Refund, Verdict};
+use crate::shares;
 use parking_lot::Mutex;
 use route::quota::{Limit, Limiter, Tolerance, Units};
 use std::collections::HashMap;
@@ -184,10 +185,7 @@
     /// Limit of an account by the newest configuration here.
     fn limit_of(&self, account: &str) -> Option<Limit> {
         let routes = self.state.table.lock().routes.clone()?;
-        let quota = routes.accounts.as_ref()?.named(account)?.quota?;
-        Some(Limit {
-            rate: quota.rate,
-            burst: quota.burst,
-        })
+        let account = routes.accounts.as_ref()?.named(account)?;
+        account.quota.as_ref().map(shares::limit)
     }
 }
--- a/crates/front/src/quota.rs
+++ b/crates/front/src/quota.rs
@@ -9,10 +9,11 @@
 use crate::peers::Peers;
 use crate::peers::quota::{PATIENT, QUICK};
 use crate::respond::Fault;
+use crate::shares;
 use crate::state::State;
 use hyper::StatusCode;
 use platform::account::{Account, Quota};
-use route::quota::{GIVEN_BACK_WITHIN, Given, Limit};
+use route::quota::{GIVEN_BACK_WITHIN, Given};
 use std::sync::Arc;
 use std::time::Duration;
 use unit::{Name, Span, Time};
@@ -31,8 +32,16 @@
     units: f64,
     /// When they were asked for.
     asked: Time,
-    /// Whether they are of this host's share.
-    alone: bool,
+    source: Source,
+}
+
+/// Where units came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// The host that gives out.
+    Limiter,
+    /// This host's share.
+    Share,
 }
 
 /// Lets a request in if its account may have it run; none where the account has no limit.
@@ -43,75 +52,83 @@
     };
     let units = quota.cost(call.ask.tokens());
     let asked = state.now();
-    let quick = match state.shares.may_ask(asked) {
-        true => ask(state, peers, account, units, QUICK).await,
-        false => None,
-    };
-    let (verdict, alone) = match quick {
-        Some(verdict) => (Some(verdict), None),
-        None => match use_alone(state, account, &quota, units) {
-            Ok(()) => (None, None),
-            Err(fault) => (
-                ask(state, peers, account, units, PATIENT).await,
-                Some(fault),
-            ),
-        },
-    };
-    let alone = match (verdict, alone) {
-        (Some(Verdict::Refused { wait_ms }), _) => {
-            count(state, account, "over_quota");
-            return Err(over(account, &quota, units, wait_ms));
-        }
-        (Some(Verdict::Given { .. }), _) => false,
-        (_, None) => true,
-        (_, Some(fault)) => {
-            count(state, account, "quota_unconfirmed");
-            return Err(fault);
-        }
+    let decided = decide(state, peers, account, &quota, units).await;
+    let decision = decided
+        .as_ref()
+        .map_or_else(|fault| fault.reason, |_| "let_in");
+    state.log.metrics.account(&account.name, decision);
+    decided.map(|source| {
+        Some(Grant {
+            peers: peers.clone(),
+            account: account.name.clone(),
+            units,
+            asked,
+            source,
+        })
+    })
+}
+
+/// Asks the host that gives out; goes by this host's share where it does not answer, and asks once more
+/// before a request is refused for want of a share.
+async fn decide(
+    state: &State,
+    peers: &Arc<Peers>,
+    account: &Account,
+    quota: &Quota,
+    units: f64,
+) -> Result<Source, Fault> {
+    let over = |wait| over(account, quota, units, wait);
+    if state.shares.may_ask(state.now())
+        && let Some(answer) = ask(state, peers, account, units, QUICK).await
+    {
+        return answer.map(|()| Source::Limiter).map_err(over);
+    }
+    let Err(without_share) = use_alone(state, account, quota, units) else {
+        return Ok(Source::Share);
     };
-    count(state, account, "let_in");
-    Ok(Some(Grant {
-        peers: peers.clone(),
-        account: account.name.clone(),
-        units,
-        asked,
-        alone,
-    }))
+    match ask(state, peers, account, units, PATIENT).await {
+        Some(answer) => answer.map(|()| Source::Limiter).map_err(over),
+        None => Err(without_share),
+    }
 }
 
-/// Asks the host that gives out, and notes what it says.
+/// Asks the host that gives out, and notes what it says: that the request may run, or the time after which
+/// there will be enough. None when it did not answer.
 async fn ask(
     state: &State,
     peers: &Arc<Peers>,
     account: &Account,
     units: f64,
     tries: &[Duration],
-) -> Option<Verdict> {
+) -> Option<Result<(), Span>> {
     let asked = state.now();
     let untold = state.shares.with(&account.name, |share| share.untold());
     let verdict = peers.ask_for(&account.name, units, untold, tries).await;
-    let Some(verdict) = verdict else {
-        state.shares.not_answered(state.now());
-        return None;
+    let answer = match verdict {
+        Some(Verdict::Given { all, left }) => Ok(Given {
+            all: f64::from(all),
+            left: f64::from(left),
+        }),
+        Some(Verdict::Refused { wait_ms }) => Err(Span::from_ms(u64::from(wait_ms))),
+        Some(Verdict::Elsewhere) | None => {
+            state.shares.not_answered(state.now());
+            return None;
+        }
     };
     state.shares.with(&account.name, |share| {
         share.answered(asked, untold);
-        if let Verdict::Given { all, left } = verdict {
-            let told = Given {
-                all: f64::from(all),
-                left: f64::from(left),
-            };
+        if let Ok(told) = answer {
             share.given(units, told, asked);
         }
     });
-    Some(verdict)
+    Some(answer.map(|_| ()))
 }
 
 /// Uses units of this host's own share.
 fn use_alone(state: &State, account: &Account, quota: &Quota, units: f64) -> Result<(), Fault> {
     let now = state.now();
     let used = state.shares.with(&account.name, |share| {
-        share.use_alone(limit(quota), units, now)
+        share.use_alone(shares::limit(quota), units, now)
     });
     used.map_err(|wait| {
         let message = format!(
@@ -123,36 +140,23 @@
     })
 }
 
-/// Limit of a quota.
-pub fn limit(quota: &Quota) -> Limit {
-    Limit {
-        rate: quota.rate,
-        burst: quota.burst,
-    }
-}
-
 /// Answer to a request whose account is over its limit.
-fn over(account: &Account, quota: &Quota, units: f64, wait_ms: u32) -> Fault {
+fn over(account: &Account, quota: &Quota, units: f64, wait: Span) -> Fault {
     let (name, rate, burst) = (&account.name, quota.rate, quota.burst);
     let message = format!(
         "Account {name} is over its limit of {rate} a second and {burst} at once; this request uses {units}."
     );
-    let wait = Span::from_ms(u64::from(wait_ms));
     Fault {
         retry_after: Some(wait.max(LEAST_WAIT)),
         ..Fault::refused(StatusCode::TOO_MANY_REQUESTS, "over_quota", message)
     }
 }
 
-fn count(state: &State, account: &Account, outcome: &'static str) {
-    state.log.metrics.account(&account.name, outcome);
-}
-
 impl Grant {
     /// Gives the units back: the request did not run.
     pub async fn give_back(self, state: &State) {
         let age = state.now().since(self.asked);
-        if self.alone || age > GIVEN_BACK_WITHIN {
+        if self.source == Source::Share || age > GIVEN_BACK_WITHIN {
             return;
         }
         state.shares.with(&self.account, |share| {
--- a/crates/front/src/shares.rs
+++ b/crates/front/src/shares.rs
@@ -2,7 +2,8 @@
 
 use crate::settings::Bounds;
 use parking_lot::Mutex;
-use route::quota::{Share, Tolerance};
+use platform::account::Quota;
+use route::quota::{Limit, Share, Tolerance};
 use std::collections::HashMap;
 use unit::{Name, Span, Time};
 
@@ -19,6 +20,14 @@
     }
 }
 
+/// Limit of an account over all hosts.
+pub fn limit(quota: &Quota) -> Limit {
+    Limit {
+        rate: quota.rate,
+        burst: quota.burst,
+    }
+}
+
 /// Shares by account.
 pub struct Shares {
     tolerance: Tolerance,
