Questions whose client has left are taken out of those that wait

Found on reading the change: a request whose client leaves drops its wait for an answer, and if none comes its entry stayed for as long as the process lived. Entries whose receiver is gone go when the next one is put in. What callers and other hosts see stays as it is.

--- a/crates/front/src/peers/quota.rs
+++ b/crates/front/src/peers/quota.rs
@@ -78,7 +78,12 @@
     ) -> Option<Verdict> {
         let (sender, receiver) = oneshot::channel();
         let open = &self.quotas.open;
-        open.lock().insert(question.number, sender);
+        {
+            let mut open = open.lock();
+            // A client that leaves drops its question's wait, and nothing else takes the question out.
+            open.retain(|_, waiting| !waiting.is_closed());
+            open.insert(question.number, sender);
+        }
         let message = Message::Question(question.clone());
         self.send(&message, leader).await;
         let answer = timeout(limit, receiver).await;
