Sight: for how long a host had heard nothing of the store, why an entry is missing and not gone, requests placed there

`regained` now tells silent_ms, news of replicas store_back_ms (the time since the store came back, by what the host knows), a `sent` line missing_ms, and a counter how many requests were placed at replicas whose entries are missing. No decision is changed.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tracing::{error, info, warn};
-use unit::Name;
+use unit::{Name, Span};
 
 /// Pause between two watches of the leader, whose orders rest on what it knows.
 const LEADER_PAUSE: Duration = Duration::from_millis(250);
@@ -204,10 +204,11 @@
         Ok(answer) => {
             let mut table = state.table.lock();
             let was_away = table.view.is_away();
+            let silent_ms = table.view.silent(now).map(Span::ms);
             table.view.store_answers(true, now);
             drop(table);
             if was_away {
-                info!(target: "store", event = "regained", "the store answers again");
+                info!(target: "store", event = "regained", silent_ms, "the store answers again, or another host tells of it; silent_ms is for how long this one had heard nothing");
             }
             Some(answer)
         }
@@ -352,6 +353,9 @@
 
 /// Tells what the news did to the view, and closes connections to replicas that are gone.
 pub fn told(state: &State, news: Vec<News>, revision: u64) {
+    let settling = state.table.lock().view.settling(state.now());
+    // Why an entry that vanished is missing and not gone: the store came back so long ago.
+    let store_back_ms = settling.map(Span::ms);
     for one in news {
         let (event, id) = match &one {
             News::Changed(_) => continue,
@@ -364,7 +368,7 @@
             state.pool.forget(id);
         }
         state.log.notable(
-            || info!(target: "view", event, replica = &**id, revision, "news of a replica"),
+            || info!(target: "view", event, replica = &**id, revision, store_back_ms, "news of a replica"),
         );
     }
 }
--- a/crates/front/src/serve/tell.rs
+++ b/crates/front/src/serve/tell.rs
@@ -11,9 +11,16 @@
 
 /// Tells that a request is sent to a replica, and whether it waited for its turn.
 pub(super) fn sent(state: &State, call: &Call, choice: &Choice, waited: bool) {
+    let missing_ms = choice.missing.map(Span::ms);
+    if missing_ms.is_some() {
+        let metrics = &state.log.metrics;
+        metrics
+            .counter("coveford_sent_to_missing_total", &[])
+            .increment(1);
+    }
     state.log.routine(&call.id, || {
         let ms = state.now().since(call.arrived).ms();
-        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, model = call.ask.model.as_deref(), adapter = call.ask.adapter.as_deref(), replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), paced = choice.paced, waited, ms, entry = choice.revision, "sent to the replica with the least expected time")
+        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, model = call.ask.model.as_deref(), adapter = call.ask.adapter.as_deref(), replica = &*choice.replica, candidates = choice.candidates, expected_ms = choice.first_token.ms(), paced = choice.paced, waited, ms, entry = choice.revision, missing_ms, "sent to the replica with the least expected time")
     });
 }
 
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -44,6 +44,8 @@
     pub candidates: usize,
     /// Revision of the replica's entry.
     pub revision: u64,
+    /// For how long its entry has been missing, if it is: it may be gone.
+    pub missing: Option<Span>,
 }
 
 /// Why no replica was chosen.
@@ -125,6 +127,7 @@
             crowded,
             candidates: candidates.len(),
             revision: found[at].revision,
+            missing: found[at].missing.map(|since| now.since(since)),
         })
     }
 
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -21,6 +21,8 @@
     /// When the store last came back after it was away.
     returned: Option<Time>,
     away: bool,
+    /// When this host last heard from the store, or of it.
+    heard: Option<Time>,
 }
 
 /// Replica with the news of it.
@@ -65,9 +67,17 @@
         if answers && self.away {
             self.returned = Some(now);
         }
+        if answers {
+            self.heard = Some(now);
+        }
         self.away = !answers;
     }
 
+    /// Time since this host last heard from the store, or of it.
+    pub fn silent(&self, now: Time) -> Option<Span> {
+        self.heard.map(|at| now.since(at))
+    }
+
     /// Whether the store does not answer.
     pub fn is_away(&self) -> bool {
         self.away
