A host that was cut off alone no longer takes its silence for an outage of the store

Cause: entries that vanish within 2 s of the store's return stay in use, since entries of living replicas that lapsed in an outage come back in that time. A host reckoned the return from its own first answer, also when only it had heard nothing, and so sent requests for 2.4 s to replicas that had left while the store was there for everybody else. Ruled out: that the removal did not count (the entry is missing at the return), and that requests were placed before it (the test's are made 0.9 s after).

Change: `contact` keeps the runs through which the store was heard from without a silence in which entries can lapse (two heartbeats: they go after three that are missed). Each host tells its own run in its sums, a reader in its answers, the leader those of all. A run of another host that reaches into this one's goes before it. A shorter silence (a watch cut with a dropped history) is no outage any more. Entries that are missing are looked at each 50 ms in place of 500. heartbeat_ms joins the settings.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -6,6 +6,7 @@
 
 mod begin;
 
+use crate::contact::Contact;
 use crate::readers::Heard;
 use crate::state::{self, State};
 use crate::view::News;
@@ -17,7 +18,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tracing::{error, info, warn};
-use unit::{Name, Span};
+use unit::{Name, Span, Time};
 
 /// Pause between two watches of the leader, whose orders rest on what it knows.
 const LEADER_PAUSE: Duration = Duration::from_millis(250);
@@ -116,7 +117,7 @@
         info!(target: "store", event = "compacted", after, "the watch's history is gone; the whole range is read");
         return Next::Forgotten;
     }
-    let Some(changes) = heard(state, changes) else {
+    let Some(changes) = heard(state, changes, asked) else {
         return Next::Failed;
     };
     readers::note(state, &changes.found, changes.revision, asked);
@@ -130,7 +131,6 @@
         let reader = readers::source(state)?;
         match readers::ask(state, reader, after, state.settings.bounds.following()).await {
             Ok(news) => {
-                heard(state, Ok(()));
                 return Some(match news {
                     Heard::Changes(changes) => Next::Heard(changes),
                     Heard::Whole(listing) => Next::Whole(listing),
@@ -197,19 +197,12 @@
     readers::source(state).is_some()
 }
 
-/// Notes whether the store answers, and gives back what it said.
-fn heard<T>(state: &State, answer: Result<T, platform::Error>) -> Option<T> {
-    let now = state.now();
+/// Notes whether the store answers what it was asked at a time, and gives back what it said.
+fn heard<T>(state: &State, answer: Result<T, platform::Error>, asked: Time) -> Option<T> {
     match answer {
         Ok(answer) => {
-            let mut table = state.table.lock();
-            let was_away = table.view.is_away();
-            let silent_ms = table.view.silent(now).map(Span::ms);
-            table.view.store_answers(true, now);
-            drop(table);
-            if was_away {
-                info!(target: "store", event = "regained", silent_ms, "the store answers again, or another host tells of it; silent_ms is for how long this one had heard nothing");
-            }
+            let now = state.now();
+            regained(state, now, |contact| contact.answered(asked, now));
             Some(answer)
         }
         Err(error) if turned_away(state) => {
@@ -220,8 +213,8 @@
         }
         Err(error) => {
             let mut table = state.table.lock();
-            let was_away = table.view.is_away();
-            table.view.store_answers(false, now);
+            let was_away = table.view.contact.is_away();
+            table.view.contact.failed();
             drop(table);
             if !was_away {
                 warn!(target: "store", event = "lost", why = %error, "the store does not answer; the last view stays in force");
@@ -231,6 +224,20 @@
     }
 }
 
+/// Notes that the store answers, or another host tells of it, and tells so if it did not before.
+pub fn regained(state: &State, now: Time, note: impl FnOnce(&mut Contact)) {
+    let (was_away, silent, settling) = {
+        let contact = &mut state.table.lock().view.contact;
+        let before = (contact.is_away(), contact.silent(now));
+        note(contact);
+        (before.0, before.1, contact.settling(now))
+    };
+    if was_away {
+        let (silent_ms, store_back_ms) = (silent.map(Span::ms), settling.map(Span::ms));
+        info!(target: "store", event = "regained", silent_ms, store_back_ms, "the store answers again, or another host tells of it; silent_ms is for how long this one had heard nothing");
+    }
+}
+
 /// Takes in the whole store.
 fn compare(state: &State, listing: Listing<Item>) {
     let present: Vec<Name> = listing
@@ -353,7 +360,7 @@
 
 /// Tells what the news did to the view, and closes connections to replicas that are gone.
 pub fn told(state: &State, news: Vec<News>, revision: u64) {
-    let settling = state.table.lock().view.settling(state.now());
+    let settling = state.table.lock().view.contact.settling(state.now());
     // Why an entry that vanished is missing and not gone: the store came back so long ago.
     let store_back_ms = settling.map(Span::ms);
     for one in news {
@@ -364,8 +371,10 @@
             News::Missing(id) => ("missing", id),
             News::Gone(id) => ("gone", id),
         };
-        if matches!(one, News::Gone(_)) {
-            state.pool.forget(id);
+        match &one {
+            News::Gone(_) => state.pool.forget(id),
+            News::Missing(_) => state.missed.notify_one(),
+            _ => {}
         }
         state.log.notable(
             || info!(target: "view", event, replica = &**id, revision, store_back_ms, "news of a replica"),
--- a/crates/front/src/follow/begin.rs
+++ b/crates/front/src/follow/begin.rs
@@ -33,7 +33,7 @@
     // An answer tells what stood when it was asked for; it may have waited for this host since.
     let asked = state.now();
     let page = state.store.page("", None, Freshness::Newest).await;
-    let Some(page) = heard(state, page) else {
+    let Some(page) = heard(state, page, asked) else {
         return Next::Failed;
     };
     if page.more {
@@ -43,7 +43,7 @@
         }
     }
     let rest = state.store.rest("", page, Freshness::Newest).await;
-    match heard(state, rest) {
+    match heard(state, rest, asked) {
         Some(listing) => {
             readers::note_whole(state, &listing.found, listing.revision, asked);
             Next::Whole(listing)
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,7 @@
 
 pub use quota::{Question, Refund, Verdict};
 
+use crate::contact::Word;
 use crate::readers::Reader;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -88,6 +89,8 @@
     pub absent: Vec<u32>,
     /// Whether the store failed this host a moment ago.
     pub cut: bool,
+    /// Time through which this host heard from the store, if it ever did.
+    pub store: Option<Word>,
 }
 
 /// Rows of sums that fit one datagram: each takes at most 40 bytes.
@@ -115,6 +118,7 @@
             cores: self.cores,
             round: self.round,
             cut: self.cut,
+            store: self.store,
         };
         let demand = self.demand.chunks(rows).map(|rows| part(rows, &[], &[]));
         let loads = self.loads.chunks(rows).map(|rows| part(&[], rows, &[]));
@@ -259,6 +263,8 @@
     pub readers: Vec<Reader>,
     /// Where all hosts take datagrams, while they are few enough to tell each other directly.
     pub peers: Vec<SocketAddr>,
+    /// Time through which hosts heard from the store.
+    pub store: Option<Word>,
 }
 
 /// Request for an adapter.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -109,6 +109,9 @@
             Message::Direct(sums) => {
                 let mut table = self.state.table.lock();
                 table.told_by(&sums.host, &sums.loads, now);
+                if let Some(word) = sums.store {
+                    table.view.contact.told(word, now);
+                }
                 drop(table);
                 self.state.changed.notify_waiters();
             }
@@ -161,6 +164,9 @@
             let others = plans.peers.into_iter().filter(|p| *p != own);
             *self.others.lock() = others.collect();
             self.state.readers.set(plans.readers, own);
+            if let Some(word) = plans.store {
+                table.view.contact.told(word, now);
+            }
             table.set_absent(plans.absent, now);
             table.set_coming(&plans.coming, now);
             table.set_loaded(plans.loaded, now);
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -1,5 +1,6 @@
 //! What other hosts have told the leader, while this host leads.
 
+use crate::contact::{self, Word};
 use crate::message::{Load, Missing, Row, Sums, Use, Want};
 use crate::readers::Candidate;
 use parking_lot::Mutex;
@@ -130,6 +131,7 @@
                 true => told.sums.loads.extend(sums.loads),
                 false => told.sums.loads = sums.loads,
             }
+            told.sums.store = sums.store;
             told.telling = Some(sums.round);
             told.at = now;
         }
@@ -167,6 +169,15 @@
         down.map(|(replica, _)| replica).collect()
     }
 
+    /// Time through which hosts heard from the store, where replicas write each `heartbeat`.
+    pub fn store(&self, heartbeat: Span, now: Time) -> Option<Word> {
+        let silence = contact::silence_between_hosts(heartbeat);
+        let hosts = self.hosts.lock();
+        let run = |told: &Told| Some(told.sums.store?.run(told.at));
+        let runs = hosts.values().filter_map(run);
+        runs.reduce(|a, b| a.join(b, silence)).map(|r| r.word(now))
+    }
+
     /// Sums of all hosts by replica's short name.
     pub fn loads(&self, now: Time) -> HashMap<u32, Load> {
         let mut loads: HashMap<u32, Load> = HashMap::new();
--- a/crates/front/src/peers/sums.rs
+++ b/crates/front/src/peers/sums.rs
@@ -92,15 +92,15 @@
             return;
         };
         let now = self.state.now();
-        let sums = {
+        let (demand, loads, used, absent) = {
             let mut table = self.state.table.lock();
             let (demand, loads) = (table.demand(now), table.tell(now));
-            let (used, absent) = (table.take_used(), table.absent(now));
-            Sums {
-                used,
-                absent,
-                ..self.sums(round, demand, loads)
-            }
+            (demand, loads, table.take_used(), table.absent(now))
+        };
+        let sums = Sums {
+            used,
+            absent,
+            ..self.sums(round, demand, loads)
         };
         if leader.peers == self.state.settings.peers {
             self.inbox.put(sums, leader.peers, now);
@@ -111,9 +111,11 @@
         }
     }
 
-    /// This host's sums.
+    /// This host's sums. The table must not be locked.
     fn sums(&self, round: u32, demand: Vec<Demand>, loads: Vec<Row>) -> Sums {
         let settings = &self.state.settings;
+        let now = self.state.now();
+        let store = self.state.table.lock().view.contact.word(now);
         Sums {
             host: settings.name.clone(),
             hall: settings.hall.clone(),
@@ -124,6 +126,7 @@
             used: Vec::new(),
             absent: Vec::new(),
             cut: readers::is_cut(&self.state),
+            store,
         }
     }
 }
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -30,6 +30,8 @@
         let loads = self.peers.inbox.loads(now);
         let absent = self.peers.inbox.absent(now);
         let hosts = self.peers.inbox.candidates(now);
+        let heartbeat = self.state.settings.bounds.heartbeat.into();
+        let store = self.peers.inbox.store(heartbeat, now);
         self.peers.name_parts(hosts.clone()).await;
         let readers = readers::choose(hosts, self.state.settings.peers);
         let (plans, adapters) = {
@@ -38,6 +40,7 @@
                 absent,
                 readers,
                 peers: self.peers.direct(),
+                store,
                 ..plans(&book, now)
             };
             (plans, adapters(&book, round))
--- a/crates/front/src/readers/answer.rs
+++ b/crates/front/src/readers/answer.rs
@@ -66,7 +66,7 @@
 /// What this host can say now of the changes after a revision, to a question that came at `begin`.
 fn current(state: &State, after: u64, begin: Time) -> Answer {
     let now = state.now();
-    let settling = state.table.lock().view.settling(now);
+    let store = state.table.lock().view.contact.word(now);
     let recent = state.readers.recent.lock();
     let news = match recent.since(after) {
         Some(changes) => News::Changes(changes.into_iter().map(Row::from).collect()),
@@ -76,7 +76,7 @@
         revision: recent.revision(),
         age_ms: recent.age(now).ms().ceil() as u32,
         held_ms: now.since(begin).ms() as u32,
-        settling_ms: settling.map(|since| since.ms() as u32),
+        store,
         news,
     }
 }
--- a/crates/front/src/readers/message.rs
+++ b/crates/front/src/readers/message.rs
@@ -1,5 +1,6 @@
 //! What stands in the questions and answers between a host and its reader, as MessagePack over HTTP.
 
+use crate::contact::Word;
 use bytes::Bytes;
 use platform::store::{Change, Item};
 use serde::{Deserialize, Serialize};
@@ -32,8 +33,8 @@
     pub(super) age_ms: u32,
     /// Time for which the reader held the question, in milliseconds.
     pub(super) held_ms: u32,
-    /// Time since the store came back from an outage, in milliseconds, while that matters.
-    pub(super) settling_ms: Option<u32>,
+    /// Time through which the reader heard from the store, if it ever did.
+    pub(super) store: Option<Word>,
     /// What the host does not know yet.
     pub(super) news: News,
 }
--- a/crates/front/src/readers/question.rs
+++ b/crates/front/src/readers/question.rs
@@ -2,6 +2,7 @@
 
 use super::message::{Answer, MOST_ANSWER, News, PATH, Question};
 use super::{note, note_whole};
+use crate::follow;
 use crate::state::State;
 use conn::Reply;
 use hyper::header::HOST;
@@ -104,13 +105,16 @@
     if is_old(age, bound) {
         return Err(Error::Old { age });
     }
-    if let Some(ms) = answer.settling_ms {
-        let back = before(state.now(), Span::from_ms(u64::from(ms)));
-        state.table.lock().view.store_came_back(back);
-    }
     // What the answer waited for this host, which may have stood still, makes it older.
     let answered = asked + Span::from_ms(u64::from(answer.held_ms));
-    take(state, answer, after, before(answered, age))
+    let confirmed = before(answered, age);
+    follow::regained(state, state.now(), |contact| {
+        contact.answered(confirmed, confirmed);
+        if let Some(word) = answer.store {
+            contact.told(word, answered);
+        }
+    });
+    take(state, answer, after, confirmed)
 }
 
 /// Whether news of that age are no longer rested on.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -56,6 +56,10 @@
 /// Pause between two upkeeps of connections, metrics and logs.
 const UPKEEP: Duration = Duration::from_millis(500);
 
+/// Pause between two looks at replicas whose entries are missing, while there are any: requests reach one that
+/// is gone for this much longer.
+const SETTLE: Duration = Duration::from_millis(50);
+
 /// Running daemon.
 pub struct Daemon {
     state: Arc<State>,
@@ -169,6 +173,7 @@
     tasks.spawn(peers.clone().tell());
     tasks.spawn(peers.clone().ask(wanted));
     tasks.spawn(upkeep(state.clone()));
+    tasks.spawn(settle(state.clone()));
     let (state, peers) = (state.clone(), peers.clone());
     tasks.spawn(async move {
         let lead = |term| planner::run(state.clone(), peers.clone(), term);
@@ -294,28 +299,44 @@
     set("coveford_configuration_version", &[], version as f64);
     set("coveford_replicas", &[], table.view.all().count() as f64);
     set("coveford_hosts", &[], table.hosts as f64);
-    let away = f64::from(u8::from(table.view.is_away()));
+    let away = f64::from(u8::from(table.view.contact.is_away()));
     set("coveford_store_away", &[], away);
 }
 
-/// Closes old connections, expires the view, and tells what the logs left out.
+/// Closes old connections, forgets old removals, and tells what the logs left out.
 async fn upkeep(state: Arc<State>) {
     loop {
         tokio::time::sleep(UPKEEP).await;
-        let now = state.now();
-        let news = {
-            let mut table = state.table.lock();
-            let news = table.view.expire(now);
-            table.apply(&news);
-            news
-        };
-        follow::told(&state, news, 0);
+        expire(&state);
         state.pool.tidy();
         state.log.metrics.tidy();
         state.log.tell_left_out();
     }
 }
 
+/// Takes replicas as gone as soon as their entries, which vanished, can no longer come back.
+async fn settle(state: Arc<State>) {
+    loop {
+        state.missed.notified().await;
+        while state.table.lock().view.has_missing() {
+            tokio::time::sleep(SETTLE).await;
+            expire(&state);
+        }
+    }
+}
+
+/// Takes as gone what is missing for too long.
+fn expire(state: &State) {
+    let now = state.now();
+    let news = {
+        let mut table = state.table.lock();
+        let news = table.view.expire(now);
+        table.apply(&news);
+        news
+    };
+    follow::told(state, news, 0);
+}
+
 impl Daemon {
     /// Its shared state.
     pub fn state(&self) -> &Arc<State> {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -50,6 +50,8 @@
     pub configuration: Duration,
     /// Time within which a leaving replica must get no new work.
     pub leaving: Duration,
+    /// Time between two writings of a replica's entry; the store drops it after three that are missed.
+    pub heartbeat: Duration,
     /// Time within which a key that was taken away runs nothing more, on every host; none when only hosts
     /// that reach the store are bound.
     pub withdrawal: Option<Duration>,
@@ -161,6 +163,7 @@
         lease: seconds(fields.value("lease_ms", 3_000.0, 100.0..=600_000.0) / 1e3),
         configuration: seconds(fields.value("configuration_ms", 2_000.0, 10.0..=600_000.0) / 1e3),
         leaving: seconds(fields.value("leaving_ms", 2_000.0, 10.0..=600_000.0) / 1e3),
+        heartbeat: seconds(fields.value("heartbeat_ms", 1_200.0, 10.0..=600_000.0) / 1e3),
         withdrawal: fields
             .optional("withdrawal_ms", 100.0..=600_000.0)
             .map(|ms: f64| seconds(ms / 1e3)),
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -29,6 +29,8 @@
     pub changed: Notify,
     /// Notified when a request was counted in, so that other hosts are told.
     pub entered: Notify,
+    /// Notified when the entry of a replica has vanished, and the replica may be gone.
+    pub missed: Notify,
     /// Notified when the prompt of a request was read or the request ended.
     pub eased: Notify,
     /// The platform's store.
@@ -91,10 +93,12 @@
     let seed = unit::rendezvous::hash(settings.name.as_bytes());
     let bodies = settings.limits.memory_mb * 1_024 / BODIES_PART;
     let (wanted, receiver) = tokio::sync::mpsc::unbounded_channel();
+    let heartbeat = settings.bounds.heartbeat.into();
     let state = State {
-        table: Mutex::new(Table::new(settings.hall.clone(), seed)),
+        table: Mutex::new(Table::new(settings.hall.clone(), seed, heartbeat)),
         changed: Notify::new(),
         entered: Notify::new(),
+        missed: Notify::new(),
         eased: Notify::new(),
         store: platform::store::open(settings.store, store_limit),
         readers: Readers::default(),
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -90,10 +90,11 @@
 }
 
 impl Table {
-    /// Makes an empty table of a host in that hall; `seed` breaks ties differently on each host.
-    pub fn new(hall: Name, seed: u64) -> Table {
+    /// Makes an empty table of a host in that hall; `seed` breaks ties differently on each host, and replicas
+    /// write to the store each `heartbeat`.
+    pub fn new(hall: Name, seed: u64, heartbeat: Span) -> Table {
         Table {
-            view: View::default(),
+            view: View::new(heartbeat),
             routes: None,
             hosts: 1,
             knows_hosts: false,
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -1,28 +1,24 @@
 //! Which replicas there are, from the store's items; never backwards.
 //!
 //! An entry that vanishes while the store is away is no departure: entries of living replicas are
-//! back within [`RETURN`] of the store's return. One still missing then is gone.
+//! back soon after the store's return. One still missing then is gone. [`contact`](crate::contact) tells whether
+//! the store was away.
 
+use crate::contact::Contact;
 use platform::replica::Entry;
 use std::collections::BTreeMap;
 use unit::{Name, Span, Time};
 
-/// Time in which entries that lapsed while the store was away come back after its return.
-pub const RETURN: Span = Span::from_ms(2_000);
-
 /// Time for which the revision of a removal is remembered, against older news from elsewhere.
 const REMEMBERED: Span = Span::from_secs(60);
 
 /// Replicas by identity.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct View {
     seen: BTreeMap<Name, Seen>,
     removed: BTreeMap<Name, (u64, Time)>,
-    /// When the store last came back after it was away.
-    returned: Option<Time>,
-    away: bool,
-    /// When this host last heard from the store, or of it.
-    heard: Option<Time>,
+    /// Whether the store is there, and since when.
+    pub contact: Contact,
 }
 
 /// Replica with the news of it.
@@ -52,6 +48,15 @@
 }
 
 impl View {
+    /// Makes an empty view of a store to which replicas write each `heartbeat`.
+    pub fn new(heartbeat: Span) -> View {
+        View {
+            seen: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            contact: Contact::new(heartbeat),
+        }
+    }
+
     /// Replicas, the missing ones included.
     pub fn all(&self) -> impl Iterator<Item = &Seen> {
         self.seen.values()
@@ -62,43 +67,6 @@
         self.seen.get(id)
     }
 
-    /// Notes whether the store answers.
-    pub fn store_answers(&mut self, answers: bool, now: Time) {
-        if answers && self.away {
-            self.returned = Some(now);
-        }
-        if answers {
-            self.heard = Some(now);
-        }
-        self.away = !answers;
-    }
-
-    /// Time since this host last heard from the store, or of it.
-    pub fn silent(&self, now: Time) -> Option<Span> {
-        self.heard.map(|at| now.since(at))
-    }
-
-    /// Whether the store does not answer.
-    pub fn is_away(&self) -> bool {
-        self.away
-    }
-
-    /// Time since the store came back, while entries that vanished may come back yet.
-    pub fn settling(&self, now: Time) -> Option<Span> {
-        let since = now.since(self.returned?);
-        (since < RETURN).then_some(since)
-    }
-
-    /// Notes that the store came back at a time, by the word of a host that saw it.
-    pub fn store_came_back(&mut self, at: Time) {
-        self.returned = self.returned.max(Some(at));
-    }
-
-    /// Whether entries that vanish now may come back.
-    fn may_return(&self, now: Time) -> bool {
-        self.away || self.returned.is_some_and(|at| now.since(at) < RETURN)
-    }
-
     /// Takes in an entry at its revision; older news changes nothing.
     pub fn put(&mut self, entry: Entry, revision: u64) -> Option<News> {
         let id = entry.id.clone();
@@ -139,7 +107,7 @@
 
     /// Takes in a removal at its revision.
     pub fn remove(&mut self, id: &str, revision: u64, now: Time) -> Option<News> {
-        let may_return = self.may_return(now);
+        let may_return = self.contact.may_return(now);
         let seen = self.seen.get_mut(id)?;
         if seen.revision >= revision {
             return None;
@@ -174,11 +142,16 @@
             .collect()
     }
 
+    /// Whether any entry is missing.
+    pub fn has_missing(&self) -> bool {
+        self.seen.values().any(|s| s.missing.is_some())
+    }
+
     /// Takes as gone what is still missing after the store's return, and forgets old removals.
     pub fn expire(&mut self, now: Time) -> Vec<News> {
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMEMBERED);
-        if self.may_return(now) {
+        if self.contact.may_return(now) {
             return Vec::new();
         }
         let gone: Vec<Name> = self
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -6,7 +6,7 @@
 use platform_standin::replica::Fault;
 use platform_standin::store::Mode;
 use rstest::rstest;
-use site::{ask, configuration, daemon, engine, store, until, web};
+use site::{HEARTBEAT, ask, configuration, daemon, engine, store, until, web};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use unit::Span;
@@ -69,7 +69,9 @@
     let replica = web(&store, "i-1").await;
     let daemon = daemon(&store, "d1").await;
     store.set_mode(mode);
-    until(|| daemon.state().table.lock().view.is_away()).await;
+    until(|| daemon.state().table.lock().view.contact.is_away()).await;
+    // No entry lapses before three heartbeats are missed.
+    sleep((HEARTBEAT * 2.0).std()).await;
     replica.vanish();
     assert_eq!(ask(&daemon, "/again/x", None).await.1.status(), 200);
     store.set_mode(Mode::Up);
--- a/crates/front/tests/cut_host.rs
+++ b/crates/front/tests/cut_host.rs
@@ -79,7 +79,7 @@
     until(|| host.state().table.lock().view.all().count() == 2).await;
     let leader = keep_alone(&host);
     gate.set_open(false);
-    until(|| host.state().table.lock().view.is_away()).await;
+    until(|| host.state().table.lock().view.contact.is_away()).await;
     Cut {
         store,
         leaving,
@@ -97,7 +97,7 @@
     async fn heal(&self) {
         *self.host.state().leader.lock() = self.leader.clone();
         self.gate.set_open(true);
-        until(|| !self.host.state().table.lock().view.is_away()).await;
+        until(|| !self.host.state().table.lock().view.contact.is_away()).await;
         sleep(KNOWN_AFTER).await;
     }
 
--- a/crates/front/tests/parts.rs
+++ b/crates/front/tests/parts.rs
@@ -10,7 +10,7 @@
 use front::table::Table;
 use platform::ingress;
 use proptest::prelude::*;
-use site::{at, bounds, daemon, store, until};
+use site::{HEARTBEAT, at, bounds, daemon, store, until};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use unit::Name;
@@ -147,7 +147,7 @@
     let ask = ingress::ask(&hyper::HeaderMap::new());
     let mut bounds = bounds();
     bounds.retry_slack = 400.0;
-    let mut table = Table::new("a".into(), 1);
+    let mut table = Table::new("a".into(), 1, HEARTBEAT);
     for _ in 0..3 {
         table.arrived(&service, &ask, &bounds, at(0));
     }
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -20,6 +20,9 @@
 /// Longest wait for something that must come.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Time between two writings of a replica's entry.
+pub const HEARTBEAT: Span = Span::from_ms(1_200);
+
 /// Store with a configuration in it.
 pub async fn store() -> Store {
     let store = store::spawn().await.unwrap();
@@ -89,6 +92,7 @@
         lease: Duration::from_millis(300),
         configuration: Duration::from_secs(2),
         leaving: Duration::from_secs(2),
+        heartbeat: HEARTBEAT.std(),
         withdrawal: Some(Duration::from_secs(3)),
         quota_window: Duration::from_secs(8),
         quota_overage: 0.1,
--- a/crates/front/tests/sums.rs
+++ b/crates/front/tests/sums.rs
@@ -6,12 +6,12 @@
 use front::table::{Table, Want};
 use hyper::HeaderMap;
 use platform::ingress;
-use site::{at, entry};
+use site::{HEARTBEAT, at, entry};
 use unit::Name;
 
 /// Table with two requests of this host at a replica, entered at the beginning.
 fn busy(id: &Name) -> Table {
-    let mut table = Table::new("a".into(), 1);
+    let mut table = Table::new("a".into(), 1, HEARTBEAT);
     table.view.put(entry(id), 1);
     let (service, ask) = ("web".into(), ingress::ask(&HeaderMap::new()));
     let want = Want {
--- a/crates/front/tests/view.rs
+++ b/crates/front/tests/view.rs
@@ -5,7 +5,7 @@
 use front::view::{News, View};
 use platform::replica::Entry;
 use rstest::rstest;
-use site::at;
+use site::{HEARTBEAT, at};
 
 fn entry(beat: u64, leaving: bool) -> Entry {
     Entry {
@@ -18,7 +18,7 @@
 
 #[test]
 fn older_news_change_nothing() {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     assert_eq!(view.put(entry(5, false), 10), Some(News::New("i-1".into())));
     assert_eq!(view.put(entry(6, true), 9), None, "an older revision");
     assert_eq!(
@@ -31,7 +31,7 @@
 
 #[test]
 fn leaving_counts_at_once_and_is_not_taken_back() {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     view.put(entry(1, false), 10);
     assert_eq!(
         view.put(entry(2, true), 11),
@@ -43,7 +43,7 @@
 
 #[test]
 fn a_removal_is_a_departure_while_the_store_is_there() {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     view.put(entry(1, false), 10);
     assert_eq!(
         view.remove("i-1", 11, at(0)),
@@ -59,10 +59,11 @@
 
 #[test]
 fn an_entry_that_lapses_in_an_outage_stays_until_after_the_return() {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     view.put(entry(1, false), 10);
-    view.store_answers(false, at(0));
-    view.store_answers(true, at(5_000));
+    view.contact.answered(at(0), at(0));
+    view.contact.failed();
+    view.contact.answered(at(5_000), at(5_000));
     assert_eq!(
         view.remove("i-1", 11, at(5_100)),
         Some(News::Missing("i-1".into()))
@@ -74,11 +75,12 @@
 
 #[test]
 fn an_entry_that_is_back_in_time_was_never_gone() {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     view.put(entry(1, false), 10);
-    view.store_answers(false, at(0));
+    view.contact.answered(at(0), at(0));
+    view.contact.failed();
     view.remove("i-1", 11, at(100));
-    view.store_answers(true, at(5_000));
+    view.contact.answered(at(5_000), at(5_000));
     view.put(entry(2, false), 12);
     assert!(view.expire(at(9_000)).is_empty());
     assert_eq!(view.get("i-1").unwrap().missing, None);
@@ -88,7 +90,7 @@
 #[case::absent(&[], true)]
 #[case::present(&["i-1"], false)]
 fn a_whole_range_tells_what_left_in_the_gap(#[case] present: &[&str], #[case] gone: bool) {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     view.put(entry(1, false), 10);
     let present: Vec<_> = present.iter().map(|p| (*p).into()).collect();
     let news = view.compare(&present, 20, at(0));
@@ -97,7 +99,7 @@
 
 #[test]
 fn a_range_read_before_an_entry_was_written_does_not_remove_it() {
-    let mut view = View::default();
+    let mut view = View::new(HEARTBEAT);
     view.put(entry(1, false), 21);
     assert!(view.compare(&[], 20, at(0)).is_empty());
 }
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -72,7 +72,7 @@
 fn choice(replicas: usize) -> (f64, f64) {
     let models = (replicas * 3 / HOLDERS).max(3);
     let before = allocated();
-    let mut table = Table::new("a".into(), 1);
+    let mut table = Table::new("a".into(), 1, Span::from_ms(1_200));
     for n in 0..replicas {
         table.view.put(entry(n, models), n as u64 + 1);
     }
