Failing test: a leader that is cut off from the store alone hears of nothing, though other hosts answer it

The incident's host led when it was cut off. Its log: at 5.23 s another host is asked, at 5.44 s there is none to ask. It goes on telling plans after its lease, and names as readers the hosts that told it anything in the last second: as soon as these know the next leader, itself only.

--- a/crates/front/tests/cut_host.rs
+++ b/crates/front/tests/cut_host.rs
@@ -24,7 +24,7 @@
 use platform_standin::store::Store;
 use site::{ask, daemon, settings, store, until, web};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Time of the cut, over which entries of living replicas can lapse.
 const CUT: Duration = Duration::from_millis(3_500);
@@ -130,3 +130,24 @@
     sleep(Duration::from_millis(500)).await;
     assert_eq!(cut.reach_the_leaving_one().await, 0);
 }
+
+/// The host of the incident led. Cut off from the store alone it went on telling plans, which named as readers
+/// those that still told it anything: in the end itself only, so that it heard of nothing for seven seconds.
+#[tokio::test]
+async fn a_leader_that_the_store_does_not_answer_hears_from_other_hosts() {
+    let store = store().await;
+    let leaving = web(&store, "i-1").await;
+    let _staying = web(&store, "i-2").await;
+    let (led, gate) = behind_a_gate(&store, "d1").await;
+    until(|| led.state().leads()).await;
+    let next = daemon(&store, "d2").await;
+    sleep(Duration::from_secs(1)).await;
+    gate.set_open(false);
+    until(|| next.state().leads()).await;
+    sleep(Duration::from_secs(3)).await;
+    leaving.vanish();
+    let start = Instant::now();
+    until(|| led.state().table.lock().view.get("i-1").is_none()).await;
+    let took = start.elapsed();
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
