A leader that the store does not answer names no readers anew, and nobody forgets whom to ask for a list of itself

Cause: hosts that follow a new leader tell the old one nothing; cut off, it went on telling plans and named as readers those that had told it something in the last second, itself in the end, so that it had nobody to ask. Ruled out: that the others did not answer it (at 3.99 s one did, and nothing in the log tells of a failed question after).

Change: readers are named while the term holds and the store answers; a list that names nobody else changes nothing at the host that it names.

--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -3,7 +3,7 @@
 use super::{Book, Planner};
 use crate::message::{Digest, Load, MOST_DATAGRAM, Message, Plans, Row, short};
 use crate::orders::Known;
-use crate::readers;
+use crate::readers::{self, Candidate, Reader};
 use std::collections::HashMap;
 use unit::{Name, Span, Time};
 
@@ -33,7 +33,7 @@
         let heartbeat = self.state.settings.bounds.heartbeat.into();
         let store = self.peers.inbox.store(heartbeat, now);
         self.peers.name_parts(hosts.clone()).await;
-        let readers = readers::choose(hosts, self.state.settings.peers);
+        let readers = self.readers(hosts);
         let (plans, adapters) = {
             let book = self.book.lock();
             let plans = Plans {
@@ -65,6 +65,15 @@
         }
     }
 
+    /// Who reads the store for all. A leader that the store does not answer names nobody anew: it may be the
+    /// one that is cut off, and the hosts that tell it nothing may be those that are in touch.
+    fn readers(&self, hosts: Vec<Candidate>) -> Vec<Reader> {
+        match self.term.holds() && !readers::is_cut(&self.state) {
+            true => readers::choose(hosts, self.state.settings.peers),
+            false => self.state.readers.named(),
+        }
+    }
+
     /// Tells all hosts, between two rounds, what has changed in flight.
     pub(super) async fn digest_changes(&self) {
         let loads = self.peers.inbox.loads(self.state.now());
--- a/crates/front/src/readers.rs
+++ b/crates/front/src/readers.rs
@@ -48,7 +48,7 @@
     /// Notified when there is something new to pass on.
     pub news: Notify,
     /// Notified when this host is named as one that reads the store for others.
-    pub named: Notify,
+    pub chosen: Notify,
     /// Readers of all halls, as the leader told last.
     known: Mutex<Vec<Reader>>,
     /// Readers that failed, and the store's own address if it did, and until when none is asked.
@@ -81,11 +81,17 @@
 
 impl Readers {
     /// Takes in who reads, by the leader, at the host of that address.
+    ///
+    /// A list that names nobody else is that of a leader whom no other host tells anything, as when it is cut off:
+    /// the one before stays, so that it can still ask those hosts.
     pub fn set(&self, readers: Vec<Reader>, own: SocketAddr) {
+        if readers.iter().all(|r| r.addr == own) && self.role(own) != Role::Other {
+            return;
+        }
         let before = self.role(own);
         *self.known.lock() = readers;
         if before != Role::Head && self.role(own) == Role::Head {
-            self.named.notify_waiters();
+            self.chosen.notify_waiters();
         }
     }
 
@@ -115,6 +121,11 @@
         self.avoided.lock().values().min().copied()
     }
 
+    /// Who reads, as the leader told last.
+    pub fn named(&self) -> Vec<Reader> {
+        self.known.lock().clone()
+    }
+
     /// What a host at that address has to do with reading the store, by the leader's word.
     fn role(&self, addr: SocketAddr) -> Role {
         let known = self.known.lock();
