A replica that starts again under its identity is another incarnation: nothing holds that was known of the one before

Cause: the number of writing decided which entry is newer, also between two incarnations, which each count from nothing. Change: entries and reports tell their incarnation. In the view a new one replaces all (leaving, numbers); a writing of one that was seen before and is older is passed over; one that seems earlier and was never seen is new, since a replica's clock may be stepped back. Connections, kept prompts, adapters, absence and the leader's word on loads are forgotten; a silent stream of an earlier incarnation counts as lost. The leader believes nothing of the new one until it has asked it, adopts no report of another incarnation and drops answers to orders given to an earlier one. An unanswered load may land on the next incarnation, since it is addressed to the same identity and may expect the count that this one has then: it keeps its room for the 13 s in which it may land.

Ruled out as a way: taking the greater start for the newer one always (a clock that is stepped back would hide a restart for as long as the replica lives).

--- a/crates/front/src/attempt/place.rs
+++ b/crates/front/src/attempt/place.rs
@@ -4,6 +4,7 @@
 use crate::state::State;
 use crate::table::{Choice, Footprint};
 use platform::ingress;
+use platform::replica::Incarnation;
 use std::sync::Arc;
 use unit::{Name, Time};
 
@@ -12,6 +13,8 @@
     state: Arc<State>,
     /// The replica.
     pub replica: Name,
+    /// Which start of it the request was placed at.
+    pub incarnation: Incarnation,
     /// Its share in the table's sums.
     print: Footprint,
     service: Name,
@@ -33,11 +36,14 @@
         let mut table = state.table.lock();
         let alone = table.alone(&choice.replica, &call.ask, now);
         let print = table.enter(&choice.replica, &call.want(&[], None), now);
+        let seen = table.view.get(&choice.replica);
+        let incarnation = seen.and_then(|s| s.entry.incarnation);
         drop(table);
         state.entered.notify_one();
         Place {
             state: state.clone(),
             replica: choice.replica.clone(),
+            incarnation,
             print,
             service: call.service.clone(),
             model: call.ask.model.clone(),
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -283,8 +283,11 @@
     } else if item.key.starts_with(names::REPLICAS) {
         match replica::decode(&item.key, &item.value) {
             Ok(entry) => {
-                let news = state.table.lock().view.put(entry, item.revision);
-                told(state, news.into_iter().collect(), item.revision);
+                let mut table = state.table.lock();
+                let news: Vec<News> = table.view.put(entry, item.revision).into_iter().collect();
+                table.apply(&news);
+                drop(table);
+                told(state, news, item.revision);
             }
             Err(why) => {
                 error!(target: "view", event = "malformed", key = &*item.key, revision = item.revision, why = %why, "the replica's last good entry stays in force")
@@ -358,7 +361,8 @@
     state.changed.notify_waiters();
 }
 
-/// Tells what the news did to the view, and closes connections to replicas that are gone.
+/// Tells what the news did to the view, and closes connections to replicas that are gone or have
+/// started again.
 pub fn told(state: &State, news: Vec<News>, revision: u64) {
     let settling = state.table.lock().view.contact.settling(state.now());
     // Why an entry that vanished is missing and not gone: the store came back so long ago.
@@ -367,12 +371,13 @@
         let (event, id) = match &one {
             News::Changed(_) => continue,
             News::New(id) => ("seen", id),
+            News::Restarted(id) => ("restarted", id),
             News::Leaving(id) => ("leaving", id),
             News::Missing(id) => ("missing", id),
             News::Gone(id) => ("gone", id),
         };
         match &one {
-            News::Gone(_) => state.pool.forget(id),
+            News::Gone(_) | News::Restarted(_) => state.pool.forget(id),
             News::Missing(_) => state.missed.notify_one(),
             _ => {}
         }
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -5,7 +5,7 @@
 //! it. So a late order never meets a memory other than the one it was meant for.
 
 use platform::config::Engine;
-use platform::replica::{Entry, Held, Operation, Report};
+use platform::replica::{Entry, Held, Incarnation, Operation, Report};
 use std::collections::{HashMap, VecDeque};
 use unit::{Name, Span, Time};
 
@@ -59,9 +59,23 @@
     due: Time,
 }
 
+/// Order that was not answered, and when it was given.
+#[derive(Debug, Clone)]
+struct Unanswered {
+    job: Job,
+    at: Time,
+}
+
 /// What is believed of one replica.
 #[derive(Debug, Clone)]
 pub struct Known {
+    /// The incarnation of which it is believed.
+    incarnation: Incarnation,
+    /// Unanswered loads of this incarnation.
+    unanswered: Vec<Unanswered>,
+    /// Unanswered loads of the ones before, which may be carried out by this one: the identity that they are
+    /// addressed to is the same, and its count of orders may stand by chance where they expect it.
+    strays: Vec<Unanswered>,
     /// Orders it has taken.
     pub orders: u64,
     /// What it holds.
@@ -94,6 +108,9 @@
 impl Default for Known {
     fn default() -> Known {
         Known {
+            incarnation: None,
+            unanswered: Vec::new(),
+            strays: Vec::new(),
             orders: 0,
             held: Vec::new(),
             pending: None,
@@ -113,6 +130,49 @@
 }
 
 impl Known {
+    /// Whether it is this incarnation of which it is believed.
+    pub fn is_of(&self, incarnation: Incarnation) -> bool {
+        self.incarnation == incarnation
+    }
+
+    /// Forgets what was believed of an earlier incarnation. Its unanswered loads keep the room that they would take,
+    /// for as long as they may land.
+    fn restart(&mut self, incarnation: Incarnation) {
+        let before = std::mem::take(self);
+        let mut strays = before.strays;
+        strays.extend(before.unanswered);
+        *self = Known {
+            incarnation,
+            strays,
+            calling: before.calling,
+            absent: before.absent,
+            ..Known::default()
+        };
+    }
+
+    /// Notes that a load was not answered: it may be carried out yet, by the incarnation that it was given to or by
+    /// a later one.
+    pub fn unanswered(&mut self, job: &Job, given_to: Incarnation, now: Time) {
+        if job.operation == Operation::Unload {
+            return;
+        }
+        let late = Unanswered {
+            job: job.clone(),
+            at: now,
+        };
+        let list = match self.is_of(given_to) {
+            true => &mut self.unanswered,
+            false => &mut self.strays,
+        };
+        list.retain(|u| now.since(u.at) < MAY_LAND);
+        list.push(late);
+    }
+
+    /// Loads given to earlier incarnations that may land yet.
+    fn strays(&self) -> impl Iterator<Item = &Job> {
+        self.strays.iter().map(|u| &u.job)
+    }
+
     /// Whether it takes an order about a model now.
     pub fn is_idle(&self) -> bool {
         self.pending.is_none() && self.queue.is_empty() && !self.calling && self.doubtful.is_none()
@@ -219,6 +279,10 @@
     /// An entry can show that a load is done, and can raise doubt; that memory is free again is
     /// believed of a report only.
     pub fn sync(&mut self, entry: &Entry, now: Time) {
+        if !self.is_of(entry.incarnation) {
+            self.restart(entry.incarnation);
+        }
+        self.strays.retain(|u| now.since(u.at) < MAY_LAND);
         if let Some(pending) = &self.pending {
             let holds = entry.held.iter().any(|h| h.model == pending.job.model);
             let loads = pending.job.operation == Operation::Load;
@@ -250,8 +314,12 @@
         names(&self.held) != names(&entry.held)
     }
 
-    /// Takes a report in; it counts as newest.
+    /// Takes a report in; it counts as newest, unless it is of an incarnation whose entry has not come yet.
     pub fn adopt(&mut self, report: &Report, now: Time) {
+        if report.incarnation.is_some() && !self.is_of(report.incarnation) {
+            self.doubt(now);
+            return;
+        }
         self.ordered = now;
         self.orders = report.orders;
         self.held.clone_from(&report.held);
@@ -366,7 +434,11 @@
         match &job.adapter {
             Some(adapter) => {
                 let there = self.holds_adapter(&job.model, adapter);
-                there || self.adapters().len() < engine.adapters as usize
+                let strays = self
+                    .strays()
+                    .filter(|stray| stray.adapter.is_some())
+                    .count();
+                there || self.adapters().len() + strays < engine.adapters as usize
             }
             None => {
                 let model = engine.models.iter().find(|m| m.name == job.model);
@@ -391,6 +463,7 @@
         let loading = self.pending.iter().map(|p| &p.job);
         let loading = loading
             .chain(&self.queue)
+            .chain(self.strays())
             .filter(|j| j.operation == Operation::Load && j.adapter.is_none())
             .filter(|j| !self.held.iter().any(|h| h.model == j.model));
         let coming: f64 = loading.map(|j| size(&j.model)).sum();
--- a/crates/front/src/planner/give.rs
+++ b/crates/front/src/planner/give.rs
@@ -159,6 +159,13 @@
         let Some(known) = book.known.get_mut(&entry.id) else {
             return false;
         };
+        if !known.is_of(entry.incarnation) {
+            // It was given to an earlier incarnation, and nothing holds of that one but what may land yet.
+            if let Err(why) = answer {
+                book.unanswered(entry, &job, &why, now);
+            }
+            return false;
+        }
         match answer {
             Ok(Ordered::Accepted) if job.adapter.is_none() => {
                 known.orders = expected + 1;
@@ -189,7 +196,7 @@
             Ok(_) => known.doubt(now),
             Err(why) => {
                 known.doubt(now);
-                book.unanswered(&job, &why, now);
+                book.unanswered(entry, &job, &why, now);
             }
         }
         false
@@ -213,10 +220,16 @@
         job.map_or(Next::Skip, |job| Next::Give(job, known.orders))
     }
 
-    /// Keeps the place of a load from the weight store that may have begun without an answer.
-    fn unanswered(&mut self, job: &Job, why: &platform::Error, now: Time) {
-        let lands = matches!(why, platform::Error::Unknown { .. });
-        if job.from_store && lands {
+    /// Keeps the places of a load that may have begun without an answer: at the weight store, if it is from there,
+    /// and at the replica, should this start again.
+    fn unanswered(&mut self, entry: &Entry, job: &Job, why: &platform::Error, now: Time) {
+        if !matches!(why, platform::Error::Unknown { .. }) {
+            return;
+        }
+        if let Some(known) = self.known.get_mut(&entry.id) {
+            known.unanswered(job, entry.incarnation, now);
+        }
+        if job.from_store {
             for bucket in self.buckets.values_mut() {
                 bucket.unanswered(now);
             }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -32,11 +32,11 @@
 /// Part of the longest pause in time from which a pause tells that a replica is slow.
 const LONG_PART: f64 = 0.7;
 
-/// Whether a replica is in the view, and its entry is not missing.
-fn is_there(state: &State, replica: &str) -> bool {
+/// Whether the replica of a place is in the view, has not started again, and its entry is not missing.
+fn is_there(state: &State, place: &Place) -> bool {
     let table = state.table.lock();
-    let seen = table.view.get(replica);
-    seen.is_some_and(|s| s.missing.is_none())
+    let seen = table.view.get(&place.replica);
+    seen.is_some_and(|s| s.missing.is_none() && s.entry.incarnation == place.incarnation)
 }
 
 /// Reads an answer that is not a stream whole.
@@ -287,7 +287,7 @@
                 }
                 Err(_) if until == deadline => return Err(Failed::Late),
                 // Silence alone is no reason to give a replica up: it may just be slow.
-                Err(_) if is_there(&self.state, &source.place.replica) => {}
+                Err(_) if is_there(&self.state, &source.place) => {}
                 Err(_) => {
                     return Err(Failed::Lost("the replica was silent, and is gone".into()));
                 }
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -121,15 +121,26 @@
         true
     }
 
-    /// Forgets the state of replicas that are gone.
+    /// Forgets the state of replicas that are gone, and what those knew and held that have started again.
     pub fn apply(&mut self, news: &[News]) {
         for one in news {
-            if let News::Gone(id) = one {
-                self.replicas.remove(id);
+            match one {
+                News::Gone(id) => drop(self.replicas.remove(id)),
+                News::Restarted(id) => self.restarted(id),
+                _ => {}
             }
         }
     }
 
+    /// Forgets what a replica knew and held before it started again.
+    fn restarted(&mut self, id: &Name) {
+        if let Some(state) = self.replicas.get_mut(id) {
+            state.restart();
+        }
+        self.told.loaded.forget(id);
+        self.told.closing.forget(id);
+    }
+
     /// Configuration of a service.
     fn service(&self, name: &Name) -> Option<Arc<Service>> {
         self.routes.as_ref()?.service(name).cloned()
--- a/crates/front/src/table/replica.rs
+++ b/crates/front/src/table/replica.rs
@@ -52,6 +52,20 @@
 }
 
 impl State {
+    /// Keeps of a replica that has started again only what hosts have under way there, which ends by itself.
+    pub(super) fn restart(&mut self) {
+        let before = std::mem::take(self);
+        *self = State {
+            mine: before.mine,
+            told: before.told,
+            told_before: before.told_before,
+            others: before.others,
+            others_at: before.others_at,
+            hosts: before.hosts,
+            ..State::default()
+        };
+    }
+
     /// Load of all hosts, as far as it is known.
     ///
     /// What hosts tell each other directly is newer than the leader's sums, and goes first.
--- a/crates/front/src/table/told.rs
+++ b/crates/front/src/table/told.rs
@@ -62,6 +62,11 @@
         self.at = now;
     }
 
+    /// Drops what was told of a replica.
+    pub(super) fn forget(&mut self, replica: &Name) {
+        self.pairs.retain(|(r, _)| r != replica);
+    }
+
     /// Whether a replica was told with a model, not too long ago.
     pub(super) fn has(&self, replica: &Name, model: &Name, now: Time) -> bool {
         let mut pairs = self.pairs.iter();
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -6,7 +6,7 @@
 
 use crate::contact::Contact;
 use platform::replica::Entry;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use unit::{Name, Span, Time};
 
 /// Time for which the revision of a removal is remembered, against older news from elsewhere.
@@ -30,6 +30,22 @@
     pub revision: u64,
     /// Since when its entry has been missing, while it is not yet taken as gone.
     pub missing: Option<Time>,
+    /// Incarnations before that of its entry, oldest first.
+    former: VecDeque<u64>,
+}
+
+/// Incarnations of a replica that are remembered beside the present one, against writings that come late:
+/// those that may be under way at one time.
+const MOST_FORMER: usize = 4;
+
+/// How a writing of an entry stands to the newest one that is known.
+enum Writing {
+    /// It came late: a later one is known.
+    Old,
+    /// It is the next one of the same incarnation.
+    Next,
+    /// It is of an incarnation that was not known.
+    Restarted,
 }
 
 /// What news did to the view.
@@ -37,6 +53,8 @@
 pub enum News {
     /// A replica that was not known.
     New(Name),
+    /// A replica has started again under its identity.
+    Restarted(Name),
     /// A replica has announced that it leaves.
     Leaving(Name),
     /// Something else about a replica changed.
@@ -47,6 +65,51 @@
     Gone(Name),
 }
 
+impl Seen {
+    /// A replica that was not known.
+    fn new(entry: Entry, revision: u64) -> Seen {
+        Seen {
+            entry,
+            revision,
+            missing: None,
+            former: VecDeque::new(),
+        }
+    }
+
+    /// How a writing stands to the newest one.
+    ///
+    /// Counts begin anew with each incarnation, so they say nothing between two. One that began earlier is old if
+    /// it was seen before; else the replica's clock was stepped back between its starts.
+    fn writing(&self, entry: &Entry) -> Writing {
+        match (self.entry.incarnation, entry.incarnation) {
+            (Some(known), Some(told)) if told < known && self.former.contains(&told) => {
+                Writing::Old
+            }
+            (known, told) if known != told => Writing::Restarted,
+            _ if entry.beat < self.entry.beat => Writing::Old,
+            _ => Writing::Next,
+        }
+    }
+
+    /// Takes the next writing of the same incarnation; tells whether it announces that the replica leaves. That
+    /// is not taken back.
+    fn follow(&mut self, entry: Entry) -> bool {
+        let left = self.entry.leaving;
+        let leaving = entry.leaving || left;
+        self.entry = Entry { leaving, ..entry };
+        leaving && !left
+    }
+
+    /// Takes the first writing of another incarnation, of which nothing holds that was known of the one before.
+    fn restart(&mut self, entry: Entry) {
+        self.former.extend(self.entry.incarnation);
+        if self.former.len() > MOST_FORMER {
+            self.former.pop_front();
+        }
+        self.entry = entry;
+    }
+}
+
 impl View {
     /// Makes an empty view of a store to which replicas write each `heartbeat`.
     pub fn new(heartbeat: Span) -> View {
@@ -74,35 +137,26 @@
             return None;
         }
         let Some(seen) = self.seen.get_mut(&id) else {
-            let seen = Seen {
-                entry,
-                revision,
-                missing: None,
-            };
-            self.seen.insert(id.clone(), seen);
+            self.seen.insert(id.clone(), Seen::new(entry, revision));
             return Some(News::New(id));
         };
         if seen.revision >= revision {
             return None;
         }
-        if entry.beat < seen.entry.beat {
-            // An old writing that came late: it shows that the replica is there, and nothing else.
-            seen.revision = revision;
-            seen.missing = None;
-            return None;
+        seen.revision = revision;
+        seen.missing = None;
+        match seen.writing(&entry) {
+            // It shows that the replica is there, and nothing else.
+            Writing::Old => None,
+            Writing::Next => Some(match seen.follow(entry) {
+                true => News::Leaving(id),
+                false => News::Changed(id),
+            }),
+            Writing::Restarted => {
+                seen.restart(entry);
+                Some(News::Restarted(id))
+            }
         }
-        let leaves = entry.leaving && !seen.entry.leaving;
-        // A replica that has announced its leaving does not take that back.
-        let leaving = entry.leaving || seen.entry.leaving;
-        *seen = Seen {
-            entry: Entry { leaving, ..entry },
-            revision,
-            missing: None,
-        };
-        Some(match leaves {
-            true => News::Leaving(id),
-            false => News::Changed(id),
-        })
     }
 
     /// Takes in a removal at its revision.
--- a/crates/front/tests/orders.rs
+++ b/crates/front/tests/orders.rs
@@ -36,6 +36,7 @@
         running: 0,
         tokens_used: 0,
         leaving: false,
+        incarnation: None,
     }
 }
 
@@ -197,3 +198,79 @@
     let worst = begun.iter().map(in_window).max().unwrap();
     assert!(worst <= most, "{worst} began in 5 s where {most} may");
 }
+
+fn restarted(models: &[&str], incarnation: u64) -> Entry {
+    Entry {
+        incarnation: Some(incarnation),
+        ..entry(models)
+    }
+}
+
+fn load(model: &str) -> Job {
+    Job {
+        operation: Operation::Load,
+        model: model.into(),
+        adapter: None,
+        from_store: false,
+        takes: Span::from_ms(8_000),
+    }
+}
+
+#[test]
+fn nothing_is_believed_of_a_replica_that_has_started_again() {
+    let mut known = Known::default();
+    known.sync(&restarted(&["m1"], 1), at(0));
+    known.adopt(
+        &Report {
+            incarnation: Some(1),
+            ..report(&["m1", "m2"], 7, false)
+        },
+        at(10),
+    );
+    known.queue.push_back(load("m3"));
+    known.sync(&restarted(&[], 2), at(500));
+    assert!(known.held.is_empty() && known.queue.is_empty());
+    assert_eq!(known.orders, 0);
+    assert!(
+        known.wants_look(at(500)),
+        "it is asked before the next order"
+    );
+}
+
+#[test]
+fn a_report_of_another_incarnation_than_that_of_the_entry_is_not_adopted() {
+    let mut known = Known::default();
+    known.sync(&restarted(&[], 2), at(0));
+    let early = Report {
+        incarnation: Some(1),
+        ..report(&["m1"], 7, false)
+    };
+    known.adopt(&early, at(10));
+    assert!(known.held.is_empty());
+    assert!(known.wants_look(at(400)), "it is asked again");
+}
+
+/// A load that was not answered may land on the next incarnation: it is addressed to the same identity, and expects
+/// a number of orders that this one may have taken by then.
+#[test]
+fn an_unanswered_load_keeps_its_room_over_a_restart_until_it_can_no_longer_land() {
+    let mut known = Known::default();
+    known.sync(&restarted(&[], 1), at(0));
+    known.unanswered(&load("m1"), Some(1), at(100));
+    assert!(known.has_room(&load("m2"), &engine()));
+    known.sync(&restarted(&[], 2), at(1_000));
+    known.held = held(&["m2"]);
+    assert!(!known.has_room(&load("m3"), &engine()), "m1 may come yet");
+    known.sync(&restarted(&["m2"], 2), at(13_200));
+    assert!(known.has_room(&load("m3"), &engine()));
+}
+
+/// The call was on its way when the entry of the next incarnation came.
+#[test]
+fn a_load_given_to_an_earlier_incarnation_keeps_its_room_as_well() {
+    let mut known = Known::default();
+    known.sync(&restarted(&[], 2), at(0));
+    known.unanswered(&load("m1"), Some(1), at(100));
+    known.held = held(&["m2"]);
+    assert!(!known.has_room(&load("m3"), &engine()));
+}
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -142,6 +142,7 @@
         in_memory: Vec::new(),
         on_disk: Vec::new(),
         beat: 1,
+        incarnation: None,
     }
 }
 
--- a/crates/front/tests/view.rs
+++ b/crates/front/tests/view.rs
@@ -41,6 +41,44 @@
     assert!(view.get("i-1").unwrap().entry.leaving);
 }
 
+fn incarnation(started: u64, beat: u64, leaving: bool) -> Entry {
+    Entry {
+        incarnation: Some(started),
+        ..entry(beat, leaving)
+    }
+}
+
+#[test]
+fn a_replica_that_starts_again_counts_anew() {
+    let mut view = View::new(HEARTBEAT);
+    view.put(incarnation(1_000, 50, true), 10);
+    let restarted = Some(News::Restarted("i-1".into()));
+    assert_eq!(view.put(incarnation(2_000, 1, false), 11), restarted);
+    assert!(!view.get("i-1").unwrap().entry.leaving);
+    let leaves = Some(News::Leaving("i-1".into()));
+    assert_eq!(view.put(incarnation(2_000, 2, true), 12), leaves);
+}
+
+#[test]
+fn a_late_writing_of_an_earlier_incarnation_changes_nothing() {
+    let mut view = View::new(HEARTBEAT);
+    view.put(incarnation(1_000, 50, false), 10);
+    view.put(incarnation(2_000, 2, true), 11);
+    assert_eq!(view.put(incarnation(1_000, 51, false), 12), None);
+    let seen = &view.get("i-1").unwrap().entry;
+    assert_eq!((seen.incarnation, seen.leaving), (Some(2_000), true));
+}
+
+/// A replica's start is told by its own clock, which may have been stepped back between two starts.
+#[test]
+fn a_start_that_seems_earlier_and_was_never_seen_is_a_new_one() {
+    let mut view = View::new(HEARTBEAT);
+    view.put(incarnation(5_000, 50, false), 10);
+    let restarted = Some(News::Restarted("i-1".into()));
+    assert_eq!(view.put(incarnation(3_000, 1, true), 11), restarted);
+    assert!(view.get("i-1").unwrap().entry.leaving);
+}
+
 #[test]
 fn a_removal_is_a_departure_while_the_store_is_there() {
     let mut view = View::new(HEARTBEAT);
