--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -290,7 +290,12 @@
                 told(state, news, item.revision);
             }
             Err(why) => {
-                error!(target: "view", event = "malformed", key = &*item.key, revision = item.revision, why = %why, "the replica's last good entry stays in force")
+                state.log.notable(|| {
+                    error!(target: "view", event = "malformed", key = &*item.key, revision = item.revision, why = %why, "an entry cannot be read: it names no replica to use")
+                });
+                let id = replica::id(&item.key);
+                let news = state.table.lock().view.overwritten(id, item.revision);
+                told(state, news.into_iter().collect(), item.revision);
             }
         }
     } else if &*item.key == leader::KEY {
@@ -373,6 +378,7 @@
             News::New(id) => ("seen", id),
             News::Restarted(id) => ("restarted", id),
             News::Leaving(id) => ("leaving", id),
+            News::Overwritten(id) => ("overwritten", id),
             News::Missing(id) => ("missing", id),
             News::Gone(id) => ("gone", id),
         };
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -32,6 +32,9 @@
     pub missing: Option<Time>,
     /// Incarnations before that of its entry, oldest first.
     former: VecDeque<u64>,
+    /// Whether this incarnation has announced that it leaves; its entry says so too while what stands in its place
+    /// cannot be read.
+    has_left: bool,
 }
 
 /// Incarnations of a replica that are remembered beside the present one, against writings that come late:
@@ -57,6 +60,8 @@
     Restarted(Name),
     /// A replica has announced that it leaves.
     Leaving(Name),
+    /// What stands in the place of a replica's entry cannot be read.
+    Overwritten(Name),
     /// Something else about a replica changed.
     Changed(Name),
     /// An entry is missing, and may come back.
@@ -69,6 +74,7 @@
     /// A replica that was not known.
     fn new(entry: Entry, revision: u64) -> Seen {
         Seen {
+            has_left: entry.leaving,
             entry,
             revision,
             missing: None,
@@ -94,10 +100,13 @@
     /// Takes the next writing of the same incarnation; tells whether it announces that the replica leaves. That
     /// is not taken back.
     fn follow(&mut self, entry: Entry) -> bool {
-        let left = self.entry.leaving;
-        let leaving = entry.leaving || left;
-        self.entry = Entry { leaving, ..entry };
-        leaving && !left
+        let announces = entry.leaving && !self.has_left;
+        self.has_left |= entry.leaving;
+        self.entry = Entry {
+            leaving: self.has_left,
+            ..entry
+        };
+        announces
     }
 
     /// Takes the first writing of another incarnation, of which nothing holds that was known of the one before.
@@ -106,6 +115,7 @@
         if self.former.len() > MOST_FORMER {
             self.former.pop_front();
         }
+        self.has_left = entry.leaving;
         self.entry = entry;
     }
 }
@@ -143,6 +153,10 @@
         if seen.revision >= revision {
             return None;
         }
+        if seen.entry.incarnation.is_some() && entry.incarnation.is_none() {
+            // Each writing of the replica tells its start: this one is another writer's.
+            return self.overwritten(&id, revision);
+        }
         seen.revision = revision;
         seen.missing = None;
         match seen.writing(&entry) {
@@ -159,6 +173,18 @@
         }
     }
 
+    /// Takes in that what stands in the place of a replica's entry cannot be read, or is not its own: it names no
+    /// replica to use. What runs there goes on, and an entry that can be read makes it good.
+    pub fn overwritten(&mut self, id: &str, revision: u64) -> Option<News> {
+        let seen = self.seen.get_mut(id)?;
+        if seen.revision >= revision {
+            return None;
+        }
+        seen.revision = revision;
+        seen.entry.leaving = true;
+        Some(News::Overwritten(seen.entry.id.clone()))
+    }
+
     /// Takes in a removal at its revision.
     pub fn remove(&mut self, id: &str, revision: u64, now: Time) -> Option<News> {
         let may_return = self.contact.may_return(now);
