--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -2,9 +2,20 @@
 //!
 //! Safety rests on the number of orders that a replica has taken: each order names the number under
 //! which its effect was worked out, and a replica that has taken another order meanwhile refuses
-//! it. So a late order never meets a memory other than the one it was meant for.
+//! it. So a late order never meets a memory other than the one it was meant for. The count begins anew when the
+//! replica starts again: what may land there then keeps its room.
+//!
+//! Its parts: `late` is orders that were not answered, `adapters` which adapters are where, `room` what else finds
+//! room, `bucket` the rate of loads.
+
+mod adapters;
+mod bucket;
+mod late;
+mod room;
 
-use platform::config::Engine;
+pub use bucket::Bucket;
+
+use late::Late;
 use platform::replica::{Entry, Held, Incarnation, Operation, Report};
 use std::collections::{HashMap, VecDeque};
 use unit::{Name, Span, Time};
@@ -59,23 +70,16 @@
     due: Time,
 }
 
-/// Order that was not answered, and when it was given.
-#[derive(Debug, Clone)]
-struct Unanswered {
-    job: Job,
-    at: Time,
-}
-
 /// What is believed of one replica.
 #[derive(Debug, Clone)]
 pub struct Known {
     /// The incarnation of which it is believed.
     incarnation: Incarnation,
     /// Unanswered loads of this incarnation.
-    unanswered: Vec<Unanswered>,
+    unanswered: Late,
     /// Unanswered loads of the ones before, which may be carried out by this one: the identity that they are
     /// addressed to is the same, and its count of orders may stand by chance where they expect it.
-    strays: Vec<Unanswered>,
+    strays: Late,
     /// Orders it has taken.
     pub orders: u64,
     /// What it holds.
@@ -109,8 +113,8 @@
     fn default() -> Known {
         Known {
             incarnation: None,
-            unanswered: Vec::new(),
-            strays: Vec::new(),
+            unanswered: Late::default(),
+            strays: Late::default(),
             orders: 0,
             held: Vec::new(),
             pending: None,
@@ -140,7 +144,7 @@
     fn restart(&mut self, incarnation: Incarnation) {
         let before = std::mem::take(self);
         let mut strays = before.strays;
-        strays.extend(before.unanswered);
+        strays.append(before.unanswered);
         *self = Known {
             incarnation,
             strays,
@@ -156,21 +160,10 @@
         if job.operation == Operation::Unload {
             return;
         }
-        let late = Unanswered {
-            job: job.clone(),
-            at: now,
-        };
-        let list = match self.is_of(given_to) {
-            true => &mut self.unanswered,
-            false => &mut self.strays,
-        };
-        list.retain(|u| now.since(u.at) < MAY_LAND);
-        list.push(late);
-    }
-
-    /// Loads given to earlier incarnations that may land yet.
-    fn strays(&self) -> impl Iterator<Item = &Job> {
-        self.strays.iter().map(|u| &u.job)
+        match self.is_of(given_to) {
+            true => self.unanswered.push(job.clone(), now),
+            false => self.strays.push(job.clone(), now),
+        }
     }
 
     /// Whether it takes an order about a model now.
@@ -282,7 +275,7 @@
         if !self.is_of(entry.incarnation) {
             self.restart(entry.incarnation);
         }
-        self.strays.retain(|u| now.since(u.at) < MAY_LAND);
+        self.strays.forget(now);
         if let Some(pending) = &self.pending {
             let holds = entry.held.iter().any(|h| h.model == pending.job.model);
             let loads = pending.job.operation == Operation::Load;
@@ -361,167 +354,4 @@
             _ => {}
         }
     }
-
-    /// Adapters that it holds or that are on their way to it, as model and adapter.
-    pub fn adapters(&self) -> Vec<(Name, Name)> {
-        let held = self.held.iter().flat_map(|h| {
-            let model = h.model.clone();
-            h.adapters.iter().map(move |a| (model.clone(), a.clone()))
-        });
-        held.collect()
-    }
-
-    /// Whether it holds an adapter, or one is on its way to it.
-    pub fn holds_adapter(&self, model: &Name, adapter: &Name) -> bool {
-        let mut of_model = self.held.iter().filter(|h| h.model == *model);
-        of_model.any(|h| h.adapters.contains(adapter))
-    }
-
-    /// Whether an order about an adapter is to be given.
-    pub fn queues_adapter(&self, model: &Name, adapter: &Name) -> bool {
-        let about = |job: &Job| job.model == *model && job.adapter.as_ref() == Some(adapter);
-        self.queue.iter().any(about)
-    }
-
-    /// Adapters that it will hold when its queue is done.
-    pub fn adapters_due(&self) -> usize {
-        let mut due = self.adapters();
-        for job in &self.queue {
-            let Some(adapter) = &job.adapter else {
-                continue;
-            };
-            let key = (job.model.clone(), adapter.clone());
-            match job.operation {
-                Operation::Load if !due.contains(&key) => due.push(key),
-                Operation::Load => {}
-                Operation::Unload => due.retain(|k| *k != key),
-            }
-        }
-        due.len()
-    }
-
-    /// Notes that an adapter is used.
-    pub fn use_adapter(&mut self, model: &Name, adapter: &Name, now: Time) {
-        let key = (model.clone(), adapter.clone());
-        self.used.insert(key, now);
-    }
-
-    /// The adapter that was asked for least lately, with when; not one that is queued to go.
-    pub fn oldest_adapter(&self) -> Option<((Name, Name), Time)> {
-        let going = |key: &(Name, Name)| {
-            self.queue.iter().any(|job| {
-                job.operation == Operation::Unload
-                    && job.model == key.0
-                    && job.adapter.as_ref() == Some(&key.1)
-            })
-        };
-        let used = |key: &(Name, Name)| self.used.get(key).copied().unwrap_or_default();
-        self.adapters()
-            .into_iter()
-            .filter(|key| !going(key))
-            .map(|key| {
-                let at = used(&key);
-                (key, at)
-            })
-            .min_by_key(|(_, at)| *at)
-    }
-
-    /// Whether there is room for what an order loads, by what is believed now.
-    pub fn has_room(&self, job: &Job, engine: &Engine) -> bool {
-        if job.operation == Operation::Unload {
-            return true;
-        }
-        match &job.adapter {
-            Some(adapter) => {
-                let there = self.holds_adapter(&job.model, adapter);
-                let strays = self
-                    .strays()
-                    .filter(|stray| stray.adapter.is_some())
-                    .count();
-                there || self.adapters().len() + strays < engine.adapters as usize
-            }
-            None => {
-                let model = engine.models.iter().find(|m| m.name == job.model);
-                model.is_some_and(|m| m.memory_mb <= self.free_mb(engine))
-            }
-        }
-    }
-
-    /// Memory that nothing takes, in MB, with room kept for all adapters it may hold.
-    pub fn free_mb(&self, engine: &Engine) -> f64 {
-        let largest = engine
-            .models
-            .iter()
-            .map(|m| m.adapter_mb)
-            .fold(0.0, f64::max);
-        let size = |name: &Name| {
-            let model = engine.models.iter().find(|m| m.name == *name);
-            // A model that the configuration no longer names takes an unknown room: all of it.
-            model.map_or(engine.memory_mb, |m| m.memory_mb)
-        };
-        let held: f64 = self.held.iter().map(|h| size(&h.model)).sum();
-        let loading = self.pending.iter().map(|p| &p.job);
-        let loading = loading
-            .chain(&self.queue)
-            .chain(self.strays())
-            .filter(|j| j.operation == Operation::Load && j.adapter.is_none())
-            .filter(|j| !self.held.iter().any(|h| h.model == j.model));
-        let coming: f64 = loading.map(|j| size(&j.model)).sum();
-        engine.memory_mb - held - coming - largest * f64::from(engine.adapters)
-    }
-}
-
-/// Time within which an order that is answered arrives, on a host whose processor is used up: loads that
-/// are given over more than a window may begin within one.
-const ARRIVES_WITHIN: Span = Span::from_ms(250);
-
-/// Loads from the weight store: a bucket that fills at the store's rate.
-///
-/// It starts empty: what an earlier holder let begin in the window is not known, and an empty
-/// bucket keeps the sum of both within the bound.
-#[derive(Debug, Clone)]
-pub struct Bucket {
-    rate: f64,
-    most: f64,
-    level: f64,
-    filled: Time,
-    unanswered: Vec<Time>,
-}
-
-impl Bucket {
-    /// Fills the bucket: nobody can have loaded anything before.
-    pub fn fill(&mut self) {
-        self.level = self.most;
-    }
-
-    /// Makes an empty bucket: `window` x `rate` x `overage` + 3 loads may begin in a window.
-    pub fn new(rate: f64, window: Span, overage: f64, now: Time) -> Bucket {
-        let beyond = rate * window.secs() * (overage - 1.0) + 3.0;
-        let beyond = beyond - rate * ARRIVES_WITHIN.secs();
-        Bucket {
-            rate,
-            most: beyond.floor().max(1.0),
-            level: 0.0,
-            filled: now,
-            unanswered: Vec::new(),
-        }
-    }
-
-    /// Loads that may begin now; each unanswered one may begin at any moment and keeps its place.
-    pub fn available(&mut self, now: Time) -> usize {
-        self.level = (self.level + now.since(self.filled).secs() * self.rate).min(self.most);
-        self.filled = now;
-        self.unanswered.retain(|at| now.since(*at) < MAY_LAND);
-        (self.level - self.unanswered.len() as f64).max(0.0) as usize
-    }
-
-    /// Takes a load out.
-    pub fn take(&mut self) {
-        self.level -= 1.0;
-    }
-
-    /// Notes that a load was not answered.
-    pub fn unanswered(&mut self, now: Time) {
-        self.unanswered.push(now);
-    }
 }
--- a/crates/front/tests/cut_host.rs
+++ b/crates/front/tests/cut_host.rs
@@ -20,8 +20,8 @@
 use front::readers::Reader;
 use front::state::Leader;
 use front::{Daemon, Settings};
-use platform_standin::gate::{self, Gate};
 use platform_standin::ports;
+use platform_standin::proxy::{self, Mode, Proxy};
 use platform_standin::replica::Replica;
 use platform_standin::store::Store;
 use site::{ask, daemon, settings, store, until, web};
@@ -35,16 +35,16 @@
 /// takes two rounds of sums.
 const KNOWN_AFTER: Duration = Duration::from_millis(900);
 
-/// Starts a host that reaches the store through a gate.
-async fn behind_a_gate(store: &Store, name: &str) -> (Daemon, Gate) {
-    let gate = gate::spawn(store.addr).await.unwrap();
+/// Starts a host that reaches the store through a proxy.
+async fn behind_a_proxy(store: &Store, name: &str) -> (Daemon, Proxy) {
+    let way = proxy::spawn(store.addr).await.unwrap();
     let settings = Settings {
-        store: gate.addr,
+        store: way.addr,
         ..settings(store, name)
     };
     let host = front::spawn(settings).await.unwrap();
     until(|| host.state().is_ready() && host.state().table.lock().knows_hosts).await;
-    (host, gate)
+    (host, way)
 }
 
 /// Lets a host hear of the store from no other one and ignore the leader, as behind a partition; gives back who
@@ -72,7 +72,7 @@
     _staying: Replica,
     _in_touch: Daemon,
     host: Daemon,
-    gate: Gate,
+    way: Proxy,
     leader: Option<Leader>,
 }
 
@@ -82,10 +82,10 @@
     let staying = web(&store, "i-2").await;
     let in_touch = daemon(&store, "d1").await;
     until(|| in_touch.state().leads()).await;
-    let (host, gate) = behind_a_gate(&store, "d2").await;
+    let (host, way) = behind_a_proxy(&store, "d2").await;
     until(|| host.state().table.lock().view.all().count() == 2).await;
     let leader = keep_alone(&host);
-    gate.set_open(false);
+    way.set(Mode::DeafTarget);
     until(|| host.state().table.lock().view.contact.is_away()).await;
     Cut {
         store,
@@ -93,7 +93,7 @@
         _staying: staying,
         _in_touch: in_touch,
         host,
-        gate,
+        way,
         leader,
     }
 }
@@ -103,7 +103,7 @@
     /// know.
     async fn heal(&self) {
         *self.host.state().leader.lock() = self.leader.clone();
-        self.gate.set_open(true);
+        self.way.set(Mode::Pass);
         until(|| !self.host.state().table.lock().view.contact.is_away()).await;
         sleep(KNOWN_AFTER).await;
     }
@@ -145,11 +145,11 @@
     let store = store().await;
     let leaving = web(&store, "i-1").await;
     let _staying = web(&store, "i-2").await;
-    let (led, gate) = behind_a_gate(&store, "d1").await;
+    let (led, way) = behind_a_proxy(&store, "d1").await;
     until(|| led.state().leads()).await;
     let next = daemon(&store, "d2").await;
     sleep(Duration::from_secs(1)).await;
-    gate.set_open(false);
+    way.set(Mode::DeafTarget);
     until(|| next.state().leads()).await;
     sleep(Duration::from_secs(3)).await;
     leaving.vanish();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,9 +1,9 @@
 //! Faults from outside, in series that overlap, by a seed.
 
 use crate::error::Error;
-use crate::proxy::Mode as Way;
 use crate::site::{Pause, Site};
 use nix::sys::signal::Signal;
+use platform_standin::proxy::Mode as Way;
 use platform_standin::replica::Fault;
 use platform_standin::store::Mode;
 use rand::rngs::SmallRng;
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -2,10 +2,10 @@
 
 use crate::accounts::{QUOTA, WITHDRAWAL};
 use crate::error::{Error, StartSnafu, SystemSnafu};
-use crate::proxy::{self, Proxy};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::ports;
+use platform_standin::proxy::{self, Proxy};
 use snafu::ResultExt;
 use std::fs::File;
 use std::net::SocketAddr;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod faults;
 pub mod host;
 pub mod options;
-pub mod proxy;
 pub mod site;
 
 pub use error::Error;
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -64,6 +64,7 @@
         held: vec![held(n), held(n + 1), held(n + 7)],
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        incarnation: None,
         beat: 1,
     }
 }
