--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -46,6 +46,8 @@
 /// Injects faults for a time, then undoes them all; tells how many there were.
 pub async fn inject(site: &mut Site, seed: u64, length: Duration) -> Result<usize, Error> {
     let mut rng = SmallRng::seed_from_u64(seed);
+    // Restarts have numbers of their own, so that a seed does all else as it did without them.
+    let mut restarts = SmallRng::seed_from_u64(!seed);
     let end = Instant::now() + length;
     let mut undos: Vec<Undo> = Vec::new();
     let mut faults = 0;
@@ -58,6 +60,7 @@
             let at = Instant::now() + lasts;
             undos.push(Undo { at, what });
         }
+        restart(site, &mut restarts);
         faults += 1;
     }
     undo_due(site, &mut undos, true).await?;
@@ -141,6 +144,18 @@
     })
 }
 
+/// Steps of which one starts a replica again under its identity.
+const STEPS_PER_RESTART: u32 = 6;
+
+/// Starts a replica again under its identity, now and then, unless it has announced that it leaves.
+fn restart(site: &Site, rng: &mut SmallRng) {
+    let replica = rng.random_range(0..site.replicas.len());
+    let is_due = rng.random_ratio(1, STEPS_PER_RESTART);
+    if is_due && site.replicas[replica].left().is_none() {
+        site.replicas[replica].restart();
+    }
+}
+
 /// Harms a host's way to the store.
 fn harm_way(site: &mut Site, host: usize, rng: &mut SmallRng) -> What {
     let delay = Way::Delay(Duration::from_millis(rng.random_range(20..400)));
