--- a/crates/front/src/contact.rs
+++ b/crates/front/src/contact.rs
@@ -15,7 +15,8 @@
 /// are missed, and the last one may have come up to one before the silence.
 const LAPSES_AFTER: f64 = 2.0;
 
-/// Time that a word may have been on its way, by which what it tells seems younger than it is.
+/// Time that a word may have been on its way, by which what it tells seems younger than it is: a link on which
+/// packets wait for longer counts as harmed.
 const TRANSIT: Span = Span::from_ms(500);
 
 /// Time through which the store was heard from, without a silence in which entries can lapse.
--- a/crates/front/tests/cut_host.rs
+++ b/crates/front/tests/cut_host.rs
@@ -1,9 +1,9 @@
 //! One host alone is cut off from the store while replicas leave.
 //!
-//! What was seen: for 12 s after a replica had left, one host still sent it requests, 3.2 s of them in touch
+//! What was seen: for 12 s after a replica had left, one host still sent it requests, 2.4 s of them in touch
 //! with the store again; all other hosts had stopped within a third of a second.
 //!
-//! How it came about: the host was partitioned from the store and from the other hosts for eleven seconds.
+//! How it came about: the host was partitioned from the store and from the other hosts for twelve seconds.
 //! Meanwhile the replica's entry was removed, and the store forgot its history. Back in touch, the host read
 //! the whole store, in which the entry was not. It took its own silence for an outage of the store,
 //! in which entries of living replicas lapse and come back within two seconds of the store's return; so it
