--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -65,10 +65,11 @@
         }
     }
 
-    /// Who reads the store for all. A leader that the store does not answer names nobody anew: it may be the
-    /// one that is cut off, and the hosts that tell it nothing may be those that are in touch.
+    /// Who reads the store for all. After its term a leader names nobody anew: the hosts that tell it nothing any
+    /// more may be those that are in touch, and follow another one. In its term it does also when the store fails it,
+    /// so that no host hears of the store from one that is cut off.
     fn readers(&self, hosts: Vec<Candidate>) -> Vec<Reader> {
-        match self.term.holds() && !readers::is_cut(&self.state) {
+        match self.term.holds() {
             true => readers::choose(hosts, self.state.settings.peers),
             false => self.state.readers.named(),
         }
