Sight: failed sendings and broken streams tell the request's fingerprint

Cause: not known yet; the logs could not tell whether the requests in flight where replicas fall are the same one. Change: fingerprint over host, path, account and body, computed only where a sending failed. No decision rests on it.

--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -7,16 +7,18 @@
 use hyper::{Method, Uri};
 use platform::config::Route;
 use platform::ingress::Ask;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
-use unit::{Name, Span, Time};
+use unit::{Fingerprint, Name, Span, Time};
 
 /// Request of a client, read whole.
 #[derive(Debug)]
 pub struct Call {
     /// Identity that the client gave it, or one of ours.
     pub id: Name,
+    /// Host that it was sent to.
+    pub host: String,
     /// Its route.
     pub route: Arc<Route>,
     /// Service of that route that it goes to.
@@ -41,9 +43,20 @@
     pub arrived: Time,
     /// When nobody needs its answer any more.
     pub deadline: Time,
+    /// Its fingerprint, once that was needed: the body is read for it, which few requests are worth.
+    pub print: OnceLock<Fingerprint>,
 }
 
 impl Call {
+    /// What it has in common with its repetitions, which carry other identities.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.print.get_or_init(|| {
+            let account = self.caller.account.as_ref().map(|a| &*a.name);
+            let path = self.uri.path_and_query().map_or("", |p| p.as_str());
+            Fingerprint::of(&self.host, path, account, &self.body)
+        })
+    }
+
     /// Time left to it.
     pub fn left(&self, now: Time) -> Duration {
         self.deadline.since(now).std()
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -360,7 +360,7 @@
         let tried = self.tried.join(",");
         let last = self.splitter.last();
         self.state.log.notable(|| {
-            tracing::warn!(target: "request", event = "broken", id = &*call.id, route = &*call.route.name, tried, last, ms = age, why = %why, "the stream is broken off")
+            tracing::warn!(target: "request", event = "broken", id = &*call.id, print = %call.fingerprint(), route = &*call.route.name, tried, last, ms = age, why = %why, "the stream is broken off")
         });
         io::Error::other(why.to_string())
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -217,7 +217,7 @@
 /// Tells of a failed sending, and corrects what the table believed.
 fn after_failure(state: &State, call: &Call, choice: &Choice, failed: &Failed) {
     state.log.notable(|| {
-        info!(target: "request", event = "failed", id = &*call.id, replica = &*choice.replica, addr = %choice.addr, entry = choice.revision, candidates = choice.candidates, why = %failed, "a sending brought no answer")
+        info!(target: "request", event = "failed", id = &*call.id, print = %call.fingerprint(), replica = &*choice.replica, addr = %choice.addr, entry = choice.revision, candidates = choice.candidates, why = %failed, "a sending brought no answer")
     });
     if let (Failed::NotRun(ingress::MISDIRECTED), Some(model), Some(adapter)) =
         (failed, &call.ask.model, &call.ask.adapter)
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -14,7 +14,7 @@
 use platform::config::Route;
 use platform::ingress;
 use std::error::Error;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout_at;
 use tracing::info;
@@ -66,6 +66,7 @@
     arrived: Time,
 ) -> Result<Call, Fault> {
     let (mut head, body) = request.into_parts();
+    let host = host(&head.uri, &head.headers);
     let caller = accounts::identify(state, routes, &route, &mut head.headers)?;
     let ask = ingress::ask(&head.headers);
     let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -79,6 +80,7 @@
     })?;
     Ok(Call {
         id,
+        host,
         service,
         priority: routes.rank(caller.account.as_ref(), &route),
         caller,
@@ -91,6 +93,7 @@
         ask,
         arrived,
         deadline,
+        print: OnceLock::new(),
     })
 }
 
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod bytes;
 pub mod engine;
+mod fingerprint;
 pub mod rendezvous;
 mod time;
 
 pub use bytes::Bytes;
+pub use fingerprint::Fingerprint;
 pub use time::{Span, Time};
 
 use std::sync::Arc;
