--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -85,6 +85,25 @@
     replica::spawn(store, options).await.unwrap()
 }
 
+/// Body of requests that end the process of each replica of [`fragile`] that begins to run them.
+pub const FATAL: &str = "fatal";
+
+/// Time until a replica whose process a request has ended is back.
+pub const BACK: Duration = Duration::from_millis(400);
+
+/// Starts a replica of the plain service that a request may end.
+pub async fn fragile(store: &Store, id: &str) -> Replica {
+    let options = Options {
+        id: id.into(),
+        service: "web".into(),
+        models: Vec::new(),
+        fatal: Some((FATAL, BACK)),
+        pace: Duration::from_millis(30),
+        ..Options::default()
+    };
+    replica::spawn(store, options).await.unwrap()
+}
+
 /// Bounds of the site.
 pub fn bounds() -> Bounds {
     Bounds {
@@ -189,6 +208,13 @@
     (id, request)
 }
 
+/// Sends a request with a body and reads its whole answer.
+pub async fn ask_body(daemon: &Daemon, path: &str, body: &'static str) -> Answer {
+    let (id, mut request) = request(path, None);
+    *request.body_mut() = conn::Body::new(body.into());
+    send(daemon, (id, request)).await.1
+}
+
 /// Sends a request and reads its whole answer.
 pub async fn ask(daemon: &Daemon, path: &str, model: Option<&str>) -> (String, Answer) {
     send(daemon, request(path, model)).await
