--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -7,6 +7,8 @@
 pub use place::Place;
 
 use crate::accounts::{self, Refusal};
+use crate::quarantine;
+use crate::respond::Fault;
 use crate::state::State;
 use crate::table::Choice;
 use conn::{Body, Error, Line};
@@ -42,6 +44,8 @@
     Late,
     /// Its key does not let it go on; nothing was handed to a connection.
     Barred(Refusal),
+    /// It may end what runs it, and gets this answer; nothing was handed to a connection.
+    Held(Fault),
 }
 
 impl Failed {
@@ -49,7 +53,7 @@
     pub fn proves_not_run(&self) -> bool {
         matches!(
             self,
-            Failed::Unsent(_) | Failed::NotRun(_) | Failed::Barred(_)
+            Failed::Unsent(_) | Failed::NotRun(_) | Failed::Barred(_) | Failed::Held(_)
         )
     }
 }
@@ -63,6 +67,7 @@
             Failed::Failing(status) => write!(f, "the replica failed it with status {status}"),
             Failed::Late => f.write_str("its time ran out"),
             Failed::Barred(why) => write!(f, "not let on: {why}"),
+            Failed::Held(fault) => write!(f, "not let on: {}", fault.message),
         }
     }
 }
@@ -84,6 +89,7 @@
     };
     // At the last moment before each sending: the key may have gone since the one before.
     let account = accounts::confirm(state, call).map_err(Failed::Barred)?;
+    quarantine::confirm(state, call).map_err(Failed::Held)?;
     let account = account.as_ref().map(|a| &*a.name);
     let request = request(state, call, choice, last_event, account);
     let answered = line.send(request, call.left(state.now())).await;
@@ -101,8 +107,9 @@
             return Err(Failed::Unsent(e.to_string()));
         }
         Err(e) => {
-            place.failed();
-            return Err(Failed::Lost(e.to_string()));
+            let failed = Failed::Lost(e.to_string());
+            place.ended(call, &failed);
+            return Err(failed);
         }
     };
     judge(state, call, place, line, response).await
--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -1,6 +1,7 @@
 //! Request of a client, as it is sent to replicas.
 
 use crate::accounts::Caller;
+use crate::quarantine::Trial;
 use crate::table::Want;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -45,6 +46,8 @@
     pub deadline: Time,
     /// Its fingerprint, once that was needed: the body is read for it, which few requests are worth.
     pub print: OnceLock<Fingerprint>,
+    /// Its trial, if it is suspected of ending replicas and was let in.
+    pub trial: OnceLock<Trial>,
 }
 
 impl Call {
--- a/crates/front/src/attempt/place.rs
+++ b/crates/front/src/attempt/place.rs
@@ -1,6 +1,7 @@
 //! Place of a request at a replica: what the table counts and learns of it.
 
-use super::Call;
+use super::{Call, Failed};
+use crate::quarantine;
 use crate::state::State;
 use crate::table::{Choice, Footprint};
 use platform::ingress;
@@ -102,6 +103,14 @@
         }
     }
 
+    /// Notes that the replica gave no whole answer, and why: one that broke off may have been its fall.
+    pub fn ended(&self, call: &Call, why: &Failed) {
+        self.failed();
+        if let Failed::Lost(_) = why {
+            quarantine::broke(&self.state, call, self);
+        }
+    }
+
     /// Notes that the replica gave no good answer.
     pub fn failed(&self) {
         let now = self.state.now();
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -10,7 +10,7 @@
 use crate::readers::Heard;
 use crate::state::{self, State};
 use crate::view::News;
-use crate::{leader, readers, routes};
+use crate::{leader, quarantine, readers, routes};
 use platform::names;
 use platform::store::{Change, Item, Listing};
 use platform::{config, replica};
@@ -247,7 +247,8 @@
         .map(|item| replica::id(&item.key).into())
         .collect();
     let now = state.now();
-    let has_leader = listing.found.iter().any(|item| &*item.key == leader::KEY);
+    let stands = |key: &str| listing.found.iter().any(|item| &*item.key == key);
+    let (has_leader, has_quarantine) = (stands(leader::KEY), stands(quarantine::KEY));
     for item in listing.found {
         written(state, item);
     }
@@ -262,6 +263,9 @@
     if !has_leader {
         set_leader(state, None);
     }
+    if !has_quarantine {
+        quarantine::absent(state, listing.revision);
+    }
     state.changed.notify_waiters();
 }
 
@@ -305,6 +309,8 @@
                 error!(target: "leader", event = "malformed", why = %why, "the leader's entry cannot be read")
             }
         }
+    } else if &*item.key == quarantine::KEY {
+        quarantine::written(state, &item);
     }
 }
 
@@ -323,6 +329,8 @@
         told(state, news, revision);
     } else if key == leader::KEY {
         set_leader(state, None);
+    } else if key == quarantine::KEY {
+        quarantine::removed(state, revision);
     }
 }
 
@@ -383,7 +391,10 @@
             News::Gone(id) => ("gone", id),
         };
         match &one {
-            News::Gone(_) | News::Restarted(_) => state.pool.forget(id),
+            News::Gone(_) | News::Restarted(_) => {
+                state.pool.forget(id);
+                quarantine::replaced(state, id);
+            }
             News::Missing(_) => state.missed.notify_one(),
             _ => {}
         }
--- a/crates/front/src/follow/begin.rs
+++ b/crates/front/src/follow/begin.rs
@@ -7,7 +7,7 @@
 
 use super::{Next, apply, hear, heard, written};
 use crate::state::State;
-use crate::{leader, readers};
+use crate::{leader, quarantine, readers};
 use platform::names;
 use platform::store::{Freshness, Item, Page};
 use std::time::Duration;
@@ -52,9 +52,10 @@
     }
 }
 
-/// Takes in the configuration and the leader of a first page, by which this host can lead or find who does.
+/// Takes in the configuration and the leader of a first page, by which this host can lead or find who does, and which
+/// requests are kept out.
 fn take_first(state: &State, page: &Page) {
-    let counts = |item: &&Item| &*item.key == names::CONFIG || &*item.key == leader::KEY;
+    let counts = |item: &&Item| [names::CONFIG, leader::KEY, quarantine::KEY].contains(&&*item.key);
     for item in page.found.iter().filter(counts) {
         written(state, item.clone());
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod planner;
 pub mod pool;
+pub mod quarantine;
 pub mod quota;
 pub mod readers;
 pub mod recent;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -1,7 +1,9 @@
 //! What daemons tell each other in datagrams.
 
+mod quarantine;
 mod quota;
 
+pub use quarantine::{Fallen, Listed, Listing, Permit};
 pub use quota::{Question, Refund, Verdict};
 
 use crate::contact::Word;
@@ -9,7 +11,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use unit::Name;
+use unit::{Fingerprint, Name};
 
 /// Ranks of urgency that sums are kept apart for; less urgent ones share the last.
 pub const RANKS: usize = 4;
@@ -43,6 +45,18 @@
     Verdict(u32, Verdict),
     /// A host gives back what a request did not use.
     Refund(Refund),
+    /// A host saw a replica fall, to the leader; where hosts are few, to all.
+    Fallen(Fallen),
+    /// A run of a request that is listed has ended well, to the leader.
+    Sound(Fingerprint),
+    /// A trial of a request has ended, and not well, to the leader: whether it broke off.
+    Tried(Fingerprint, bool),
+    /// A host asks the leader for a trial: number of the question, request, and who asks.
+    Trial(u32, Fingerprint, u64),
+    /// The leader's answer to the question of that number.
+    Permit(u32, Permit),
+    /// Requests that are suspected or kept out, from the leader.
+    Listing(Listing),
     /// A datagram of the leader, to be taken in and passed on to the hosts of that part.
     Pass(Bytes),
 }
@@ -63,6 +77,12 @@
             Message::Question(_) => "question",
             Message::Verdict(..) => "verdict",
             Message::Refund(_) => "refund",
+            Message::Fallen(_) => "fallen",
+            Message::Sound(_) => "sound",
+            Message::Tried(..) => "tried",
+            Message::Trial(..) => "trial",
+            Message::Permit(..) => "permit",
+            Message::Listing(_) => "listing",
             Message::Pass(_) => "pass",
         }
     }
--- /dev/null
+++ b/crates/front/src/message/quarantine.rs
@@ -0,0 +1,76 @@
+//! What hosts and the leader tell each other of requests that end replicas.
+
+use serde::{Deserialize, Serialize};
+use unit::{Fingerprint, Span};
+
+/// Fall of a replica, as a host saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fallen {
+    /// Identity of the fall, alike on all hosts.
+    pub fall: u64,
+    /// Requests of the host that broke there.
+    pub aboard: Vec<Fingerprint>,
+}
+
+/// Leader's answer to a host that asks what may be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Permit {
+    /// Send it as any other.
+    Free,
+    /// Send it once, and tell how that ended.
+    Trial,
+    /// Not send it now.
+    Wait,
+    /// Not send it for so many seconds.
+    KeptOut(u32),
+    /// The host that was asked does not lead.
+    Elsewhere,
+}
+
+impl From<route::quarantine::Permit> for Permit {
+    fn from(permit: route::quarantine::Permit) -> Permit {
+        use route::quarantine::Permit as Decided;
+        match permit {
+            Decided::Free => Permit::Free,
+            Decided::Trial => Permit::Trial,
+            Decided::Wait => Permit::Wait,
+            Decided::KeptOut(left) => Permit::KeptOut(left.secs().ceil() as u32),
+        }
+    }
+}
+
+impl Permit {
+    /// The decision; none where the host that was asked made none.
+    pub fn decision(self) -> Option<route::quarantine::Permit> {
+        use route::quarantine::Permit as Decided;
+        match self {
+            Permit::Free => Some(Decided::Free),
+            Permit::Trial => Some(Decided::Trial),
+            Permit::Wait => Some(Decided::Wait),
+            Permit::KeptOut(secs) => Some(Decided::KeptOut(Span::from_secs(u64::from(secs)))),
+            Permit::Elsewhere => None,
+        }
+    }
+}
+
+/// Requests that are suspected or kept out, from the leader to all.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Fencing token of the leader's term.
+    pub term: u64,
+    /// Number of the list in that term, which rises as it changes.
+    pub number: u32,
+    /// The requests.
+    pub listed: Vec<Listed>,
+}
+
+/// Request in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The request.
+    pub print: Fingerprint,
+    /// Whether it is kept out; it is suspected otherwise.
+    pub is_out: bool,
+    /// Time since its first fall that counts, in milliseconds: a good end after that clears it.
+    pub since_ms: u32,
+}
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,22 +6,25 @@
 //! age are not used.
 //!
 //! Its parts: `inbox` is what hosts told the leader, `quota` what client accounts may use, `sums` when this host tells what it has in
-//! flight, `parts` which hosts pass on what the leader tells all. The datagrams themselves are in
-//! [`message`].
+//! flight, `parts` which hosts pass on what the leader tells all, `quarantine` which requests end replicas, `questions`
+//! what waits for an answer. The datagrams themselves are in [`message`].
 
 mod inbox;
 pub mod parts;
+mod quarantine;
+mod questions;
 pub mod quota;
 mod sums;
 
 pub use inbox::Inbox;
 
-use crate::message::{self, Digest, Message, Placed};
+use crate::message::{self, Digest, Message, Permit, Placed};
 use crate::readers::Candidate;
 use crate::state::{State, Wanted, Wish};
 use bytes::Bytes;
 use parking_lot::Mutex;
 use parts::Part;
+use questions::Questions;
 use quota::Quotas;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -56,6 +59,8 @@
     parts: Mutex<Vec<Part>>,
     /// What client accounts may use.
     quotas: Quotas,
+    /// Questions for trials that wait for an answer.
+    trials: Questions<Permit>,
     /// Hosts that this one passes on to, and when the leader named them.
     passes_to: Mutex<(Vec<SocketAddr>, Time)>,
 }
@@ -70,6 +75,7 @@
         tellings: AtomicU32::new(0),
         parts: Mutex::default(),
         quotas: Quotas::default(),
+        trials: Questions::default(),
         passes_to: Mutex::default(),
     })
 }
@@ -87,6 +93,9 @@
             match message::decode(&buffer[..length]) {
                 Ok(Message::Pass(bytes)) => self.pass(bytes, from).await,
                 Ok(Message::Question(question)) => self.answer(question, from).await,
+                Ok(Message::Trial(number, print, ticket)) => {
+                    self.answer_trial(number, print, ticket, from).await
+                }
                 Ok(message) => self.take(message, from),
                 Err(why) => self.state.log.notable(|| {
                     tracing::warn!(target: "peers", event = "malformed", from = %from, why = %why, "a datagram cannot be read")
@@ -122,7 +131,13 @@
             Message::Part(hosts) => *self.passes_to.lock() = (hosts, now),
             Message::Verdict(number, verdict) => self.answered(number, verdict),
             Message::Refund(refund) => self.take_back(&refund),
-            Message::Pass(_) | Message::Question(_) => self.state.log.notable(|| {
+            Message::Fallen(fallen) => self.take_fall(&fallen),
+            Message::Sound(print) => self.state.quarantine.sound(print, now),
+            Message::Tried(print, broke) => self.state.quarantine.tried(print, broke, now),
+            Message::Permit(number, permit) => self.trials.answered(number, permit),
+            Message::Listing(listing) if self.is_of_former_term(listing.term) => {}
+            Message::Listing(listing) => self.state.quarantine.told(listing, now),
+            Message::Pass(_) | Message::Question(_) | Message::Trial(..) => self.state.log.notable(|| {
                 tracing::warn!(target: "peers", event = "malformed", from = %from, "a datagram to be passed on holds one that is not for all")
             }),
         }
@@ -146,10 +161,15 @@
         }
     }
 
+    /// Whether a leader of a later term is known.
+    fn is_of_former_term(&self, term: u64) -> bool {
+        let leader = self.state.leader.lock();
+        leader.as_ref().is_some_and(|known| term < known.term)
+    }
+
     /// Takes in the sums and plans of the leader, unless a later one is known.
     fn digest(&self, digest: Digest, now: Time) {
-        let known = self.state.leader.lock().as_ref().map(|l| l.term);
-        if known.is_some_and(|term| digest.term < term) {
+        if self.is_of_former_term(digest.term) {
             return;
         }
         let mut table = self.state.table.lock();
--- /dev/null
+++ b/crates/front/src/peers/quarantine.rs
@@ -0,0 +1,126 @@
+//! Telling the leader of falls and of how runs ended, asking it for trials, and answering as the one that leads.
+
+use super::Peers;
+use crate::message::{Fallen, Message, Permit};
+use crate::quarantine::{Report, Reports};
+use route::quarantine::{Fall, Group, Ticket};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use unit::Fingerprint;
+
+/// Time for each try of a question, as for those about client accounts.
+const TRIES: [Duration; 2] = [Duration::from_millis(40), Duration::from_millis(90)];
+
+impl Peers {
+    /// Tells what this host has to report, until the daemon ends.
+    pub async fn report(self: Arc<Self>, mut reports: Reports) {
+        while let Some(report) = reports.recv().await {
+            match report {
+                Report::Fallen(group) => self.report_fall(group).await,
+                Report::Sound(print) => {
+                    self.state.quarantine.sound(print, self.state.now());
+                    self.tell_leader_of(Message::Sound(print)).await;
+                }
+                Report::Tried(print, broke) => {
+                    self.tell_leader_of(Message::Tried(print, broke)).await
+                }
+            }
+        }
+    }
+
+    /// Tells a fall to the leader, and where hosts are few to all of them, so that the next leader knows of it too.
+    async fn report_fall(&self, group: Group) {
+        let now = self.state.now();
+        self.state.quarantine.fell(group.fall, &group.aboard, now);
+        let message = fallen(group);
+        let others = self.others.lock().clone();
+        for other in &others {
+            self.send(&message, *other).await;
+        }
+        let leader = self.state.leader.lock().as_ref().map(|l| l.peers);
+        if leader.is_some_and(|leader| !others.contains(&leader)) {
+            self.tell_leader_of(message).await;
+        }
+    }
+
+    /// Tells the leader once more what it may not have heard, or what the one before it has heard.
+    pub(super) async fn repeat_falls(&self) {
+        let Some(term) = self.state.leader.lock().as_ref().map(|l| l.term) else {
+            return;
+        };
+        let now = self.state.now();
+        for group in self.state.quarantine.to_tell(term, now) {
+            self.tell_leader_of(fallen(group)).await;
+        }
+    }
+
+    /// Tells the leader something; this host takes it in directly if it leads.
+    async fn tell_leader_of(&self, message: Message) {
+        let Some(leader) = self.state.leader.lock().clone() else {
+            return;
+        };
+        match leader.peers == self.state.settings.peers {
+            true => self.take(message, leader.peers),
+            false => self.send(&message, leader.peers).await,
+        }
+    }
+
+    /// Takes in a fall that another host saw.
+    pub(super) fn take_fall(&self, fallen: &Fallen) {
+        let now = self.state.now();
+        let fall = Fall(fallen.fall);
+        self.state.quarantine.fell(fall, &fallen.aboard, now);
+    }
+
+    /// Asks the leader what may be done with a request that is suspected; none when there was no answer.
+    pub async fn ask_for_trial(
+        &self,
+        print: Fingerprint,
+        ticket: Ticket,
+    ) -> Option<route::quarantine::Permit> {
+        let leader = self.state.leader.lock().clone()?.peers;
+        if leader == self.state.settings.peers {
+            return self.decide(print, ticket).decision();
+        }
+        for limit in TRIES {
+            let send = |number| async move {
+                self.send(&Message::Trial(number, print, ticket.0), leader)
+                    .await;
+            };
+            if let Some(permit) = self.trials.ask(limit, send).await {
+                return permit.decision();
+            }
+        }
+        None
+    }
+
+    /// Answers a host that asks what may be done with a request.
+    pub(super) async fn answer_trial(
+        &self,
+        number: u32,
+        print: Fingerprint,
+        ticket: u64,
+        from: SocketAddr,
+    ) {
+        let permit = self.decide(print, Ticket(ticket));
+        self.send(&Message::Permit(number, permit), from).await;
+    }
+
+    /// What this host says to such a question.
+    fn decide(&self, print: Fingerprint, ticket: Ticket) -> Permit {
+        let now = self.state.now();
+        match self.state.leads() {
+            true => self.state.quarantine.ask(print, ticket, now).into(),
+            false => Permit::Elsewhere,
+        }
+    }
+}
+
+/// Fall as it is told.
+fn fallen(group: Group) -> Message {
+    Message::Fallen(Fallen {
+        fall: group.fall.0,
+        aboard: group.aboard,
+    })
+}
--- a/crates/front/src/peers/quota.rs
+++ b/crates/front/src/peers/quota.rs
@@ -1,17 +1,14 @@
 //! Asking the host that leads for what client accounts may use, and answering as the one that leads.
 
 use super::Peers;
+use super::questions::Questions;
 use crate::leader::Term;
 use crate::message::{Message, Question, Refund, Verdict};
 use crate::shares;
 use parking_lot::Mutex;
 use route::quota::{Limit, Limiter, Tolerance, Units};
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 use unit::{Name, Span, Time};
 
 /// Time for each try of a question: hosts are milliseconds apart, and a host whose processor is used up
@@ -28,9 +25,7 @@
     /// What is given out in the term in which this host leads.
     limiter: Mutex<Option<(Term, Limiter)>>,
     /// Questions that wait for an answer.
-    open: Mutex<HashMap<u32, oneshot::Sender<Verdict>>>,
-    /// Number of the next question.
-    next: AtomicU32,
+    open: Questions<Verdict>,
 }
 
 impl Peers {
@@ -49,7 +44,7 @@
         tries: &[Duration],
     ) -> Option<Verdict> {
         let leader = self.state.leader.lock().clone()?.peers;
-        let mut question = Question {
+        let question = Question {
             number: 0,
             host: self.state.settings.name.clone(),
             account: account.clone(),
@@ -60,7 +55,6 @@
             return self.judge(&question);
         }
         for limit in tries.iter().copied() {
-            question.number = self.quotas.next.fetch_add(1, Ordering::Relaxed);
             let answer = self.ask_once(&question, leader, limit).await;
             if answer.is_some() {
                 return answer.filter(|verdict| *verdict != Verdict::Elsewhere);
@@ -76,27 +70,19 @@
         leader: SocketAddr,
         limit: Duration,
     ) -> Option<Verdict> {
-        let (sender, receiver) = oneshot::channel();
-        let open = &self.quotas.open;
-        {
-            let mut open = open.lock();
-            // A client that leaves drops its question's wait, and nothing else takes the question out.
-            open.retain(|_, waiting| !waiting.is_closed());
-            open.insert(question.number, sender);
-        }
-        let message = Message::Question(question.clone());
-        self.send(&message, leader).await;
-        let answer = timeout(limit, receiver).await;
-        open.lock().remove(&question.number);
-        answer.ok()?.ok()
+        let send = |number| async move {
+            let question = Question {
+                number,
+                ..question.clone()
+            };
+            self.send(&Message::Question(question), leader).await;
+        };
+        self.quotas.open.ask(limit, send).await
     }
 
     /// Gives an answer to the question that waits for it.
     pub(super) fn answered(&self, number: u32, verdict: Verdict) {
-        if let Some(waiting) = self.quotas.open.lock().remove(&number) {
-            // The question may have been given up a moment ago.
-            let _ = waiting.send(verdict);
-        }
+        self.quotas.open.answered(number, verdict);
     }
 
     /// Answers a question of another host.
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -2,7 +2,8 @@
 //!
 //! This module holds what the leader believes and calls the parts in turn: `demand` measures,
 //! `service` plans copies of models, `adapters` finds places for adapters that are wanted, `ahead`
-//! fetches others before, `give` gives the orders, and `digest` tells hosts. The table is locked
+//! fetches others before, `give` gives the orders, `digest` tells hosts, and `quarantine` tells and stores which
+//! requests are kept out. The table is locked
 //! before the `Book`, never after.
 
 mod adapters;
@@ -10,6 +11,7 @@
 mod demand;
 mod digest;
 mod give;
+mod quarantine;
 mod service;
 
 use crate::leader::Term;
@@ -25,6 +27,7 @@
 use platform::replica::Entry;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tracing::info;
@@ -54,6 +57,8 @@
     book: Mutex<Book>,
     /// What hosts were told last to be in flight at each replica, by its short name.
     told: Mutex<HashMap<u32, Row>>,
+    /// Whether the list of requests that are kept out is being stored.
+    storing: AtomicBool,
 }
 
 /// What the leader believes and has in hand.
@@ -74,6 +79,7 @@
 /// store is away and the term cannot be renewed, since hosts that hear none all choose alike.
 pub async fn run(state: Arc<State>, peers: Arc<Peers>, term: Term) {
     peers.give_out(term.clone(), shares::tolerance(&state.settings.bounds));
+    state.quarantine.take_over(state.now());
     let planner = Arc::new(open(state, peers, term));
     let quiet = planner.quiet_until();
     let mut next_plan = tokio::time::Instant::now();
@@ -119,7 +125,9 @@
                 next_digest = tokio::time::Instant::now() + planner.peers.round();
                 round += 1;
                 planner.digest(round).await;
+                planner.tell_listing(round.is_multiple_of(digest::WHOLE_ROUNDS)).await;
             }
+            _ = planner.state.quarantine.changed.notified() => planner.tell_listing(false).await,
         }
     }
 }
@@ -144,6 +152,7 @@
             planned_at: state.now(),
         }),
         told: Mutex::default(),
+        storing: AtomicBool::new(false),
         pool: Pool::default(),
         state,
         peers,
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -18,7 +18,7 @@
 
 /// Rounds after which the loads of all replicas are told, not just those that changed: a datagram
 /// may have been lost.
-const WHOLE_ROUNDS: usize = 5;
+pub(super) const WHOLE_ROUNDS: usize = 5;
 
 /// Rounds in which the adapters of all replicas are told once.
 const ADAPTER_ROUNDS: usize = 8;
--- /dev/null
+++ b/crates/front/src/quarantine.rs
@@ -0,0 +1,221 @@
+//! Requests that end replicas: what this host has seen of them, and what the leader says of them.
+//!
+//! Each host tells the leader which requests broke where a replica fell, and which of those that are listed have
+//! ended well. The leader counts, gives out trials, and lists what is suspected or kept out: to all hosts by
+//! datagram, and in the store, by which a host that begins or comes back knows it before it serves, and which
+//! outlasts all hosts. Where hosts are few they tell each other of falls as well, so that the next leader knows.
+//!
+//! Its parts: `admit` is the way of a request through it, `look` tells a fall from a broken connection, `board` is what
+//! this host knows, `stored` is the form of the list in the store. [`route::quarantine`] decides.
+
+mod admit;
+mod board;
+mod look;
+mod stored;
+
+pub use admit::{Trial, admit, confirm, may_repeat};
+pub use look::{broke, replaced};
+pub use stored::KEY;
+
+use crate::message::Listing;
+use crate::state::State;
+use board::Board;
+use parking_lot::Mutex;
+use platform::store::Item;
+use route::quarantine::{Ended, Fall, Group, Permit, Standing, Ticket};
+use std::collections::BTreeMap;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tracing::{error, info, warn};
+use unit::{Fingerprint, Time};
+
+/// What a host tells others.
+#[derive(Debug)]
+pub enum Report {
+    /// A replica fell with these requests in flight here.
+    Fallen(Group),
+    /// A run of a request that is listed has ended well.
+    Sound(Fingerprint),
+    /// A trial has ended, and not well: whether it broke off.
+    Tried(Fingerprint, bool),
+}
+
+/// Receiver of what this host is to tell.
+pub type Reports = UnboundedReceiver<Report>;
+
+/// What this host knows of such requests. Its lock is taken last.
+pub struct Quarantine {
+    board: Mutex<Board>,
+    reports: UnboundedSender<Report>,
+    /// Notified when the standing of a request has changed in this host's ledger, so that a leader tells it.
+    pub changed: Notify,
+}
+
+/// Makes the part of the shared state.
+pub fn open() -> (Quarantine, Reports) {
+    let (reports, receiver) = unbounded_channel();
+    let quarantine = Quarantine {
+        board: Mutex::default(),
+        reports,
+        changed: Notify::new(),
+    };
+    (quarantine, receiver)
+}
+
+impl Quarantine {
+    /// Hands on what is to be told.
+    fn report(&self, report: Report) {
+        // The task that receives lives as long as the daemon.
+        let _ = self.reports.send(report);
+    }
+
+    /// What is held of a request, by the leader's word, the store, or else what this host has seen itself.
+    pub fn standing(&self, print: Fingerprint, now: Time) -> Standing {
+        self.board.lock().standing(print, now)
+    }
+
+    /// Whether nothing is held of any request, so that none needs a look.
+    pub fn is_idle(&self, now: Time) -> bool {
+        self.board.lock().is_idle(now)
+    }
+
+    /// Whether replicas have fallen lately, or requests are listed: good ends are noted only then.
+    pub fn is_alert(&self, now: Time) -> bool {
+        self.board.lock().is_alert(now)
+    }
+
+    /// Notes that a run of a request has ended well here, and tells the leader where it is listed.
+    pub fn ended_well(&self, print: Fingerprint, now: Time) {
+        if self.board.lock().note_sound(print, now) {
+            self.report(Report::Sound(print));
+        }
+    }
+
+    /// Takes in a fall, seen here or told by another host.
+    pub fn fell(&self, fall: Fall, aboard: &[Fingerprint], now: Time) {
+        let changed = self.board.lock().fell(fall, aboard, now);
+        for print in &changed {
+            info!(target: "quarantine", event = "suspected", print = %print, "a request was in flight where several replicas fell");
+        }
+        self.note(!changed.is_empty());
+    }
+
+    /// Takes in that a run of a request has ended well on some host.
+    pub fn sound(&self, print: Fingerprint, now: Time) {
+        let cleared = self.board.lock().ledger.ended_well(print, now);
+        if cleared {
+            info!(target: "quarantine", event = "cleared", print = %print, "a run of the request has ended well");
+        }
+        self.note(cleared);
+    }
+
+    /// Says, as the leader, what may be done with a request.
+    pub fn ask(&self, print: Fingerprint, ticket: Ticket, now: Time) -> Permit {
+        self.board.lock().ledger.ask(print, ticket, now)
+    }
+
+    /// Takes in, as the leader, that a trial has not ended well.
+    pub fn tried(&self, print: Fingerprint, broke: bool, now: Time) {
+        let how = match broke {
+            true => Ended::Broken,
+            false => Ended::Undecided,
+        };
+        let changed = self.board.lock().ledger.trial_ended(print, how, now);
+        self.note(changed);
+    }
+
+    /// Forgets what was held of a request here, by the leader's word.
+    fn lift(&self, print: Fingerprint) {
+        self.board.lock().lift(print);
+    }
+
+    fn note(&self, changed: bool) {
+        if changed {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Falls that the leader of a term is to be told once more.
+    pub fn to_tell(&self, term: u64, now: Time) -> Vec<Group> {
+        self.board.lock().falls.to_tell(term, now)
+    }
+
+    /// Takes over, as a new leader, what the one before had listed.
+    pub fn take_over(&self, now: Time) {
+        self.board.lock().take_over(now);
+    }
+
+    /// What a leader is to tell all hosts, and whether it has changed since it was asked for last.
+    pub fn listing(&self, term: u64, now: Time) -> (Listing, bool) {
+        let mut board = self.board.lock();
+        let (listing, news) = board.listing(term, now);
+        drop(board);
+        for print in &news.kept_out {
+            warn!(target: "quarantine", event = "kept_out", print = %print, "a request has ended each replica that began to run it, the last one on trial; no host sends it any more");
+        }
+        (listing, news.changed)
+    }
+
+    /// Takes in the leader's list, and tells it which of these requests have ended well here since they were first in
+    /// flight at a fall.
+    pub fn told(&self, listing: Listing, now: Time) {
+        let sound = self.board.lock().told(listing, now);
+        for print in sound {
+            self.report(Report::Sound(print));
+        }
+    }
+
+    /// What is to stand in the store by this leader's ledger, and the revision that it replaces; none while it stands there.
+    pub fn unstored(&self, now: Time) -> Option<(Vec<u8>, u64)> {
+        self.board.lock().unstored(now)
+    }
+
+    /// Takes in what stands in the store at a revision.
+    pub fn stored(&self, listed: BTreeMap<Fingerprint, bool>, revision: u64) {
+        self.board.lock().stored(listed, revision);
+    }
+
+    /// Requests that are suspected and kept out, as far as this host knows.
+    pub fn counts(&self, now: Time) -> (usize, usize) {
+        self.board.lock().counts(now)
+    }
+}
+
+/// Takes in the list that stands in the store.
+pub fn written(state: &State, item: &Item) {
+    match stored::decode(&item.value) {
+        Ok(listed) => state.quarantine.stored(listed, item.revision),
+        Err(why) => {
+            error!(target: "quarantine", event = "malformed", revision = item.revision, why = %why, "the list of requests that are kept out cannot be read; the last one stays in force")
+        }
+    }
+}
+
+/// Takes in that the list does not stand in the store, as of a revision.
+pub fn absent(state: &State, revision: u64) {
+    state.quarantine.board.lock().absent(revision);
+}
+
+/// Takes in what a leader wanted to replace in vain; a revision of 0 says that nothing stands there.
+pub fn found(state: &State, item: &Item) {
+    match item.revision {
+        0 => state.quarantine.board.lock().vanished(),
+        _ => written(state, item),
+    }
+}
+
+/// Takes in that the list was removed from the store, by which operators lift all of it.
+pub fn removed(state: &State, revision: u64) {
+    if state.quarantine.board.lock().removed(revision) {
+        warn!(target: "quarantine", event = "lifted", revision, "the list of requests that are kept out was removed from the store; all are let in again");
+        state.quarantine.changed.notify_one();
+    }
+}
+
+/// Notes that a run of a request has ended well.
+pub fn ended_well(state: &State, call: &crate::attempt::Call) {
+    let now = state.now();
+    if state.quarantine.is_alert(now) {
+        state.quarantine.ended_well(call.fingerprint(), now);
+    }
+}
--- /dev/null
+++ b/crates/front/src/quarantine/board.rs
@@ -0,0 +1,247 @@
+//! What one host knows of requests that end replicas.
+
+use super::stored;
+use crate::message::{Listed, Listing};
+use route::quarantine::{Fall, Falls, Ledger, Standing};
+use std::collections::{BTreeMap, HashMap};
+use unit::{Fingerprint, Span, Time};
+
+/// Time for which good ends are noted after a fall: about the longest run and then some.
+const ALERT: Span = Span::from_secs(60);
+
+/// Age at which the leader's list no longer counts: it tells it every few seconds.
+const TOLD_FOR: Span = Span::from_secs(10);
+
+/// Good ends remembered at once, at 16 bytes each.
+const MOST_SOUND: usize = 1_024;
+
+/// What this host knows.
+#[derive(Default)]
+pub(super) struct Board {
+    /// Falls by request; all that is known of them at the host that leads.
+    pub(super) ledger: Ledger,
+    /// Requests that broke here, by replica.
+    pub(super) falls: Falls,
+    /// The leader's list.
+    told: Told,
+    /// The list in the store.
+    stored: Stored,
+    /// When requests last ended well here.
+    sound: HashMap<Fingerprint, Time>,
+    alert_until: Time,
+    /// What this host told last as the leader.
+    telling: Telling,
+}
+
+/// The leader's list, as it was told last.
+#[derive(Default)]
+struct Told {
+    /// Term and number of the list, by which a later one is known.
+    number: (u64, u32),
+    at: Time,
+    listed: HashMap<Fingerprint, bool>,
+}
+
+/// The list in the store.
+#[derive(Default)]
+struct Stored {
+    /// Revision of its last change.
+    revision: u64,
+    /// Whether it stands there.
+    stands: bool,
+    listed: BTreeMap<Fingerprint, bool>,
+}
+
+/// What this host told last as the leader.
+#[derive(Default)]
+struct Telling {
+    number: u32,
+    listed: BTreeMap<Fingerprint, bool>,
+}
+
+/// What has changed in a leader's list.
+pub(super) struct News {
+    pub(super) changed: bool,
+    pub(super) kept_out: Vec<Fingerprint>,
+}
+
+/// Standing of a request that is listed.
+fn standing_of(is_out: bool) -> Standing {
+    match is_out {
+        true => Standing::KeptOut,
+        false => Standing::Suspected,
+    }
+}
+
+impl Board {
+    pub(super) fn standing(&self, print: Fingerprint, now: Time) -> Standing {
+        let told = self.told.listed.get(&print).filter(|_| self.is_told(now));
+        let listed = told.into_iter().chain(self.stored.listed.get(&print));
+        let listed = listed.map(|is_out| standing_of(*is_out)).max();
+        // Only the leader keeps out; what was seen here alone is a reason to ask it.
+        let seen = self.ledger.standing(print, now).min(Standing::Suspected);
+        listed.unwrap_or(Standing::Clear).max(seen)
+    }
+
+    fn is_told(&self, now: Time) -> bool {
+        now.since(self.told.at) < TOLD_FOR
+    }
+
+    pub(super) fn is_idle(&self, now: Time) -> bool {
+        let told = !self.told.listed.is_empty() && self.is_told(now);
+        !told && self.stored.listed.is_empty() && self.ledger.is_empty()
+    }
+
+    pub(super) fn is_alert(&self, now: Time) -> bool {
+        now < self.alert_until || !self.is_idle(now)
+    }
+
+    pub(super) fn alert(&mut self, now: Time) {
+        self.alert_until = now + ALERT;
+    }
+
+    /// Notes a good end; tells whether the leader is to know it.
+    pub(super) fn note_sound(&mut self, print: Fingerprint, now: Time) -> bool {
+        if self.sound.len() >= MOST_SOUND {
+            self.sound.retain(|_, at| now.since(*at) < ALERT);
+        }
+        if self.sound.len() < MOST_SOUND {
+            self.sound.insert(print, now);
+        }
+        self.standing(print, now) != Standing::Clear
+    }
+
+    pub(super) fn fell(
+        &mut self,
+        fall: Fall,
+        aboard: &[Fingerprint],
+        now: Time,
+    ) -> Vec<Fingerprint> {
+        self.alert(now);
+        self.ledger.fell(fall, aboard, now)
+    }
+
+    pub(super) fn lift(&mut self, print: Fingerprint) {
+        self.ledger.lift(print);
+        self.told.listed.remove(&print);
+        self.stored.listed.remove(&print);
+    }
+
+    pub(super) fn take_over(&mut self, now: Time) {
+        let told = self.told.listed.iter().map(|(p, out)| (*p, *out));
+        let stored = self.stored.listed.iter().map(|(p, out)| (*p, *out));
+        for (print, is_out) in told.chain(stored) {
+            self.ledger.restore(print, is_out, now);
+        }
+        self.telling = Telling::default();
+    }
+
+    pub(super) fn listing(&mut self, term: u64, now: Time) -> (Listing, News) {
+        let listed = self.ledger.listed(now);
+        let next: BTreeMap<Fingerprint, bool> =
+            listed.iter().map(|l| (l.print, l.is_out)).collect();
+        let changed = next != self.telling.listed;
+        let is_new = |print: &Fingerprint| self.telling.listed.get(print) != Some(&true);
+        let out = next.iter().filter(|(_, is_out)| **is_out);
+        let kept_out = out.map(|(print, _)| *print).filter(is_new).collect();
+        if changed {
+            self.telling.number += 1;
+            self.telling.listed = next;
+        }
+        let listed = listed.into_iter().map(|l| Listed {
+            print: l.print,
+            is_out: l.is_out,
+            since_ms: u32::try_from(now.since(l.since).0 / 1_000).unwrap_or(u32::MAX),
+        });
+        let listing = Listing {
+            term,
+            number: self.telling.number,
+            listed: listed.collect(),
+        };
+        (listing, News { changed, kept_out })
+    }
+
+    /// Takes in the leader's list; gives the requests in it that have ended well here since they were suspected.
+    pub(super) fn told(&mut self, listing: Listing, now: Time) -> Vec<Fingerprint> {
+        let number = (listing.term, listing.number);
+        if number < self.told.number {
+            return Vec::new();
+        }
+        if !listing.listed.is_empty() {
+            self.alert(now);
+        }
+        let sound = listing.listed.iter().filter(|listed| {
+            let since = now - Span::from_ms(u64::from(listed.since_ms));
+            let ended = self.sound.get(&listed.print);
+            !listed.is_out && ended.is_some_and(|at| *at > since)
+        });
+        let sound = sound.map(|listed| listed.print).collect();
+        self.told = Told {
+            number,
+            at: now,
+            listed: listing.listed.iter().map(|l| (l.print, l.is_out)).collect(),
+        };
+        sound
+    }
+
+    /// List that is to stand in the store, and the revision that it replaces; none while it stands there.
+    pub(super) fn unstored(&mut self, now: Time) -> Option<(Vec<u8>, u64)> {
+        let listed = self.ledger.listed(now).into_iter();
+        let listed: BTreeMap<Fingerprint, bool> = listed.map(|l| (l.print, l.is_out)).collect();
+        let replaced = match self.stored.stands {
+            true => self.stored.revision,
+            false => 0,
+        };
+        (listed != self.stored.listed).then(|| (stored::encode(&listed), replaced))
+    }
+
+    pub(super) fn stored(&mut self, listed: BTreeMap<Fingerprint, bool>, revision: u64) {
+        if revision >= self.stored.revision {
+            self.stored = Stored {
+                revision,
+                stands: true,
+                listed,
+            };
+        }
+    }
+
+    /// Takes in that no list stands in the store, as of a revision.
+    pub(super) fn absent(&mut self, revision: u64) {
+        if revision >= self.stored.revision {
+            self.stored = Stored {
+                revision,
+                ..Stored::default()
+            };
+        }
+    }
+
+    /// Takes in that no list stands in the store now.
+    pub(super) fn vanished(&mut self) {
+        self.stored.stands = false;
+    }
+
+    /// Takes in that the list was removed from the store; tells whether it was the newest.
+    pub(super) fn removed(&mut self, revision: u64) -> bool {
+        if revision < self.stored.revision {
+            return false;
+        }
+        let stored = std::mem::take(&mut self.stored.listed);
+        let told = std::mem::take(&mut self.told.listed);
+        for print in stored.into_keys().chain(told.into_keys()) {
+            self.ledger.lift(print);
+        }
+        self.stored.revision = revision;
+        self.stored.stands = false;
+        true
+    }
+
+    pub(super) fn counts(&self, now: Time) -> (usize, usize) {
+        let told = self.told.listed.iter().filter(|_| self.is_told(now));
+        let mut listed: BTreeMap<Fingerprint, bool> = told.map(|(p, out)| (*p, *out)).collect();
+        for (print, is_out) in &self.stored.listed {
+            *listed.entry(*print).or_default() |= is_out;
+        }
+        let out = listed.values().filter(|is_out| **is_out).count();
+        (listed.len() - out, out)
+    }
+}
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -5,6 +5,7 @@
 
 use crate::attempt::{Call, Failed, Place, Sent, send};
 use crate::events::Splitter;
+use crate::quarantine;
 use crate::respond::{Body, whole};
 use crate::state::{InFlight, State};
 use bytes::Bytes;
@@ -56,15 +57,20 @@
     let body = match read {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) => {
-            place.failed();
-            return Err(Failed::Lost(format!("its answer broke off: {e}")));
+            let failed = Failed::Lost(format!("its answer broke off: {e}"));
+            place.ended(call, &failed);
+            return Err(failed);
         }
         Err(_) => {
             place.failed();
             return Err(Failed::Late);
         }
     };
-    place.answered(head.status.is_server_error());
+    let failed = head.status.is_server_error();
+    place.answered(failed);
+    if !failed {
+        quarantine::ended_well(state, call);
+    }
     keep(state, &place, line, &head.headers);
     let mut response = Response::new(whole(body));
     *response.status_mut() = head.status;
@@ -172,7 +178,7 @@
             Ok(first) => first,
             Err(why) => {
                 if let Some(source) = self.source.take() {
-                    source.place.failed();
+                    source.place.ended(&self.call, &why);
                 }
                 return Err(why);
             }
@@ -302,6 +308,7 @@
         }
         if let Some(mut source) = self.source.take() {
             source.place.answered(false);
+            quarantine::ended_well(&self.state, &self.call);
             let headers = &source.head.headers;
             keep(&self.state, &source.place, source.line, headers);
         }
@@ -311,11 +318,12 @@
     /// Takes the stream up at another replica; tells whether that was possible.
     async fn resume(&mut self, why: &Failed) -> bool {
         if let Some(source) = self.source.take() {
-            source.place.failed();
+            source.place.ended(&self.call, why);
             self.state.pool.forget(&source.place.replica);
         }
         let (state, call) = (self.state.clone(), self.call.clone());
-        if *why == Failed::Late || !call.route.kind.is_repeatable() {
+        let repeatable = call.route.kind.is_repeatable();
+        if *why == Failed::Late || !repeatable || !quarantine::may_repeat(&state, &call) {
             return false;
         }
         self.splitter.rest();
@@ -344,7 +352,7 @@
                     self.source = Some(Source::from(sent));
                     return true;
                 }
-                Err(Failed::Barred(_)) => return false,
+                Err(Failed::Barred(_) | Failed::Held(_)) => return false,
                 _ => {}
             }
         }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -3,6 +3,7 @@
 use crate::accounts;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::peers::{self, Peers};
+use crate::quarantine::Reports;
 use crate::settings::{self, Settings};
 use crate::state::{self, State, Wanted};
 use crate::{follow, leader, log, planner, readers, respond, serve, waiting};
@@ -143,7 +144,7 @@
     let addr = settings.peers;
     let socket = UdpSocket::bind(addr).await.context(ListenSnafu { addr })?;
     let log = log::open(settings.log.sample);
-    let (state, wanted) = state::open(settings, log, STORE_LIMIT);
+    let (state, wanted, reports) = state::open(settings, log, STORE_LIMIT);
     let peers = peers::open(state.clone(), socket);
     let entry = serve::Entry {
         state: state.clone(),
@@ -155,7 +156,7 @@
         _readiness: serve_readiness(&state, readiness)?,
         _metrics: serve_metrics(&state, &peers, metrics)?,
         _answers: serve_hosts(&state, answers)?,
-        _tasks: tasks(&entry, &peers, wanted),
+        _tasks: tasks(&entry, &peers, wanted, reports),
         state,
     };
     let settings = &daemon.state.settings;
@@ -163,7 +164,12 @@
     Ok(daemon)
 }
 
-fn tasks(entry: &serve::Entry, peers: &Arc<Peers>, wanted: Wanted) -> JoinSet<()> {
+fn tasks(
+    entry: &serve::Entry,
+    peers: &Arc<Peers>,
+    wanted: Wanted,
+    reports: Reports,
+) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
     let state = &entry.state;
     tasks.spawn(waiting::run(state.clone(), entry.waiting.clone()));
@@ -172,6 +178,7 @@
     tasks.spawn(peers.clone().receive());
     tasks.spawn(peers.clone().tell());
     tasks.spawn(peers.clone().ask(wanted));
+    tasks.spawn(peers.clone().report(reports));
     tasks.spawn(upkeep(state.clone()));
     tasks.spawn(settle(state.clone()));
     let (state, peers) = (state.clone(), peers.clone());
@@ -294,6 +301,9 @@
     }
     set("coveford_in_flight", &[], state.in_flight() as f64);
     set("coveford_leads", &[], f64::from(u8::from(state.leads())));
+    let (suspected, kept_out) = state.quarantine.counts(state.now());
+    set("coveford_requests_suspected", &[], suspected as f64);
+    set("coveford_requests_kept_out", &[], kept_out as f64);
     let table = state.table.lock();
     let version = table.routes.as_ref().map_or(0, |r| r.version);
     set("coveford_configuration_version", &[], version as f64);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -6,6 +6,7 @@
 
 use crate::attempt::{Call, Failed, Sent, send};
 use crate::peers::Peers;
+use crate::quarantine;
 use crate::quota;
 use crate::relay;
 use crate::respond::{Body, Fault, close};
@@ -84,6 +85,7 @@
 /// Sends a request, if its account may have it run.
 async fn let_in(entry: &Entry, call: &Arc<Call>) -> Result<Response<Body>, Fault> {
     let state = &entry.state;
+    quarantine::admit(state, &entry.peers, call).await?;
     let grant = quota::admit(state, &entry.peers, call).await?;
     note_arrival(state, call);
     let answered = attempts(entry, call).await;
@@ -206,8 +208,10 @@
 fn may_go_on(state: &State, call: &Call, last: &Failed, same: bool) -> bool {
     let now = state.now();
     let allowed = match last {
-        Failed::Late | Failed::Barred(_) => false,
-        Failed::Lost(_) | Failed::Failing(_) => call.route.kind.is_repeatable() && !same,
+        Failed::Late | Failed::Barred(_) | Failed::Held(_) => false,
+        Failed::Lost(_) | Failed::Failing(_) => {
+            call.route.kind.is_repeatable() && !same && quarantine::may_repeat(state, call)
+        }
         Failed::NotRun(_) | Failed::Unsent(_) => true,
     };
     let free = matches!(last, Failed::Unsent(_));
@@ -232,8 +236,10 @@
 
 /// Answer to a request that is given up.
 fn give_up(state: &State, call: &Call, last: &Failed, may_have_run: bool) -> Fault {
-    if let (false, Failed::Barred(refusal)) = (may_have_run, last) {
-        return refusal.fault();
+    match last {
+        Failed::Barred(refusal) if !may_have_run => return refusal.fault(),
+        Failed::Held(fault) if !may_have_run => return fault.clone(),
+        _ => {}
     }
     if !may_have_run {
         let wait = RETURN_RANGE.0;
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -94,6 +94,7 @@
         arrived,
         deadline,
         print: OnceLock::new(),
+        trial: OnceLock::new(),
     })
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -3,6 +3,7 @@
 use crate::log::Log;
 use crate::message::{Missing, Want};
 use crate::pool::Pool;
+use crate::quarantine::{self, Quarantine, Reports};
 use crate::readers::Readers;
 use crate::settings::Settings;
 use crate::shares::{self, Shares};
@@ -49,6 +50,8 @@
     pub knows_replicas: AtomicBool,
     /// Whether any host has ever led, as far as this one knows.
     pub has_led: AtomicBool,
+    /// Requests that end replicas.
+    pub quarantine: Quarantine,
     /// Who leads, if that is known.
     pub leader: Mutex<Option<Leader>>,
     /// Adapters and models wanted here, to be told to the leader.
@@ -89,10 +92,11 @@
     settings: Settings,
     log: Log,
     store_limit: std::time::Duration,
-) -> (Arc<State>, Wanted) {
+) -> (Arc<State>, Wanted, Reports) {
     let seed = unit::rendezvous::hash(settings.name.as_bytes());
     let bodies = settings.limits.memory_mb * 1_024 / BODIES_PART;
     let (wanted, receiver) = tokio::sync::mpsc::unbounded_channel();
+    let (quarantine, reports) = quarantine::open();
     let heartbeat = settings.bounds.heartbeat.into();
     let state = State {
         table: Mutex::new(Table::new(settings.hall.clone(), seed, heartbeat)),
@@ -108,6 +112,7 @@
         bodies: Arc::new(Semaphore::new(bodies)),
         knows_replicas: AtomicBool::new(false),
         has_led: AtomicBool::new(false),
+        quarantine,
         leader: Mutex::default(),
         wanted,
         draining: watch::Sender::new(false),
@@ -115,7 +120,7 @@
         start: Instant::now(),
         settings,
     };
-    (Arc::new(state), receiver)
+    (Arc::new(state), receiver, reports)
 }
 
 impl State {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 pub mod health;
 pub mod limit;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod retry;
--- /dev/null
+++ b/crates/route/src/quarantine.rs
@@ -0,0 +1,255 @@
+//! Requests that end the replicas that run them: suspected by what was in flight at falls, tried alone, kept out.
+//!
+//! A fall tells little by itself: up to a whole batch was in flight there, and all but one of them are innocent. So a
+//! request that was in flight at one fall is only remembered. From the second on it is suspected, and runs on trial: one
+//! trial at a time over all hosts, so that no two suspects are ever in flight together. A suspect whose trial
+//! ends its replica as well is kept out; one that ends well anywhere is cleared, since a request that ends
+//! replicas never ends well. What is asked for often ends well somewhere within a fraction of a second, and
+//! so stays served however often it runs beside such a request.
+
+mod falls;
+mod record;
+
+pub use falls::{Falls, Group, Start};
+
+use record::Record;
+use std::collections::HashMap;
+use unit::{Fingerprint, Span, Time};
+
+/// Falls from which a request runs on trial only. With one, a whole batch would wait for trials at each fall.
+pub const SUSPECTED_FROM: usize = 2;
+
+/// Falls, one of them on trial, from which a request is kept out.
+pub const KEPT_OUT_FROM: usize = 3;
+
+/// Time for which a request is kept out after its last fall: then it has one trial, in which it may end one replica
+/// more an hour, and an engine that was mended meanwhile serves it again.
+pub const KEPT_OUT_FOR: Span = Span::from_secs(3_600);
+
+/// Time for which a fall is remembered against the requests that were in flight.
+const REMEMBERED: Span = Span::from_secs(600);
+
+/// Time after which a trial whose host says nothing is over: longer than clients wait for most answers.
+const TRIAL: Span = Span::from_secs(15);
+
+/// Time after a trial that broke off until the next one of the same request: by then it is known whether the
+/// replica has fallen.
+const TRIAL_SETTLES: Span = Span::from_ms(1_000);
+
+/// Time after the end of a trial in which a fall still counts as its own: the fall is known a moment after the trial.
+const FALL_FOLLOWS: Span = Span::from_secs(5);
+
+/// Trials that broke off, where no fall was found, that count as one fall on trial.
+const BROKEN_TRIALS: u32 = 3;
+
+/// Requests remembered at once; at 100 bytes each these are 0.4 MB. The one whose last fall is oldest gives way.
+const MOST_RECORDS: usize = 4_096;
+
+/// Requests listed at once, the newest ones: at 12 bytes each they fit one datagram.
+pub const MOST_LISTED: usize = 64;
+
+/// Identity of one fall: the replica and its incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fall(pub u64);
+
+/// Who asks for a trial: the same one may ask again, since an answer may be lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket(pub u64);
+
+/// What is held of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nothing: it runs as any other.
+    Clear,
+    /// It runs on trial only.
+    Suspected,
+    /// It does not run.
+    KeptOut,
+}
+
+/// What a host may do with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permit {
+    /// Send it as any other.
+    Free,
+    /// Send it once, and tell how that ended.
+    Trial,
+    /// Not send it now: another trial is under way.
+    Wait,
+    /// Not send it for that long.
+    KeptOut(Span),
+}
+
+/// How a trial ended that did not end well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// It broke off; the replica may have fallen.
+    Broken,
+    /// It told nothing: it was refused, or its client left.
+    Undecided,
+}
+
+/// Request that is suspected or kept out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listed {
+    /// The request.
+    pub print: Fingerprint,
+    /// Whether it is kept out; it is suspected otherwise.
+    pub is_out: bool,
+    /// Its first fall that counts.
+    pub since: Time,
+}
+
+/// Trial under way.
+#[derive(Debug)]
+struct Trial {
+    print: Fingerprint,
+    ticket: Ticket,
+    until: Time,
+}
+
+/// What is known of requests and falls.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    records: HashMap<Fingerprint, Record>,
+    trial: Option<Trial>,
+}
+
+impl Ledger {
+    /// Notes requests that were in flight where a replica fell; gives those whose standing has changed. The same fall
+    /// may be told often, and by several hosts.
+    pub fn fell(&mut self, fall: Fall, aboard: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
+        let mut changed = Vec::new();
+        for print in aboard {
+            let record = self.records.entry(*print).or_insert(Record::new(now));
+            let before = record.standing(now);
+            record.fell(fall, now);
+            if record.standing(now) != before {
+                changed.push(*print);
+            }
+        }
+        self.bound();
+        changed
+    }
+
+    /// Notes that a run of a request has ended well; tells whether that clears it.
+    pub fn ended_well(&mut self, print: Fingerprint, now: Time) -> bool {
+        self.release(print);
+        let Some(record) = self.records.get_mut(&print) else {
+            return false;
+        };
+        let before = record.standing(now);
+        record.forgive();
+        before != Standing::Clear
+    }
+
+    /// What is held of a request.
+    pub fn standing(&self, print: Fingerprint, now: Time) -> Standing {
+        let record = self.records.get(&print);
+        record.map_or(Standing::Clear, |r| r.standing(now))
+    }
+
+    /// What may be done with a request; begins its trial where that is the answer.
+    pub fn ask(&mut self, print: Fingerprint, ticket: Ticket, now: Time) -> Permit {
+        let Some(record) = self.records.get_mut(&print) else {
+            return Permit::Free;
+        };
+        match record.standing(now) {
+            Standing::Clear => Permit::Free,
+            Standing::KeptOut => Permit::KeptOut(record.kept_out_for(now)),
+            Standing::Suspected => match &self.trial {
+                Some(trial) if now < trial.until => {
+                    match (trial.print, trial.ticket) == (print, ticket) {
+                        true => Permit::Trial,
+                        false => Permit::Wait,
+                    }
+                }
+                _ if !record.may_be_tried(now) => Permit::Wait,
+                _ => {
+                    let until = now + TRIAL;
+                    record.tried(until);
+                    self.trial = Some(Trial {
+                        print,
+                        ticket,
+                        until,
+                    });
+                    Permit::Trial
+                }
+            },
+        }
+    }
+
+    /// Notes that a trial has ended, and not well; tells whether the standing of its request has changed.
+    pub fn trial_ended(&mut self, print: Fingerprint, how: Ended, now: Time) -> bool {
+        self.release(print);
+        let Some(record) = self.records.get_mut(&print) else {
+            return false;
+        };
+        let before = record.standing(now);
+        record.trial_ended(how, now);
+        record.standing(now) != before
+    }
+
+    /// Takes over that a request is suspected or kept out, by the word of an earlier leader.
+    pub fn restore(&mut self, print: Fingerprint, is_out: bool, now: Time) {
+        let record = self.records.entry(print).or_insert(Record::new(now));
+        record.restore(is_out, now);
+        self.bound();
+    }
+
+    /// Forgets that a request was suspected or kept out.
+    pub fn lift(&mut self, print: Fingerprint) {
+        self.release(print);
+        if let Some(record) = self.records.get_mut(&print) {
+            record.forgive();
+        }
+    }
+
+    /// Requests that are suspected or kept out, the newest first.
+    pub fn listed(&mut self, now: Time) -> Vec<Listed> {
+        self.records.retain(|_, record| !record.is_over(now));
+        let listed = self.records.iter().filter_map(|(print, record)| {
+            let standing = record.standing(now);
+            let listed = Listed {
+                print: *print,
+                is_out: standing == Standing::KeptOut,
+                since: record.first,
+            };
+            (standing != Standing::Clear).then_some((record.last, listed))
+        });
+        let mut listed: Vec<_> = listed.collect();
+        listed.sort_by_key(|(last, listed)| (std::cmp::Reverse(*last), listed.print));
+        listed.truncate(MOST_LISTED);
+        listed.into_iter().map(|(_, listed)| listed).collect()
+    }
+
+    /// Requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no request is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Ends the trial of a request, if it is under way.
+    fn release(&mut self, print: Fingerprint) {
+        if self.trial.as_ref().is_some_and(|t| t.print == print) {
+            self.trial = None;
+        }
+    }
+
+    /// Forgets the records whose last fall is oldest, beyond the most that are kept: a quarter at a time, so that
+    /// the next ones cost nothing.
+    fn bound(&mut self) {
+        if self.records.len() <= MOST_RECORDS {
+            return;
+        }
+        let mut ages: Vec<_> = self.records.iter().map(|(p, r)| (r.rank(), *p)).collect();
+        ages.sort_unstable();
+        for (_, print) in ages.into_iter().take(MOST_RECORDS / 4) {
+            self.records.remove(&print);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/quarantine/record.rs
@@ -0,0 +1,158 @@
+//! What is remembered of one request.
+
+use super::{
+    BROKEN_TRIALS, Ended, FALL_FOLLOWS, Fall, KEPT_OUT_FOR, KEPT_OUT_FROM, REMEMBERED,
+    SUSPECTED_FROM, Standing, TRIAL_SETTLES,
+};
+use unit::{Span, Time};
+
+/// Falls remembered of one request, the newest ones.
+const MOST_FALLS: usize = 8;
+
+/// Falls of one request, and its trials.
+#[derive(Debug)]
+pub(super) struct Record {
+    /// Falls that count, oldest first.
+    counted: Vec<Fall>,
+    /// Falls that no longer count, since a run has ended well after them: they may be told again.
+    forgiven: Vec<Fall>,
+    /// First fall that counts.
+    pub(super) first: Time,
+    /// Last fall.
+    pub(super) last: Time,
+    /// Until when a fall counts as one on trial.
+    on_trial_until: Option<Time>,
+    /// When the next trial may begin.
+    next_trial: Time,
+    /// Trials that broke off where no fall was found yet.
+    broken: u32,
+    /// Whether a trial has ended its replica.
+    is_proved: bool,
+}
+
+impl Record {
+    pub(super) fn new(now: Time) -> Record {
+        Record {
+            counted: Vec::new(),
+            forgiven: Vec::new(),
+            first: now,
+            last: now,
+            on_trial_until: None,
+            next_trial: Time(0),
+            broken: 0,
+            is_proved: false,
+        }
+    }
+
+    pub(super) fn standing(&self, now: Time) -> Standing {
+        let is_proved = self.is_proved && self.counted.len() >= KEPT_OUT_FROM;
+        if is_proved && now.since(self.last) < KEPT_OUT_FOR {
+            Standing::KeptOut
+        } else if self.counted.len() >= SUSPECTED_FROM {
+            Standing::Suspected
+        } else {
+            Standing::Clear
+        }
+    }
+
+    /// Time for which it is still kept out.
+    pub(super) fn kept_out_for(&self, now: Time) -> Span {
+        KEPT_OUT_FOR.saturating_sub(now.since(self.last))
+    }
+
+    pub(super) fn fell(&mut self, fall: Fall, now: Time) {
+        if self.counted.contains(&fall) || self.forgiven.contains(&fall) {
+            return;
+        }
+        if self.counted.is_empty() {
+            self.first = now;
+        }
+        push(&mut self.counted, fall);
+        self.last = now;
+        self.broken = 0;
+        let on_trial = self.on_trial_until.is_some_and(|until| now < until);
+        self.is_proved |= on_trial;
+    }
+
+    /// Whether a trial may begin.
+    pub(super) fn may_be_tried(&self, now: Time) -> bool {
+        now >= self.next_trial
+    }
+
+    pub(super) fn tried(&mut self, until: Time) {
+        self.on_trial_until = Some(until + FALL_FOLLOWS);
+    }
+
+    pub(super) fn trial_ended(&mut self, how: Ended, now: Time) {
+        if self.on_trial_until.is_none() {
+            return;
+        }
+        self.on_trial_until = Some(now + FALL_FOLLOWS);
+        if how == Ended::Undecided {
+            return;
+        }
+        self.next_trial = now + TRIAL_SETTLES;
+        self.broken += 1;
+        if self.broken >= BROKEN_TRIALS {
+            self.is_proved = true;
+            self.last = now;
+            // Falls that were not found: what breaks off in each trial is not served either.
+            self.fill(KEPT_OUT_FROM);
+        }
+    }
+
+    /// Takes over what an earlier leader held of it.
+    pub(super) fn restore(&mut self, is_out: bool, now: Time) {
+        let falls = if is_out {
+            KEPT_OUT_FROM
+        } else {
+            SUSPECTED_FROM
+        };
+        if self.counted.is_empty() {
+            self.first = now;
+            self.last = now;
+        }
+        self.fill(falls);
+        self.is_proved |= is_out;
+    }
+
+    /// Counts so many falls at least, where it is not known which they were.
+    fn fill(&mut self, falls: usize) {
+        for unknown in self.counted.len()..falls {
+            self.counted.push(Fall(unknown as u64));
+        }
+    }
+
+    /// Lets what was counted so far count no more.
+    pub(super) fn forgive(&mut self) {
+        for fall in std::mem::take(&mut self.counted) {
+            push(&mut self.forgiven, fall);
+        }
+        self.on_trial_until = None;
+        self.broken = 0;
+        self.is_proved = false;
+    }
+
+    /// Whether it can be forgotten.
+    pub(super) fn is_over(&self, now: Time) -> bool {
+        let kept = match self.is_proved {
+            true => KEPT_OUT_FOR + REMEMBERED,
+            false => REMEMBERED,
+        };
+        now.since(self.last) >= kept
+    }
+
+    /// What gives way first where there are too many: what is not proved, and among these the oldest.
+    pub(super) fn rank(&self) -> (bool, usize, Time) {
+        let falls = self.counted.len().min(SUSPECTED_FROM);
+        (self.is_proved, falls, self.last)
+    }
+}
+
+/// Adds a fall, and forgets the oldest beyond the most.
+fn push(falls: &mut Vec<Fall>, fall: Fall) {
+    if falls.len() >= MOST_FALLS {
+        falls.remove(0);
+    }
+    falls.push(fall);
+}
