--- a/crates/front/src/planner/quarantine.rs
+++ b/crates/front/src/planner/quarantine.rs
@@ -39,11 +39,14 @@
     /// Stores the list in the place of the one at that revision, as long as this host leads. What fails is tried
     /// again with the next round.
     async fn store_listing(&self, value: Vec<u8>, revision: u64) {
+        // The entry's revision, which the store counts by key: the first term's transaction wrote two.
+        let leader = self.state.leader.lock().clone();
+        let own = leader.filter(|leader| leader.peers == self.state.settings.peers);
+        let Some(entry) = own.map(|leader| leader.term) else {
+            return;
+        };
         let txn = Transaction {
-            expected: vec![
-                (leader::KEY.into(), self.term.token),
-                (KEY.into(), revision),
-            ],
+            expected: vec![(leader::KEY.into(), entry), (KEY.into(), revision)],
             writes: vec![(KEY.into(), value.clone(), 0)],
             removed: Vec::new(),
         };
--- a/crates/front/src/quarantine/admit.rs
+++ b/crates/front/src/quarantine/admit.rs
@@ -61,7 +61,7 @@
     loop {
         let now = state.now();
         let permit = match state.quarantine.standing(print, now) {
-            Standing::Clear => Permit::Free,
+            Standing::Clear => return Ok(()),
             Standing::KeptOut => Permit::KeptOut(KEPT_OUT_FOR),
             Standing::Suspected => {
                 let asked = peers.ask_for_trial(print, ticket).await;
@@ -70,6 +70,7 @@
         };
         match permit {
             Permit::Free => {
+                // The leader knows better than what was seen here.
                 state.quarantine.lift(print);
                 return Ok(());
             }
--- a/crates/front/tests/cut_host.rs
+++ b/crates/front/tests/cut_host.rs
@@ -17,14 +17,12 @@
 
 mod site;
 
-use front::readers::Reader;
+use front::Daemon;
 use front::state::Leader;
-use front::{Daemon, Settings};
-use platform_standin::ports;
-use platform_standin::proxy::{self, Mode, Proxy};
+use platform_standin::proxy::{Mode, Proxy};
 use platform_standin::replica::Replica;
 use platform_standin::store::Store;
-use site::{ask, daemon, settings, store, until, web};
+use site::{ask, behind_a_proxy, daemon, keep_alone, store, until, web};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -35,36 +33,6 @@
 /// takes two rounds of sums.
 const KNOWN_AFTER: Duration = Duration::from_millis(900);
 
-/// Starts a host that reaches the store through a proxy.
-async fn behind_a_proxy(store: &Store, name: &str) -> (Daemon, Proxy) {
-    let way = proxy::spawn(store.addr).await.unwrap();
-    let settings = Settings {
-        store: way.addr,
-        ..settings(store, name)
-    };
-    let host = front::spawn(settings).await.unwrap();
-    until(|| host.state().is_ready() && host.state().table.lock().knows_hosts).await;
-    (host, way)
-}
-
-/// Lets a host hear of the store from no other one and ignore the leader, as behind a partition; gives back who
-/// leads.
-fn keep_alone(host: &Daemon) -> Option<Leader> {
-    let state = host.state();
-    let mut leader = state.leader.lock();
-    let known = leader.clone();
-    if let Some(leader) = leader.as_mut() {
-        leader.term = u64::MAX;
-    }
-    let nobody = Reader {
-        hall: "a".into(),
-        addr: ports::free(),
-        head: true,
-    };
-    state.readers.set(vec![nobody], state.settings.peers);
-    known
-}
-
 /// Two replicas, a host in touch that leads, and one that is cut off now.
 struct Cut {
     store: Store,
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -3,11 +3,14 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 use conn::{Line, Reply};
+use front::readers::Reader;
 use front::settings::{Bounds, Limits};
+use front::state::Leader;
 use front::{Daemon, Settings};
 use hyper::Request;
 use platform::config::Kind;
 use platform::replica::Entry;
+use platform_standin::proxy::{self, Proxy};
 use platform_standin::replica::{self, Options, Replica};
 use platform_standin::store::{self, Store};
 use platform_standin::{Account, Route, ports};
@@ -178,6 +181,36 @@
     daemon
 }
 
+/// Starts a host that reaches the store through a proxy.
+pub async fn behind_a_proxy(store: &Store, name: &str) -> (Daemon, Proxy) {
+    let way = proxy::spawn(store.addr).await.unwrap();
+    let settings = Settings {
+        store: way.addr,
+        ..settings(store, name)
+    };
+    let host = front::spawn(settings).await.unwrap();
+    until(|| host.state().is_ready() && host.state().table.lock().knows_hosts).await;
+    (host, way)
+}
+
+/// Lets a host hear of the store from no other one and ignore the leader, as behind a partition; gives back who
+/// leads.
+pub fn keep_alone(host: &Daemon) -> Option<Leader> {
+    let state = host.state();
+    let mut leader = state.leader.lock();
+    let known = leader.clone();
+    if let Some(leader) = leader.as_mut() {
+        leader.term = u64::MAX;
+    }
+    let nobody = Reader {
+        hall: "a".into(),
+        addr: ports::free(),
+        head: true,
+    };
+    state.readers.set(vec![nobody], state.settings.peers);
+    known
+}
+
 /// Waits until something holds.
 pub async fn until(holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
