--- a/crates/front/tests/quarantine.rs
+++ b/crates/front/tests/quarantine.rs
@@ -20,7 +20,8 @@
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Store;
 use site::{
-    BACK, FATAL, ask, ask_body, behind_a_proxy, daemon, fragile, keep_alone, settings, store, until,
+    BACK, FATAL, ask, ask_body, behind_a_proxy, daemon, fragile, fragile_engine, keep_alone,
+    request, send, settings, store, until,
 };
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -294,3 +295,42 @@
     sleep(Duration::from_millis(500)).await;
     assert_eq!(ask_body(&hosts[0], "/once/x", "body").await.status(), 200);
 }
+
+/// Hosts too many to tell each other: the leader alone counts.
+#[tokio::test]
+async fn it_is_stopped_where_hosts_only_tell_the_leader() {
+    let store = store().await;
+    let fleet = fleet(&store, 8).await;
+    let hosts = hosts(&store, 18).await;
+    until(|| {
+        hosts
+            .iter()
+            .all(|host| host.state().table.lock().hosts == 18)
+    })
+    .await;
+    for number in 0..14 {
+        ask_body(&hosts[number % hosts.len()], "/once/x", FATAL).await;
+        sleep(COMES_EACH).await;
+    }
+    assert_eq!(falls(&fleet), KNOWN_AFTER);
+    until(|| hosts.iter().all(knows)).await;
+}
+
+/// A stream that may be resumed is not taken up at replica after replica: one client attempt brings two falls at the
+/// most, as its route allows.
+#[tokio::test]
+async fn a_stream_that_ends_its_replicas_is_stopped() {
+    let store = store().await;
+    let mut fleet = Vec::new();
+    for number in 0..5 {
+        fleet.push(fragile_engine(&store, &format!("i-{number}")).await);
+    }
+    let hosts = hosts(&store, 2).await;
+    for number in 0..10 {
+        let (id, mut request) = request("/resume/x", Some("m1"));
+        *request.body_mut() = conn::Body::new(FATAL.into());
+        send(&hosts[number % 2], (id, request)).await;
+        sleep(COMES_EACH).await;
+    }
+    assert!(falls(&fleet) <= KNOWN_AFTER + 1, "{} falls", falls(&fleet));
+}
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -107,6 +107,16 @@
     replica::spawn(store, options).await.unwrap()
 }
 
+/// Starts a replica of the model service that a request may end.
+pub async fn fragile_engine(store: &Store, id: &str) -> Replica {
+    let options = Options {
+        id: id.into(),
+        fatal: Some((FATAL, BACK)),
+        ..Options::default()
+    };
+    replica::spawn(store, options).await.unwrap()
+}
+
 /// Bounds of the site.
 pub fn bounds() -> Bounds {
     Bounds {
