--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 pub mod attempt;
+pub mod clock;
 pub mod contact;
 pub mod error;
 pub mod events;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -1,5 +1,6 @@
 //! What the parts of a daemon share.
 
+use crate::clock::{self, Clock};
 use crate::log::Log;
 use crate::message::{Missing, Want};
 use crate::pool::Pool;
@@ -15,7 +16,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
-use unit::{Name, Span, Time};
+use unit::{Name, Time};
 
 /// Part of the process's memory that request bodies may take.
 const BODIES_PART: usize = 4;
@@ -58,7 +59,8 @@
     pub wanted: tokio::sync::mpsc::UnboundedSender<Wish>,
     draining: watch::Sender<bool>,
     in_flight: AtomicUsize,
-    start: Instant,
+    /// Time of this host.
+    pub clock: Clock,
 }
 
 /// Host that holds the lease.
@@ -72,9 +74,6 @@
     pub term: u64,
 }
 
-/// First time a clock shows, so that "long ago" is before it.
-const FIRST: u64 = 3_600_000_000;
-
 /// What requests here lack.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Wish {
@@ -117,21 +116,21 @@
         wanted,
         draining: watch::Sender::new(false),
         in_flight: AtomicUsize::new(0),
-        start: Instant::now(),
+        clock: clock::start(),
         settings,
     };
     (Arc::new(state), receiver, reports)
 }
 
 impl State {
-    /// Time now, on this process's steady clock.
+    /// Time now.
     pub fn now(&self) -> Time {
-        Time(FIRST + self.start.elapsed().as_micros() as u64)
+        self.clock.now()
     }
 
     /// The runtime's instant of a time.
     pub fn instant(&self, time: Time) -> Instant {
-        self.start + Span(time.0.saturating_sub(FIRST)).std()
+        self.clock.instant(time)
     }
 
     /// Whether this daemon has been told to stop.
