Ages, leases and deadlines count the time for which a host was suspended

Cause: Instant does not count a suspension. A leader's term, the age of keys, quotas, missing entries, kept connections and deadlines all stood still meanwhile; and datagrams that waited for the host were taken for new at its return. Ruled out: the time of day (it may be stepped). Change: one clock (CLOCK_BOOTTIME) for all ages; waits for a time go by it and are woken at the return; a return, found by a gap between two looks at the clock, drops datagrams that waited, after a frozen process as well; nothing is sent past its deadline.

--- a/crates/conn/src/pool.rs
+++ b/crates/conn/src/pool.rs
@@ -11,7 +11,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use unit::{Span, clock};
 
 /// Whether a request may go over a connection that was used before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,14 +27,15 @@
 const KEPT_PER_ADDR: usize = 64;
 
 /// Idle time after which a kept connection is not trusted any more.
-const KEPT_FOR: Duration = Duration::from_secs(15);
+const KEPT_FOR: Span = Span::from_secs(15);
 
 /// Time allowed to open a connection.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
 
 struct Idle {
     line: Line,
-    since: Instant,
+    /// When it was given back, as time since the machine was started.
+    since: Span,
 }
 
 /// Pool of connections; clones share it.
@@ -57,7 +59,7 @@
         let mut idle = self.idle.lock();
         let lines = idle.get_mut(&addr)?;
         while let Some(kept) = lines.pop() {
-            if kept.line.is_idle() && kept.since.elapsed() < KEPT_FOR {
+            if kept.line.is_idle() && clock::since_boot().saturating_sub(kept.since) < KEPT_FOR {
                 return Some(kept.line);
             }
         }
@@ -72,7 +74,7 @@
         if lines.len() < KEPT_PER_ADDR {
             lines.push(Idle {
                 line,
-                since: Instant::now(),
+                since: clock::since_boot(),
             });
         }
     }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -7,6 +7,7 @@
 pub use place::Place;
 
 use crate::accounts::{self, Refusal};
+use crate::clock::Elapsed;
 use crate::quarantine;
 use crate::respond::Fault;
 use crate::state::State;
@@ -42,6 +43,8 @@
     Failing(u16),
     /// Its time ran out; it may have run.
     Late,
+    /// Its time had run out before it was handed to a connection.
+    Overdue,
     /// Its key does not let it go on; nothing was handed to a connection.
     Barred(Refusal),
     /// It may end what runs it, and gets this answer; nothing was handed to a connection.
@@ -53,7 +56,11 @@
     pub fn proves_not_run(&self) -> bool {
         matches!(
             self,
-            Failed::Unsent(_) | Failed::NotRun(_) | Failed::Barred(_) | Failed::Held(_)
+            Failed::Unsent(_)
+                | Failed::NotRun(_)
+                | Failed::Overdue
+                | Failed::Barred(_)
+                | Failed::Held(_)
         )
     }
 }
@@ -66,6 +73,7 @@
             Failed::Lost(why) => write!(f, "lost: {why}"),
             Failed::Failing(status) => write!(f, "the replica failed it with status {status}"),
             Failed::Late => f.write_str("its time ran out"),
+            Failed::Overdue => f.write_str("not sent: its time had run out"),
             Failed::Barred(why) => write!(f, "not let on: {why}"),
             Failed::Held(fault) => write!(f, "not let on: {}", fault.message),
         }
@@ -81,7 +89,7 @@
     last_event: Option<u64>,
 ) -> Result<Sent, Failed> {
     let repeatable = call.route.kind.is_repeatable();
-    let kept = state.pool.take(&choice.replica, repeatable);
+    let kept = state.pool.take(&choice.replica, repeatable, state.now());
     let is_kept = kept.is_some();
     let mut line = match kept {
         Some(line) => line,
@@ -92,21 +100,27 @@
     quarantine::confirm(state, call).map_err(Failed::Held)?;
     let account = account.as_ref().map(|a| &*a.name);
     let request = request(state, call, choice, last_event, account);
-    let answered = line.send(request, call.left(state.now())).await;
-    let response = match answered {
-        Ok(response) => response,
-        Err(Error::Timeout { .. }) => {
+    let left = call.left(state.now());
+    if left.is_zero() {
+        return Err(Failed::Overdue);
+    }
+    let answered = state
+        .clock
+        .timeout_at(call.deadline, line.send(request, left));
+    let response = match answered.await {
+        Ok(Ok(response)) => response,
+        Err(Elapsed) | Ok(Err(Error::Timeout { .. })) => {
             place.failed();
             return Err(Failed::Late);
         }
-        Err(e) if e.proves_unsent() => {
+        Ok(Err(e)) if e.proves_unsent() => {
             // A kept connection that was closed meanwhile says nothing of the replica.
             if !is_kept {
                 place.unreachable();
             }
             return Err(Failed::Unsent(e.to_string()));
         }
-        Err(e) => {
+        Ok(Err(e)) => {
             let failed = Failed::Lost(e.to_string());
             place.ended(call, &failed);
             return Err(failed);
@@ -185,7 +199,7 @@
     let read = Limited::new(body, MOST_REFUSAL).collect();
     if matches!(tokio::time::timeout(REFUSAL_LIMIT, read).await, Ok(Ok(_))) {
         let keeps_for = ingress::keeps_for(&head.headers);
-        state.pool.give(replica, line, keeps_for);
+        state.pool.give(replica, line, keeps_for, state.now());
     }
 }
 
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -1,10 +1,11 @@
 //! Election of the one host that gives orders: a key under a lease, whose writing begins the term.
 //!
 //! The revision at which the key was written is the fencing token: it is unique and rises. The holder
-//! stops by its own steady clock before its lease can have ended. A host that finds an entry of its own,
+//! stops by its own clock, which counts the time for which it was suspended, before its lease can have ended. A host that finds an entry of its own,
 //! which an earlier process here has left, takes it over at once: the process before it is gone, since
 //! this one listens where that one did.
 
+use crate::clock::Clock;
 use crate::follow::set_leader;
 use crate::state::{Leader, State};
 use parking_lot::Mutex;
@@ -15,9 +16,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 use tracing::{info, warn};
-use unit::{Name, rendezvous};
+use unit::{Name, Span, Time, rendezvous};
 
 /// Key of the leader.
 pub const KEY: &str = "coveford/leader";
@@ -32,7 +32,7 @@
 const RENEWALS: u32 = 3;
 
 /// Time before the lease's end at which its holder stops, for the way of an order that is given.
-const MARGIN: Duration = Duration::from_millis(400);
+const MARGIN: Span = Span::from_ms(400);
 
 /// Longest wait of a host before it tries for a free lease, by chance; hosts wait differently long,
 /// so that few try.
@@ -75,29 +75,30 @@
     /// Fencing token.
     pub token: u64,
     /// When it began.
-    pub since: Instant,
+    pub since: Time,
     /// Whether no host has ever led before, so that no order can be under way.
     pub is_first: bool,
     held: Arc<Mutex<Held>>,
+    clock: Arc<Clock>,
 }
 
 /// How long a term holds.
 struct Held {
-    /// Shortly before its lease ends, by this host's steady clock.
-    until: Instant,
+    /// Shortly before its lease ends, by this host's clock.
+    until: Time,
     /// Whether it is over for good, since it was given up or a later holder gives orders.
     over: bool,
 }
 
 impl Term {
-    /// Whether the term still holds, by this host's steady clock.
+    /// Whether the term still holds, by this host's clock.
     pub fn holds(&self) -> bool {
         let held = self.held.lock();
-        !held.over && Instant::now() < held.until
+        !held.over && self.clock.now() < held.until
     }
 
     /// Lets the term hold until shortly before its lease ends; tells whether it holds now.
-    fn extend(&self, lease_ends: Instant) -> bool {
+    fn extend(&self, lease_ends: Time) -> bool {
         let mut held = self.held.lock();
         held.until = held.until.max(lease_ends - MARGIN);
         drop(held);
@@ -169,7 +170,7 @@
 
 /// Takes a lease and creates the leader's entry under it.
 async fn acquire(state: &Arc<State>) -> Option<(Lease, Term)> {
-    let asked = Instant::now();
+    let asked = state.now();
     let lease = match state.store.grant(LEASE).await {
         Ok(lease) => lease,
         Err(why) => {
@@ -200,12 +201,13 @@
     info!(target: "leader", event = "won", term = token, lease = lease.id, "this host leads");
     let term = Term {
         token,
-        since: Instant::now(),
+        since: state.now(),
         is_first,
         held: Arc::new(Mutex::new(Held {
-            until: asked + lease.ttl.saturating_sub(MARGIN),
+            until: asked + Span::from(lease.ttl).saturating_sub(MARGIN),
             over: false,
         })),
+        clock: state.clock.clone(),
     };
     Some((lease, term))
 }
@@ -269,20 +271,24 @@
 
 /// Renews the lease until it cannot be renewed in time, or the daemon stops.
 async fn hold(state: &State, lease: &Lease, term: &Term) {
-    let pause = lease.ttl / RENEWALS;
+    let pause = Span::from(lease.ttl / RENEWALS);
     loop {
-        let step = Instant::now() + pause;
-        while Instant::now() < step {
+        let step = state.now() + pause;
+        while state.now() < step {
             tokio::time::sleep(LOOK).await;
             if state.is_draining() || !term.holds() {
                 return;
             }
         }
-        let asked = Instant::now();
-        let left = term.held.lock().until.saturating_duration_since(asked);
-        match tokio::time::timeout(left, state.store.renew(lease.id)).await {
+        let asked = state.now();
+        let until = term.held.lock().until;
+        match state
+            .clock
+            .timeout_at(until, state.store.renew(lease.id))
+            .await
+        {
             Ok(Ok(ttl)) => {
-                term.extend(asked + ttl);
+                term.extend(asked + Span::from(ttl));
             }
             Ok(Err(platform::Error::LeaseEnded { lease })) => {
                 warn!(target: "leader", event = "lease_ended", lease, "the lease has ended");
@@ -302,11 +308,11 @@
 /// term goes on.
 async fn resume(state: &State, lease: &Lease, term: &Term) -> bool {
     while !state.is_draining() && !state.is_led_by_another() {
-        let asked = Instant::now();
+        let asked = state.now();
         match renew(state, lease).await {
             Ok(Some(ttl)) => {
                 info!(target: "leader", event = "resumed", term = term.token, "the store answers again, and the term goes on");
-                return term.extend(asked + ttl);
+                return term.extend(asked + Span::from(ttl));
             }
             Ok(None) => return false,
             Err(why) => {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -84,12 +84,20 @@
     /// Receives until the daemon ends.
     pub async fn receive(self: Arc<Self>) {
         let mut buffer = vec![0; BUFFER];
+        let mut returns = self.state.clock.returns();
         loop {
             let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
                 // An earlier datagram met a closed port; the next one may arrive.
                 tokio::task::yield_now().await;
                 continue;
             };
+            // The look at the clock finds a return before the first datagram that waited meanwhile is taken in.
+            self.state.now();
+            let seen = std::mem::replace(&mut returns, self.state.clock.returns());
+            if seen != returns {
+                self.drop_waiting(&mut buffer);
+                continue;
+            }
             match message::decode(&buffer[..length]) {
                 Ok(Message::Pass(bytes)) => self.pass(bytes, from).await,
                 Ok(Message::Question(question)) => self.answer(question, from).await,
@@ -104,6 +112,16 @@
         }
     }
 
+    /// Drops the datagrams that waited while this process stood still: what they tell of ages is as much older, and
+    /// what matters is told again.
+    fn drop_waiting(&self, buffer: &mut [u8]) {
+        let mut dropped = 1;
+        while self.socket.try_recv_from(buffer).is_ok() {
+            dropped += 1;
+        }
+        tracing::info!(target: "peers", event = "returned", dropped, "this process stood still, or its host was suspended; datagrams that waited are dropped");
+    }
+
     fn take(&self, message: Message, from: SocketAddr) {
         let now = self.state.now();
         match message {
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -31,7 +31,7 @@
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tracing::info;
-use unit::{Name, Time};
+use unit::{Name, Span, Time};
 
 /// Pause between two plans.
 const TICK: Duration = Duration::from_millis(200);
@@ -90,7 +90,7 @@
     changes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0;
     while planner.may_tell() {
-        let acts = planner.term.holds() && tokio::time::Instant::now() >= quiet;
+        let acts = planner.term.holds() && planner.state.now() >= quiet;
         tokio::select! {
             _ = tokio::time::sleep_until(next_plan), if planning.is_none() => {
                 begun = tokio::time::Instant::now();
@@ -162,13 +162,13 @@
 
 impl Planner {
     /// When the first order may be given.
-    fn quiet_until(&self) -> tokio::time::Instant {
+    fn quiet_until(&self) -> Time {
         // An earlier holder may have given an order just now: turns within the bound are not allowed.
         let wait = match self.term.is_first {
             true => Duration::ZERO,
             false => self.state.settings.bounds.lease,
         };
-        self.term.since + wait
+        self.term.since + Span::from(wait)
     }
 
     /// Whether this host may tell sums: its term holds, or no other host is known to lead.
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -8,11 +8,11 @@
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
-use unit::Name;
+use std::time::Duration;
+use unit::{Name, Span, Time};
 
 /// Idle age up to which a connection carries a request that may not be repeated.
-const FRESH: Duration = Duration::from_millis(800);
+const FRESH: Span = Span::from_ms(800);
 
 /// Idle time of a connection whose replica does not say how long it keeps one.
 const KEPT: Duration = Duration::from_secs(4);
@@ -28,8 +28,8 @@
 
 struct Idle {
     line: Line,
-    since: Instant,
-    until: Instant,
+    since: Time,
+    until: Time,
 }
 
 /// Pool of connections to replicas.
@@ -40,14 +40,13 @@
 
 impl Pool {
     /// Takes a kept connection that may carry such a request.
-    pub fn take(&self, replica: &str, repeatable: bool) -> Option<Line> {
+    pub fn take(&self, replica: &str, repeatable: bool, now: Time) -> Option<Line> {
         let mut idle = self.idle.lock();
         let lines = idle.get_mut(replica)?;
-        let now = Instant::now();
         lines.retain(|kept| kept.until > now && kept.line.is_idle());
         // The one used last stands last.
         let newest = lines.last()?;
-        if !repeatable && newest.since.elapsed() > FRESH {
+        if !repeatable && now.since(newest.since) > FRESH {
             return None;
         }
         lines.pop().map(|kept| kept.line)
@@ -59,10 +58,12 @@
     }
 
     /// Gives a connection back once its answer was read whole.
-    pub fn give(&self, replica: &Name, line: Line, keeps_for: Option<Duration>) {
-        let now = Instant::now();
+    pub fn give(&self, replica: &Name, line: Line, keeps_for: Option<Duration>, now: Time) {
         let keeps_for = keeps_for.unwrap_or(KEPT + MARGIN);
-        let Some(until) = keeps_for.checked_sub(MARGIN).map(|left| now + left) else {
+        let Some(until) = keeps_for
+            .checked_sub(MARGIN)
+            .map(|left| now + Span::from(left))
+        else {
             return;
         };
         let mut idle = self.idle.lock();
@@ -82,8 +83,7 @@
     }
 
     /// Closes connections that are too old to be used.
-    pub fn tidy(&self) {
-        let now = Instant::now();
+    pub fn tidy(&self, now: Time) {
         let mut idle = self.idle.lock();
         for lines in idle.values_mut() {
             lines.retain(|kept| kept.until > now && kept.line.is_idle());
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -19,8 +19,6 @@
 use platform::ingress;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::time::timeout_at;
 use tracing::info;
 use unit::{Name, Span, Time};
 
@@ -28,7 +26,7 @@
 const MOST_ANSWER: usize = 16 << 20;
 
 /// Silence of a stream that may be resumed after which is looked whether its replica is gone.
-const SILENCE: Duration = Duration::from_millis(1_000);
+const SILENCE: Span = Span::from_ms(1_000);
 
 /// Part of the longest pause in time from which a pause tells that a replica is slow.
 const LONG_PART: f64 = 0.7;
@@ -52,8 +50,8 @@
         response,
     } = sent;
     let (head, body) = response.into_parts();
-    let until = state.instant(call.deadline);
-    let read = timeout_at(until, Limited::new(body, MOST_ANSWER).collect()).await;
+    let read = Limited::new(body, MOST_ANSWER).collect();
+    let read = state.clock.timeout_at(call.deadline, read).await;
     let body = match read {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) => {
@@ -82,7 +80,9 @@
 fn keep(state: &State, place: &Place, line: Line, headers: &HeaderMap) {
     if ingress::keeps_connection(headers) {
         let keeps_for = ingress::keeps_for(headers);
-        state.pool.give(&place.replica, line, keeps_for);
+        state
+            .pool
+            .give(&place.replica, line, keeps_for, state.now());
     }
 }
 
@@ -275,18 +275,19 @@
 
     /// Reads one frame of the answer, or none at its end.
     async fn frame(&mut self) -> Result<Option<Frame<Bytes>>, Failed> {
-        let deadline = self.state.instant(self.call.deadline);
+        let deadline = self.call.deadline;
+        let clock = &self.state.clock;
         let resumable = self.call.route.kind.is_repeatable();
         let Some(source) = &mut self.source else {
             return Ok(None);
         };
         loop {
-            let silence = tokio::time::Instant::now() + SILENCE;
+            let silence = clock.now() + SILENCE;
             let until = match resumable {
                 true => deadline.min(silence),
                 false => deadline,
             };
-            match timeout_at(until, source.body.frame()).await {
+            match clock.timeout_at(until, source.body.frame()).await {
                 Ok(frame) => {
                     let broken = |e| Failed::Lost(format!("its stream broke off: {e}"));
                     return frame.transpose().map_err(broken);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 use tracing::{error, info, warn};
+use unit::Span;
 
 /// Time for a call of the store beyond its waiting; the store answers in milliseconds, and in some
 /// hundreds of them when it is slow.
@@ -318,7 +319,7 @@
     loop {
         tokio::time::sleep(UPKEEP).await;
         expire(&state);
-        state.pool.tidy();
+        state.pool.tidy(state.now());
         state.log.metrics.tidy();
         state.log.tell_left_out();
     }
@@ -366,10 +367,13 @@
         state.set_draining();
         let in_flight = state.in_flight();
         info!(target: "daemon", event = "draining", in_flight, "readiness fails; connections are taken a while longer");
+        let asked = state.now();
         let accepting = ACCEPTING.min(grace.mul_f64(ACCEPTING_PART));
-        tokio::time::sleep(accepting).await;
-        let left = grace.mul_f64(GRACE_PART).saturating_sub(accepting);
-        let cut = self.callers.drain(left).await;
+        state.clock.sleep_until(asked + Span::from(accepting)).await;
+        let end = asked + Span::from(grace.mul_f64(GRACE_PART));
+        let left = end.since(state.now()).std();
+        let drained = state.clock.timeout_at(end, self.callers.drain(left)).await;
+        let cut = drained.unwrap_or_else(|_| self.callers.connections());
         info!(target: "daemon", event = "stopped", cut, "the daemon ends");
     }
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -142,7 +142,7 @@
             Err(fault) => return Err(fault),
         };
         let sent = send(state, call, &choice, place, call.ask.last_event).await;
-        let was_sent = !matches!(sent, Err(Failed::Unsent(_)));
+        let was_sent = !matches!(sent, Err(Failed::Unsent(_) | Failed::Overdue));
         if was_sent && !progress.tried.contains(&choice.replica) {
             progress.tried.push(choice.replica.clone());
         }
@@ -208,7 +208,7 @@
 fn may_go_on(state: &State, call: &Call, last: &Failed, same: bool) -> bool {
     let now = state.now();
     let allowed = match last {
-        Failed::Late | Failed::Barred(_) | Failed::Held(_) => false,
+        Failed::Late | Failed::Overdue | Failed::Barred(_) | Failed::Held(_) => false,
         Failed::Lost(_) | Failed::Failing(_) => {
             call.route.kind.is_repeatable() && !same && quarantine::may_repeat(state, call)
         }
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -10,7 +10,7 @@
 use route::batch;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout;
 use unit::{Name, Span, Time};
 
 /// When a client may come back whose adapter had no room yet.
@@ -205,7 +205,7 @@
     let state = &entry.state;
     let turn = entry.waiting.lock().push(call, until, now);
     tokio::select! {
-        turn = timeout_at(state.instant(until), turn) => turn.ok().and_then(Result::ok),
+        turn = state.clock.timeout_at(until, turn) => turn.ok().and_then(Result::ok),
         _ = state.stopping() => None,
     }
 }
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -16,7 +16,6 @@
 use std::error::Error;
 use std::sync::{Arc, OnceLock};
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::timeout_at;
 use tracing::info;
 use unit::{Span, Time, rendezvous};
 
@@ -117,7 +116,7 @@
     let most = routes.limits.body;
     let room = room(state, &body, most)?;
     let read = Limited::new(body, most).collect();
-    match timeout_at(state.instant(deadline), read).await {
+    match state.clock.timeout_at(deadline, read).await {
         Ok(Ok(body)) => Ok((body.to_bytes(), Some(room))),
         Ok(Err(why)) => Err(broken(&*why, most)),
         Err(_) => Err(Fault::refused(
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -15,7 +15,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::time::Instant;
 use unit::{Name, Time};
 
 /// Part of the process's memory that request bodies may take.
@@ -60,7 +59,7 @@
     draining: watch::Sender<bool>,
     in_flight: AtomicUsize,
     /// Time of this host.
-    pub clock: Clock,
+    pub clock: Arc<Clock>,
 }
 
 /// Host that holds the lease.
@@ -116,7 +115,7 @@
         wanted,
         draining: watch::Sender::new(false),
         in_flight: AtomicUsize::new(0),
-        clock: clock::start(),
+        clock: Arc::new(clock::start()),
         settings,
     };
     (Arc::new(state), receiver, reports)
@@ -128,11 +127,6 @@
         self.clock.now()
     }
 
-    /// The runtime's instant of a time.
-    pub fn instant(&self, time: Time) -> Instant {
-        self.clock.instant(time)
-    }
-
     /// Whether this daemon has been told to stop.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Typed quantities and names shared by the coveford packages.
 
 mod bytes;
+pub mod clock;
 pub mod engine;
 mod fingerprint;
 pub mod rendezvous;
