Requests are looked up in the quarantine only while any is held there; old falls are forgotten on every host

Cause: a host that does not lead kept its records, and read each request's body for ten minutes after any fall. Change: the ledger knows whether it holds any; records end with their falls also where nobody asks for the list.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -150,7 +150,7 @@
             Message::Verdict(number, verdict) => self.answered(number, verdict),
             Message::Refund(refund) => self.take_back(&refund),
             Message::Fallen(fallen) => self.take_fall(&fallen),
-            Message::Sound(print) => self.state.quarantine.sound(print, now),
+            Message::Sound(print) => self.state.quarantine.sound(print),
             Message::Tried(print, broke) => self.state.quarantine.tried(print, broke, now),
             Message::Permit(number, permit) => self.trials.answered(number, permit),
             Message::Listing(listing) if self.is_of_former_term(listing.term) => {}
--- a/crates/front/src/peers/quarantine.rs
+++ b/crates/front/src/peers/quarantine.rs
@@ -19,7 +19,7 @@
             match report {
                 Report::Fallen(group) => self.report_fall(group).await,
                 Report::Sound(print) => {
-                    self.state.quarantine.sound(print, self.state.now());
+                    self.state.quarantine.sound(print);
                     self.tell_leader_of(Message::Sound(print)).await;
                 }
                 Report::Tried(print, broke) => {
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -101,8 +101,8 @@
     }
 
     /// Takes in that a run of a request has ended well on some host.
-    pub fn sound(&self, print: Fingerprint, now: Time) {
-        let cleared = self.board.lock().ledger.ended_well(print, now);
+    pub fn sound(&self, print: Fingerprint) {
+        let cleared = self.board.lock().ledger.ended_well(print);
         if cleared {
             info!(target: "quarantine", event = "cleared", print = %print, "a run of the request has ended well");
         }
--- a/crates/front/src/quarantine/board.rs
+++ b/crates/front/src/quarantine/board.rs
@@ -89,7 +89,7 @@
 
     pub(super) fn is_idle(&self, now: Time) -> bool {
         let told = !self.told.listed.is_empty() && self.is_told(now);
-        !told && self.stored.listed.is_empty() && self.ledger.is_empty()
+        !told && self.stored.listed.is_empty() && !self.ledger.holds_any()
     }
 
     pub(super) fn is_alert(&self, now: Time) -> bool {
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -13,7 +13,7 @@
 pub use falls::{Falls, Group, Start};
 
 use record::Record;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use unit::{Fingerprint, Span, Time};
 
 /// Falls from which a request runs on trial only. With one, a whole batch would wait for trials at each fall.
@@ -112,6 +112,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     records: HashMap<Fingerprint, Record>,
+    /// Requests that are suspected or kept out.
+    held: HashSet<Fingerprint>,
     trial: Option<Trial>,
 }
 
@@ -126,21 +128,21 @@
             record.fell(fall, now);
             if record.standing(now) != before {
                 changed.push(*print);
+                self.held.insert(*print);
             }
         }
-        self.bound();
+        self.bound(now);
         changed
     }
 
     /// Notes that a run of a request has ended well; tells whether that clears it.
-    pub fn ended_well(&mut self, print: Fingerprint, now: Time) -> bool {
+    pub fn ended_well(&mut self, print: Fingerprint) -> bool {
         self.release(print);
         let Some(record) = self.records.get_mut(&print) else {
             return false;
         };
-        let before = record.standing(now);
         record.forgive();
-        before != Standing::Clear
+        self.held.remove(&print)
     }
 
     /// What is held of a request.
@@ -194,28 +196,35 @@
     pub fn restore(&mut self, print: Fingerprint, is_out: bool, now: Time) {
         let record = self.records.entry(print).or_insert(Record::new(now));
         record.restore(is_out, now);
-        self.bound();
+        self.held.insert(print);
+        self.bound(now);
     }
 
     /// Forgets that a request was suspected or kept out.
     pub fn lift(&mut self, print: Fingerprint) {
         self.release(print);
+        self.held.remove(&print);
         if let Some(record) = self.records.get_mut(&print) {
             record.forgive();
         }
     }
 
+    /// Whether any request is suspected or kept out.
+    pub fn holds_any(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// Requests that are suspected or kept out, the newest first.
     pub fn listed(&mut self, now: Time) -> Vec<Listed> {
-        self.records.retain(|_, record| !record.is_over(now));
-        let listed = self.records.iter().filter_map(|(print, record)| {
-            let standing = record.standing(now);
+        self.forget(now);
+        let listed = self.held.iter().filter_map(|print| {
+            let record = self.records.get(print)?;
             let listed = Listed {
                 print: *print,
-                is_out: standing == Standing::KeptOut,
+                is_out: record.standing(now) == Standing::KeptOut,
                 since: record.first,
             };
-            (standing != Standing::Clear).then_some((record.last, listed))
+            Some((record.last, listed))
         });
         let mut listed: Vec<_> = listed.collect();
         listed.sort_by_key(|(last, listed)| (std::cmp::Reverse(*last), listed.print));
@@ -240,9 +249,19 @@
         }
     }
 
+    /// Forgets records whose falls are too old to count.
+    fn forget(&mut self, now: Time) {
+        self.records.retain(|_, record| !record.is_over(now));
+        self.held.retain(|print| self.records.contains_key(print));
+    }
+
     /// Forgets the records whose last fall is oldest, beyond the most that are kept: a quarter at a time, so that
     /// the next ones cost nothing.
-    fn bound(&mut self) {
+    fn bound(&mut self, now: Time) {
+        if self.records.len() <= MOST_RECORDS {
+            return;
+        }
+        self.forget(now);
         if self.records.len() <= MOST_RECORDS {
             return;
         }
@@ -250,6 +269,7 @@
         ages.sort_unstable();
         for (_, print) in ages.into_iter().take(MOST_RECORDS / 4) {
             self.records.remove(&print);
+            self.held.remove(&print);
         }
     }
 }
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -37,7 +37,7 @@
         ledger.fell(Fall(fall), &[POPULAR], at(fall));
     }
     assert_eq!(ledger.standing(POPULAR, at(5)), Standing::Suspected);
-    assert!(ledger.ended_well(POPULAR, at(6)));
+    assert!(ledger.ended_well(POPULAR));
     // Each fall is told more than once, and later.
     for fall in 0..5 {
         ledger.fell(Fall(fall), &[POPULAR], at(10 + fall));
@@ -63,7 +63,7 @@
     assert_eq!(ledger.ask(POPULAR, ANY, at(5)), Permit::Trial);
     assert_eq!(ledger.ask(FATAL, ANY, at(6)), Permit::Wait);
     assert_eq!(ledger.ask(POPULAR, Ticket(8), at(6)), Permit::Wait);
-    ledger.ended_well(POPULAR, at(300));
+    ledger.ended_well(POPULAR);
     assert_eq!(ledger.ask(POPULAR, ANY, at(301)), Permit::Free);
     assert_eq!(ledger.ask(FATAL, ANY, at(301)), Permit::Trial);
 }
@@ -130,6 +130,18 @@
     assert_eq!(ledger.standing(FATAL, at(20_000)), Standing::KeptOut);
 }
 
+/// What is held is forgotten with its falls, also where nobody asks for the list.
+#[test]
+fn what_is_suspected_is_forgotten_in_time() {
+    let mut ledger = Ledger::default();
+    for fall in 0..2 {
+        ledger.fell(Fall(fall), &[POPULAR], at(fall));
+    }
+    assert!(ledger.holds_any());
+    assert!(ledger.listed(at(601_000)).is_empty());
+    assert!(!ledger.holds_any() && ledger.is_empty());
+}
+
 /// What came of a load.
 #[derive(Debug, Default)]
 struct Outcome {
@@ -162,7 +174,7 @@
         running.retain(|end| *end > ms);
         outcome.served += ended;
         if ended > 0 {
-            ledger.ended_well(POPULAR, now);
+            ledger.ended_well(POPULAR);
         }
         if random.random_range(0..1_000) < rate {
             let permit = match way {
