A fall on trial that another suspect may have caused proves nothing yet; three ways beside each other; status tells what is kept out

Cause: with two such requests at a time, something else could be tried beside the second before that was suspected, and be kept out for an hour (a test of the pure ledger that fails before). A trial of a request that was kept out kept its place for 15 s. Change: a fall on trial proves its request alone if nothing else that was in flight there is suspected, else the second one does.

--- a/crates/cli/src/gauges.rs
+++ b/crates/cli/src/gauges.rs
@@ -46,6 +46,8 @@
     pub accounts: Option<u64>,
     /// Age of what it knows of keys, in milliseconds.
     pub keys_age_ms: Option<u64>,
+    /// Requests that are kept out, since they end the replicas that run them.
+    pub kept_out: u64,
 }
 
 /// Asks all daemons at once; one that does not answer says why in [`Daemon::unreachable`].
@@ -92,6 +94,7 @@
         in_flight: whole("coveford_in_flight ").unwrap_or_default(),
         accounts: whole("coveford_accounts "),
         keys_age_ms: gauge("coveford_keys_age_seconds ").map(|s| (s * 1e3) as u64),
+        kept_out: whole("coveford_requests_kept_out ").unwrap_or_default(),
     }
 }
 
@@ -178,6 +181,12 @@
             "The store does not answer {away} of them; they route on by what they knew."
         ));
     }
+    let kept_out = answered.iter().map(|d| d.kept_out).max().unwrap_or(0);
+    if kept_out > 0 {
+        found.push(format!(
+            "{kept_out} requests are kept out, since they ended each replica that ran them; the lines 'kept_out' of part 'quarantine' tell which."
+        ));
+    }
     let old = |d: &&&Daemon| d.keys_age_ms.is_some_and(|ms| ms > OLD_KEYS_MS);
     let unsure = answered.iter().filter(old).count();
     if unsure > 0 {
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -10,7 +10,7 @@
 use std::path::{Path, PathBuf};
 
 /// Parts of a daemon whose lines say what it believed when it decided.
-const BELIEFS: [&str; 5] = ["view", "config", "store", "leader", "daemon"];
+const BELIEFS: [&str; 6] = ["view", "config", "store", "leader", "quarantine", "daemon"];
 
 /// Time before and after a request's lines in which beliefs are told, in milliseconds.
 const AROUND_MS: i64 = 5_000;
--- a/crates/cli/tests/gauges.rs
+++ b/crates/cli/tests/gauges.rs
@@ -64,6 +64,14 @@
     );
 }
 
+#[test]
+fn requests_that_are_kept_out_are_said() {
+    let text =
+        "coveford_configuration_version 38\ncoveford_leads 1\ncoveford_requests_kept_out 2\n";
+    let found = findings(&[read(ADDR.parse().unwrap(), text)]);
+    assert!(found[0].contains("2 requests are kept out"), "{found:?}");
+}
+
 #[tokio::test]
 async fn daemons_that_do_not_answer_are_told() {
     // A port that was free a moment ago.
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -13,7 +13,7 @@
 pub use falls::{Falls, Group, Start};
 
 use record::Record;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use unit::{Fingerprint, Span, Time};
 
 /// Falls from which a request runs on trial only. With one, a whole batch would wait for trials at each fall.
@@ -45,6 +45,9 @@
 /// Requests remembered at once; at 100 bytes each these are 0.4 MB. The one whose last fall is oldest gives way.
 const MOST_RECORDS: usize = 4_096;
 
+/// Falls whose requests are remembered at once; they tell what else may have caused one.
+const MOST_FALLS: usize = 128;
+
 /// Requests listed at once, the newest ones: at 12 bytes each they fit one datagram.
 pub const MOST_LISTED: usize = 64;
 
@@ -114,6 +117,8 @@
     records: HashMap<Fingerprint, Record>,
     /// Requests that are suspected or kept out.
     held: HashSet<Fingerprint>,
+    /// Requests that were in flight at the last falls, oldest first.
+    falls: VecDeque<(Fall, Vec<Fingerprint>)>,
     trial: Option<Trial>,
 }
 
@@ -121,16 +126,25 @@
     /// Notes requests that were in flight where a replica fell; gives those whose standing has changed. The same fall
     /// may be told often, and by several hosts.
     pub fn fell(&mut self, fall: Fall, aboard: &[Fingerprint], now: Time) -> Vec<Fingerprint> {
-        let mut changed = Vec::new();
+        self.note_aboard(fall, aboard);
+        let before: Vec<Standing> = aboard.iter().map(|p| self.standing(*p, now)).collect();
         for print in aboard {
             let record = self.records.entry(*print).or_insert(Record::new(now));
-            let before = record.standing(now);
             record.fell(fall, now);
-            if record.standing(now) != before {
-                changed.push(*print);
+            if record.is_suspected() {
                 self.held.insert(*print);
             }
         }
+        let mut changed = Vec::new();
+        for (print, before) in aboard.iter().zip(before) {
+            if self.standing(*print, now) != before {
+                changed.push(*print);
+            }
+        }
+        // A trial is over with the fall that it brought, also where its host cannot say so.
+        for print in &changed {
+            self.release(*print);
+        }
         self.bound(now);
         changed
     }
@@ -148,15 +162,44 @@
     /// What is held of a request.
     pub fn standing(&self, print: Fingerprint, now: Time) -> Standing {
         let record = self.records.get(&print);
-        record.map_or(Standing::Clear, |r| r.standing(now))
+        let is_contested = |fall| self.is_contested(fall, print);
+        record.map_or(Standing::Clear, |r| r.standing(now, is_contested))
+    }
+
+    /// Whether something else that is suspected was in flight at a fall as well.
+    fn is_contested(&self, fall: Fall, print: Fingerprint) -> bool {
+        let known = self.falls.iter().find(|(known, _)| *known == fall);
+        let aboard = known.map_or(&[][..], |(_, aboard)| aboard);
+        let is_suspected =
+            |other: &Fingerprint| self.records.get(other).is_some_and(Record::is_suspected);
+        aboard
+            .iter()
+            .any(|other| *other != print && is_suspected(other))
+    }
+
+    /// Adds requests to those that were in flight at a fall.
+    fn note_aboard(&mut self, fall: Fall, aboard: &[Fingerprint]) {
+        let known = self.falls.iter_mut().find(|(known, _)| *known == fall);
+        match known {
+            Some((_, all)) => {
+                let new = aboard.iter().filter(|print| !all.contains(print));
+                let new: Vec<Fingerprint> = new.copied().collect();
+                all.extend(new);
+            }
+            None => self.falls.push_back((fall, aboard.to_vec())),
+        }
+        if self.falls.len() > MOST_FALLS {
+            self.falls.pop_front();
+        }
     }
 
     /// What may be done with a request; begins its trial where that is the answer.
     pub fn ask(&mut self, print: Fingerprint, ticket: Ticket, now: Time) -> Permit {
+        let standing = self.standing(print, now);
         let Some(record) = self.records.get_mut(&print) else {
             return Permit::Free;
         };
-        match record.standing(now) {
+        match standing {
             Standing::Clear => Permit::Free,
             Standing::KeptOut => Permit::KeptOut(record.kept_out_for(now)),
             Standing::Suspected => match &self.trial {
@@ -184,12 +227,11 @@
     /// Notes that a trial has ended, and not well; tells whether the standing of its request has changed.
     pub fn trial_ended(&mut self, print: Fingerprint, how: Ended, now: Time) -> bool {
         self.release(print);
-        let Some(record) = self.records.get_mut(&print) else {
-            return false;
-        };
-        let before = record.standing(now);
-        record.trial_ended(how, now);
-        record.standing(now) != before
+        let before = self.standing(print, now);
+        if let Some(record) = self.records.get_mut(&print) {
+            record.trial_ended(how, now);
+        }
+        self.standing(print, now) != before
     }
 
     /// Takes over that a request is suspected or kept out, by the word of an earlier leader.
@@ -221,7 +263,7 @@
             let record = self.records.get(print)?;
             let listed = Listed {
                 print: *print,
-                is_out: record.standing(now) == Standing::KeptOut,
+                is_out: self.standing(*print, now) == Standing::KeptOut,
                 since: record.first,
             };
             Some((record.last, listed))
--- a/crates/route/src/quarantine/record.rs
+++ b/crates/route/src/quarantine/record.rs
@@ -9,6 +9,9 @@
 /// Falls remembered of one request, the newest ones.
 const MOST_FALLS: usize = 8;
 
+/// Falls on trial that prove a request guilty, whatever else was in flight: two suspects have no trials together.
+const PROVING_TRIALS: usize = 2;
+
 /// Falls of one request, and its trials.
 #[derive(Debug)]
 pub(super) struct Record {
@@ -26,7 +29,9 @@
     next_trial: Time,
     /// Trials that broke off where no fall was found yet.
     broken: u32,
-    /// Whether a trial has ended its replica.
+    /// Falls on trial, of those that count.
+    on_trial: Vec<Fall>,
+    /// Whether it is proved in another way: by an earlier leader, or by trials that always break off.
     is_proved: bool,
 }
 
@@ -40,15 +45,21 @@
             on_trial_until: None,
             next_trial: Time(0),
             broken: 0,
+            on_trial: Vec::new(),
             is_proved: false,
         }
     }
 
-    pub(super) fn standing(&self, now: Time) -> Standing {
-        let is_proved = self.is_proved && self.counted.len() >= KEPT_OUT_FROM;
+    /// What is held of it; `is_contested` tells whether something else that is suspected was in flight at a fall, and may
+    /// have caused it.
+    pub(super) fn standing(&self, now: Time, is_contested: impl Fn(Fall) -> bool) -> Standing {
+        let fell_on_trial = self.on_trial.len() >= PROVING_TRIALS
+            || self.on_trial.iter().any(|fall| !is_contested(*fall));
+        let is_proved = self.is_proved || fell_on_trial;
+        let is_proved = is_proved && self.counted.len() >= KEPT_OUT_FROM;
         if is_proved && now.since(self.last) < KEPT_OUT_FOR {
             Standing::KeptOut
-        } else if self.counted.len() >= SUSPECTED_FROM {
+        } else if self.is_suspected() {
             Standing::Suspected
         } else {
             Standing::Clear
@@ -70,8 +81,14 @@
         push(&mut self.counted, fall);
         self.last = now;
         self.broken = 0;
-        let on_trial = self.on_trial_until.is_some_and(|until| now < until);
-        self.is_proved |= on_trial;
+        if self.on_trial_until.is_some_and(|until| now < until) {
+            push(&mut self.on_trial, fall);
+        }
+    }
+
+    /// Whether it is suspected at the least.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.counted.len() >= SUSPECTED_FROM
     }
 
     /// Whether a trial may begin.
@@ -130,12 +147,13 @@
         }
         self.on_trial_until = None;
         self.broken = 0;
+        self.on_trial.clear();
         self.is_proved = false;
     }
 
     /// Whether it can be forgotten.
     pub(super) fn is_over(&self, now: Time) -> bool {
-        let kept = match self.is_proved {
+        let kept = match self.is_proved || !self.on_trial.is_empty() {
             true => KEPT_OUT_FOR + REMEMBERED,
             false => REMEMBERED,
         };
@@ -145,7 +163,8 @@
     /// What gives way first where there are too many: what is not proved, and among these the oldest.
     pub(super) fn rank(&self) -> (bool, usize, Time) {
         let falls = self.counted.len().min(SUSPECTED_FROM);
-        (self.is_proved, falls, self.last)
+        let fell_on_trial = self.is_proved || !self.on_trial.is_empty();
+        (fell_on_trial, falls, self.last)
     }
 }
 
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -5,6 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use route::quarantine::{Ended, Fall, KEPT_OUT_FOR, Ledger, Permit, Standing, Ticket};
 use rstest::rstest;
+use std::collections::HashMap;
 use unit::{Fingerprint, Span, Time};
 
 const FATAL: Fingerprint = Fingerprint(1);
@@ -68,6 +69,29 @@
     assert_eq!(ledger.ask(FATAL, ANY, at(301)), Permit::Trial);
 }
 
+/// Two requests that end replicas come at the same time, each with something else in flight: that is tried while the
+/// second one of them is not suspected yet, and falls with it.
+#[test]
+fn a_fall_that_another_suspect_may_have_caused_proves_nothing_yet() {
+    let mut ledger = Ledger::default();
+    let second = Fingerprint(3);
+    ledger.fell(Fall(0), &[FATAL, POPULAR], at(0));
+    ledger.fell(Fall(1), &[second, POPULAR], at(1));
+    assert_eq!(ledger.ask(POPULAR, ANY, at(2)), Permit::Trial);
+    // Two hosts tell of the same fall, one after the other.
+    ledger.fell(Fall(2), &[POPULAR], at(10));
+    ledger.fell(Fall(2), &[second], at(12));
+    assert_eq!(ledger.standing(POPULAR, at(13)), Standing::Suspected);
+    assert_eq!(ledger.standing(second, at(13)), Standing::Suspected);
+    ledger.trial_ended(POPULAR, Ended::Broken, at(13));
+    assert_eq!(ledger.ask(second, ANY, at(20)), Permit::Trial);
+    ledger.fell(Fall(3), &[second], at(60));
+    assert_eq!(ledger.standing(second, at(61)), Standing::KeptOut);
+    assert_eq!(ledger.ask(POPULAR, ANY, at(1_100)), Permit::Trial);
+    ledger.ended_well(POPULAR);
+    assert_eq!(ledger.ask(POPULAR, ANY, at(1_200)), Permit::Free);
+}
+
 /// A host that dies with a trial in hand does not keep the others from being tried for good.
 #[test]
 fn a_trial_that_nobody_ends_is_over_in_time() {
@@ -147,6 +171,8 @@
 struct Outcome {
     falls: u32,
     served: u32,
+    /// Of these, in the second half.
+    served_later: u32,
     turned_away: u32,
 }
 
@@ -157,59 +183,106 @@
     Trials,
     /// Keeping out whatever was in flight at three falls.
     Count,
+    /// Keeping out whatever was in flight at three falls and has not ended well since the first of them.
+    Forgiving,
 }
 
-/// Twenty seconds: the fatal request comes at times of its own; a popular one, some of whose runs are in flight at
-/// each fall, comes `rate` times a second, and runs for 600 ms.
-fn play(way: Way, rate: u64, fatal_each: u64, seed: u64) -> Outcome {
+/// A load of the fatal request and a popular one.
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    /// Times that the popular one is asked for in a second.
+    rate: u64,
+    /// Time that it runs, in milliseconds.
+    runs: u64,
+    /// Time between two comings of the fatal one, about, in milliseconds.
+    fatal_each: u64,
+    /// Replicas that run both.
+    copies: usize,
+}
+
+/// What one way holds of requests.
+struct Decider {
+    way: Way,
+    ledger: Ledger,
+    /// Falls that count against each request, where the way only counts.
+    falls: HashMap<Fingerprint, u32>,
+}
+
+impl Decider {
+    fn may_run(&mut self, print: Fingerprint, ms: u64) -> bool {
+        match self.way {
+            Way::Trials => {
+                let permit = self.ledger.ask(print, Ticket(ms), at(ms));
+                matches!(permit, Permit::Free | Permit::Trial)
+            }
+            Way::Count | Way::Forgiving => self.falls.get(&print).is_none_or(|falls| *falls < 3),
+        }
+    }
+
+    fn fell(&mut self, fall: u64, aboard: &[Fingerprint], ms: u64) {
+        self.ledger.fell(Fall(fall), aboard, at(ms));
+        for print in aboard {
+            *self.falls.entry(*print).or_default() += 1;
+        }
+    }
+
+    fn ended_well(&mut self, print: Fingerprint) {
+        self.ledger.ended_well(print);
+        if self.way == Way::Forgiving {
+            self.falls.remove(&print);
+        }
+    }
+}
+
+/// Twenty seconds in which the fatal request comes at times of its own; what runs of the popular one at that replica is in
+/// flight at each fall.
+fn play(way: Way, load: Load, seed: u64) -> Outcome {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut ledger = Ledger::default();
-    let mut falls_of_popular = 0;
+    let mut decider = Decider {
+        way,
+        ledger: Ledger::default(),
+        falls: HashMap::new(),
+    };
     let mut outcome = Outcome::default();
     let mut running: Vec<u64> = Vec::new();
     let mut next_fatal = 500;
     for ms in 0..20_000_u64 {
-        let now = at(ms);
         let ended = running.iter().filter(|end| **end == ms).count() as u32;
         running.retain(|end| *end > ms);
         outcome.served += ended;
+        if ms >= 10_000 {
+            outcome.served_later += ended;
+        }
         if ended > 0 {
-            ledger.ended_well(POPULAR);
+            decider.ended_well(POPULAR);
         }
-        if random.random_range(0..1_000) < rate {
-            let permit = match way {
-                Way::Trials => ledger.ask(POPULAR, Ticket(ms), now),
-                Way::Count if falls_of_popular >= 3 => Permit::Wait,
-                Way::Count => Permit::Free,
-            };
-            match permit {
-                Permit::Free | Permit::Trial => running.push(ms + 600),
-                Permit::Wait | Permit::KeptOut(_) => outcome.turned_away += 1,
+        if random.random_range(0..1_000) < load.rate {
+            match decider.may_run(POPULAR, ms) {
+                true => running.push(ms + load.runs),
+                false => outcome.turned_away += 1,
             }
         }
         if ms != next_fatal {
             continue;
         }
-        next_fatal += random.random_range(fatal_each / 2..fatal_each * 2);
-        let permit = match way {
-            Way::Trials => ledger.ask(FATAL, Ticket(ms), now),
-            Way::Count if outcome.falls >= 3 => Permit::Wait,
-            Way::Count => Permit::Free,
-        };
-        if matches!(permit, Permit::Free | Permit::Trial) {
+        next_fatal += random.random_range(load.fatal_each / 2..load.fatal_each * 2);
+        if decider.may_run(FATAL, ms) {
             outcome.falls += 1;
-            // A third of what runs is at that replica.
-            let aboard = running.len().div_ceil(3);
+            let aboard = running.len().div_ceil(load.copies);
             running.drain(..aboard);
             let beside = (aboard > 0).then_some(POPULAR);
-            falls_of_popular += u32::from(aboard > 0);
             let aboard: Vec<Fingerprint> = beside.into_iter().chain([FATAL]).collect();
-            ledger.fell(Fall(u64::from(outcome.falls)), &aboard, now);
+            decider.fell(u64::from(outcome.falls), &aboard, ms);
         }
     }
     outcome
 }
 
+fn share_turned_away(outcome: &Outcome) -> f64 {
+    let asked = outcome.served + outcome.turned_away;
+    f64::from(outcome.turned_away) / f64::from(asked.max(1))
+}
+
 /// The fatal request ends three replicas, and of what is popular no more than one in twenty is turned away.
 #[rstest]
 fn what_is_popular_stays_served(
@@ -217,15 +290,87 @@
     #[values(300, 1_200)] fatal_each: u64,
     #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
 ) {
-    let outcome = play(Way::Trials, rate, fatal_each, seed);
+    let load = Load {
+        rate,
+        runs: 600,
+        fatal_each,
+        copies: 3,
+    };
+    let outcome = play(Way::Trials, load, seed);
     assert_eq!(outcome.falls, 3, "{outcome:?}");
-    let share = f64::from(outcome.turned_away) / f64::from(outcome.served);
-    assert!(share <= 0.05, "{outcome:?}");
+    assert!(share_turned_away(&outcome) <= 0.05, "{outcome:?}");
+}
+
+/// What is asked for seldom, or runs long, comes back when its trial has ended well; it is never kept out.
+#[rstest]
+fn what_is_asked_for_seldom_comes_back(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let load = Load {
+        rate: 2,
+        runs: 3_000,
+        fatal_each: 300,
+        copies: 3,
+    };
+    let outcome = play(Way::Trials, load, seed);
+    assert!(outcome.falls <= 4, "{outcome:?}");
+    assert!(outcome.served > 0, "{outcome:?}");
 }
 
 /// Why falls alone are not enough: what is popular is kept out with the request that it ran beside.
 #[test]
 fn counting_falls_alone_keeps_out_what_is_popular() {
-    let outcome = play(Way::Count, 60, 1_200, 1);
+    let load = Load {
+        rate: 60,
+        runs: 600,
+        fatal_each: 1_200,
+        copies: 3,
+    };
+    let outcome = play(Way::Count, load, 1);
     assert!(outcome.turned_away > outcome.served, "{outcome:?}");
 }
+
+/// Why good ends alone are not enough: a model that stands on one replica loses all that runs at each fall, so that
+/// nothing of it ends well between three of them; what is kept out then never ends well again.
+#[rstest]
+fn what_stands_on_one_replica_comes_back(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let load = Load {
+        rate: 20,
+        runs: 3_000,
+        fatal_each: 300,
+        copies: 1,
+    };
+    let forgiving = play(Way::Forgiving, load, seed);
+    assert_eq!(forgiving.served_later, 0, "{forgiving:?}");
+    let trials = play(Way::Trials, load, seed);
+    assert!(trials.served_later > 100, "{trials:?}");
+}
+
+/// Prints the ways beside each other; figures for the page of the design.
+#[test]
+#[ignore = "it prints a table and checks nothing"]
+fn ways_beside_each_other() {
+    for (rate, runs, fatal_each, copies) in [
+        (200, 600, 1_200, 3),
+        (60, 600, 300, 3),
+        (60, 3_000, 300, 3),
+        (2, 3_000, 1_200, 3),
+        (20, 600, 1_200, 1),
+        (20, 3_000, 1_200, 1),
+        (20, 3_000, 300, 1),
+    ] {
+        let load = Load {
+            rate,
+            runs,
+            fatal_each,
+            copies,
+        };
+        for way in [Way::Count, Way::Forgiving, Way::Trials] {
+            let outcomes: Vec<Outcome> = (1..=20).map(|seed| play(way, load, seed)).collect();
+            let most = outcomes.iter().map(|o| o.falls).max();
+            let away: f64 = outcomes.iter().map(share_turned_away).sum::<f64>() / 20.0;
+            let never = outcomes.iter().filter(|o| o.served_later == 0).count();
+            println!(
+                "{load:?} {way:?}: most falls {most:?}, turned away {away:.3}, not served any more in {never} of 20"
+            );
+        }
+    }
+}
