--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -35,6 +35,7 @@
     violations.extend(replicas.iter().filter_map(|r| leaving(r, &site.disturbed)));
     violations.extend(tokens(replicas));
     violations.extend(accounts::check(told, replicas, &site.written));
+    violations.extend(stopped(replicas, peace));
     violations.extend(recovery(told, peace));
     violations
 }
@@ -103,6 +104,16 @@
     violations
 }
 
+/// A request that has ended replicas ends none any more.
+fn stopped(replicas: &[Replica], peace: Instant) -> Option<String> {
+    let falls: Vec<Instant> = replicas.iter().flat_map(Replica::falls).collect();
+    let late = falls.iter().filter(|at| **at > peace).count();
+    let all = falls.len();
+    (late > 0).then(|| {
+        format!("a request ended {late} replicas after all faults, {all} with those before")
+    })
+}
+
 fn recovery(told: &[Told], peace: Instant) -> Option<String> {
     let steady = told.iter().filter(|t| t.caller == Caller::Steady);
     let after: Vec<&Told> = steady.filter(|t| t.sent > peace).collect();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -129,6 +129,28 @@
     }
 }
 
+/// Body of a request that ends each plain replica that begins to run it.
+pub const FATAL: &str = "fatal";
+
+/// Pause between two comings of that request.
+const INSISTS: Duration = Duration::from_millis(400);
+
+/// Sends a request that ends replicas, each time with another identity and to any host, until the book says no more.
+pub async fn insist(book: Arc<Book>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    while book.goes_on.load(Ordering::Relaxed) {
+        let host = book.hosts[rng.random_range(0..book.hosts.len())];
+        let id = format!("s-{}", book.next.fetch_add(1, Ordering::Relaxed));
+        let mut request = request(Kind::Once, Caller::Steady, "", &id);
+        *request.body_mut() = conn::Body::new(FATAL.into());
+        if let Ok(mut line) = Line::open(host, PATIENCE).await {
+            // Whatever it is told: what counts is whether replicas fall.
+            let _ = line.exchange(request, PATIENCE, 1 << 20).await;
+        }
+        tokio::time::sleep(INSISTS).await;
+    }
+}
+
 /// Asks one request; gives the connection back if it may carry another.
 async fn ask(
     book: &Book,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -24,6 +24,9 @@
 /// Time that the site has to come up, and to recover when all faults are over.
 const SETTLES: Duration = Duration::from_secs(8);
 
+/// Time until a replica that a request has ended is back.
+const BACK: Duration = Duration::from_millis(1_500);
+
 /// Time of peace in which requests are judged for recovery.
 const PEACE: Duration = Duration::from_secs(2);
 
@@ -69,9 +72,10 @@
     let mut site = set_up(options, &folder).await?;
     sleep(SETTLES).await;
     let book = client::book(site.hosts.iter().map(|h| h.callers).collect());
-    let clients: Vec<_> = (0..CLIENTS)
+    let mut clients: Vec<_> = (0..CLIENTS)
         .map(|n| tokio::spawn(client::run(book.clone(), seed * 1_000 + n)))
         .collect();
+    clients.push(tokio::spawn(client::insist(book.clone(), seed)));
     let faults = faults::inject(&mut site, seed, options.length).await?;
     sleep(SETTLES).await;
     let in_force = site.in_force().await;
@@ -203,6 +207,7 @@
             models: models.iter().map(|m| (*m).to_owned()).collect(),
             events: client::EVENTS,
             pace: Duration::from_millis(15),
+            fatal: (service == "web").then_some((client::FATAL, BACK)),
             ..Replica::default()
         };
         let what = "a replica's stand-in";
