While the store is away and nobody leads, each host gives out its own trials

Cause: a suspect that no leader clears or tries is turned away for as long as the outage lasts, also what is innocent (read off the code; the new test fails before: 503). Change: without a leader's answer and with the store away the host's own ledger decides. Ruled out: deciding so in an election's gap, in which the fatal request would have a trial on each host.

--- a/crates/front/src/peers/quarantine.rs
+++ b/crates/front/src/peers/quarantine.rs
@@ -23,6 +23,11 @@
                     self.tell_leader_of(Message::Sound(print)).await;
                 }
                 Report::Tried(print, broke) => {
+                    if !self.state.leads() {
+                        // The trial may have been this host's own.
+                        let now = self.state.now();
+                        self.state.quarantine.tried(print, broke, now);
+                    }
                     self.tell_leader_of(Message::Tried(print, broke)).await
                 }
             }
--- a/crates/front/src/quarantine/admit.rs
+++ b/crates/front/src/quarantine/admit.rs
@@ -63,14 +63,18 @@
         let permit = match state.quarantine.standing(print, now) {
             Standing::Clear => return Ok(()),
             Standing::KeptOut => Permit::KeptOut(KEPT_OUT_FOR),
-            Standing::Suspected => {
-                let asked = peers.ask_for_trial(print, ticket).await;
-                asked.unwrap_or(Permit::Wait)
-            }
+            Standing::Suspected => match peers.ask_for_trial(print, ticket).await {
+                Some(permit) => permit,
+                // Nobody can come to lead before the store is back: what is innocent would wait for as long.
+                None if state.table.lock().view.contact.is_away() => {
+                    state.quarantine.ask(print, ticket, state.now())
+                }
+                None => Permit::Wait,
+            },
         };
         match permit {
             Permit::Free => {
-                // The leader knows better than what was seen here.
+                // Whoever decides knows better than what was seen here.
                 state.quarantine.lift(print);
                 return Ok(());
             }
--- a/crates/front/tests/quarantine.rs
+++ b/crates/front/tests/quarantine.rs
@@ -19,6 +19,7 @@
 use platform_standin::proxy::Mode;
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Store;
+use route::quarantine::Fall;
 use site::{
     BACK, FATAL, ask, ask_body, behind_a_proxy, daemon, fragile, fragile_engine, keep_alone,
     request, send, settings, store, until,
@@ -27,6 +28,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use unit::Fingerprint;
 
 /// Falls after which a request that causes them is known for what it is: two may be chance, the third, with the request on
 /// trial, is not.
@@ -334,3 +336,26 @@
     }
     assert!(falls(&fleet) <= KNOWN_AFTER + 1, "{} falls", falls(&fleet));
 }
+
+/// Nobody leads, and nobody can while the store is away: each host tries what it suspects by itself, so that what is
+/// innocent comes back.
+#[tokio::test]
+async fn a_suspect_is_tried_also_while_nobody_can_lead() {
+    let store = store().await;
+    let _fleet = fleet(&store, 3).await;
+    let mut hosts = hosts(&store, 2).await;
+    let print = Fingerprint::of("a.example", "/again/x", None, b"popular");
+    let leads = hosts.iter().position(|host| host.state().leads()).unwrap();
+    drop(hosts.remove(leads));
+    store.set_mode(platform_standin::store::Mode::Silent);
+    let state = hosts[0].state();
+    until(|| state.table.lock().view.contact.is_away()).await;
+    for fall in 0..2 {
+        state.quarantine.fell(Fall(fall), &[print], state.now());
+    }
+    assert_eq!(
+        ask_body(&hosts[0], "/again/x", "popular").await.status(),
+        200
+    );
+    until(|| state.quarantine.is_idle(state.now())).await;
+}
