Sight: limits that replicas name are decoded, told and counted

Cause of the gap: the header field stood in no table of names; a log could not tell whether a replica had named a limit, when, to whom, and what was sent to it after that. Nothing is decided by it.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -8,6 +8,7 @@
 
 use crate::accounts::{self, Refusal};
 use crate::clock::Elapsed;
+use crate::limits;
 use crate::quarantine;
 use crate::respond::Fault;
 use crate::state::State;
@@ -104,6 +105,7 @@
     if left.is_zero() {
         return Err(Failed::Overdue);
     }
+    limits::note_sending(state, call, &choice.replica, last_event);
     let answered = state
         .clock
         .timeout_at(call.deadline, line.send(request, left));
@@ -164,6 +166,7 @@
         return Err(Failed::Lost("an answer to another request came".into()));
     }
     if ingress::states_not_run(status, headers) {
+        limits::heard(state, &place, headers, false);
         place.failed();
         place.refused(status);
         give_back(state, &place.replica, line, response).await;
@@ -175,6 +178,7 @@
             "an answer with status {status} without signature came"
         )));
     }
+    limits::heard(state, &place, response.headers(), true);
     place.reached();
     Ok(Sent {
         place,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod follow;
 pub mod leader;
+mod limits;
 pub mod log;
 pub mod message;
 pub mod metrics;
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -9,6 +9,7 @@
 mod adapters;
 mod choose;
 mod demand;
+mod limits;
 mod pace;
 mod replica;
 mod share;
@@ -16,6 +17,7 @@
 mod told;
 
 pub use choose::{Choice, Nowhere};
+pub use limits::Change;
 pub use replica::Footprint;
 
 use crate::message::Use;
--- a/crates/front/src/table/replica.rs
+++ b/crates/front/src/table/replica.rs
@@ -7,6 +7,7 @@
 use super::{DIRECT_AGE, SUMS_AGE, Want};
 use crate::message::Load;
 use platform::ingress::Ask;
+use route::quota::Notice;
 use std::collections::{BTreeMap, VecDeque};
 use unit::{Name, Time};
 
@@ -38,6 +39,8 @@
     pub(super) others_at: Time,
     /// What each other host has in flight there, as it told itself, and when.
     pub(super) hosts: BTreeMap<Name, (Load, Time)>,
+    /// What it last said of its limit.
+    pub(super) notice: Option<Notice>,
     /// Share of its answers that failed.
     pub(super) failing: Share,
     /// Mark of long pauses in its streams.
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -12,10 +12,12 @@
 
 mod ledger;
 mod limiter;
+mod notice;
 mod share;
 
 pub use ledger::Ledger;
 pub use limiter::{Limiter, Units};
+pub use notice::Notice;
 pub use share::Share;
 
 use unit::Span;
--- /dev/null
+++ b/crates/route/src/quota/notice.rs
@@ -0,0 +1,76 @@
+//! What a replica last said of how many requests a second it takes from all hosts together.
+//!
+//! Each answer says it anew, to the host that gets the answer; hosts tell each other, and [`Notice::join`] brings
+//! what they heard together in any order.
+
+use super::Limit;
+use unit::{Span, Time};
+
+/// Time for which a limit still holds after the first answer that names none. One that comes back in it has
+/// never been over, so that nothing is sent beyond it in between.
+pub const HOLDS_ON: Span = Span::from_ms(1_000);
+
+/// Time by which one and the same naming may seem newer after other hosts passed it on.
+const ECHO: Span = Span::from_ms(250);
+
+/// Rate that goes to a replica which names less: only an answer can say that its need is over.
+const LEAST_RATE: f64 = 0.25;
+
+/// What a replica last said.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Notice {
+    /// Requests a second, as it named them last.
+    pub rate: f64,
+    /// When it did.
+    pub named: Time,
+    /// When the first answer after that came which named none.
+    pub unnamed: Option<Time>,
+}
+
+impl Notice {
+    /// Makes one of an answer that has just come and names a rate.
+    pub fn new(rate: f64, now: Time) -> Notice {
+        Notice {
+            rate,
+            named: now,
+            unnamed: None,
+        }
+    }
+
+    /// Takes in an answer that names none.
+    pub fn unname(&mut self, now: Time) {
+        if now > self.named {
+            self.unnamed.get_or_insert(now);
+        }
+    }
+
+    /// Whether the limit holds no longer.
+    pub fn is_over(&self, now: Time) -> bool {
+        self.unnamed.is_some_and(|at| now.since(at) >= HOLDS_ON)
+    }
+
+    /// Limit by which requests are given out.
+    pub fn limit(&self) -> Limit {
+        Limit {
+            rate: self.rate.max(LEAST_RATE),
+            burst: 0.0,
+        }
+    }
+
+    /// Takes in what another host heard; tells whether that says anything else.
+    pub fn join(&mut self, told: &Notice) -> bool {
+        let before = *self;
+        let echo = match told.rate == self.rate {
+            true => ECHO,
+            false => Span::ZERO,
+        };
+        if told.named > self.named + echo {
+            self.rate = told.rate;
+            self.named = told.named;
+        }
+        let since = |at: &Time| *at > self.named;
+        let unnamed = [before.unnamed, told.unnamed].into_iter().flatten();
+        self.unnamed = unnamed.filter(since).min();
+        self.rate != before.rate || self.unnamed.is_some() != before.unnamed.is_some()
+    }
+}
