--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -15,6 +15,7 @@
 use platform_standin::store::{self, Store};
 use platform_standin::{Account, Route, ports};
 use serde_json::Value;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -276,12 +277,21 @@
     send(daemon, (id, request)).await
 }
 
+/// Sends a request to where a host answers callers and reads its whole answer.
+pub async fn ask_at(callers: SocketAddr, path: &str, model: Option<&str>) -> (String, Answer) {
+    send_to(callers, request(path, model)).await
+}
+
 /// Sends a request that was made and reads its whole answer.
-pub async fn send(
-    daemon: &Daemon,
+pub async fn send(daemon: &Daemon, made: (String, Request<conn::Body>)) -> (String, Answer) {
+    send_to(daemon.callers(), made).await
+}
+
+async fn send_to(
+    callers: SocketAddr,
     (id, request): (String, Request<conn::Body>),
 ) -> (String, Answer) {
-    let mut line = Line::open(daemon.callers(), PATIENCE).await.unwrap();
+    let mut line = Line::open(callers, PATIENCE).await.unwrap();
     let reply = line.exchange(request, PATIENCE, 1 << 20).await;
     (id, Answer(reply))
 }
