--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -53,6 +53,11 @@
 }
 
 impl Failed {
+    /// Whether it is proven that nothing of the request reached the replica.
+    pub fn proves_unsent(&self) -> bool {
+        self.proves_not_run() && !matches!(self, Failed::NotRun(_))
+    }
+
     /// Whether it is proven that the request did not run there and will not.
     pub fn proves_not_run(&self) -> bool {
         matches!(
--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -74,6 +74,7 @@
             gap: self.route.gap.map(Span::from),
             avoid,
             only,
+            resumes: false,
         }
     }
 }
--- /dev/null
+++ b/crates/front/src/grant.rs
@@ -0,0 +1,138 @@
+//! Units of a limit over all hosts, as this host asks for them, is given them, and gives them back.
+//!
+//! The host that leads gives out. While it does not answer, this one goes on by its share of what was given out lately.
+
+use crate::message::{Question, Subject, Verdict};
+use crate::peers::Peers;
+use crate::state::State;
+use route::quota::{GIVEN_BACK_WITHIN, Given, Limit, Over};
+use std::sync::Arc;
+use std::time::Duration;
+use unit::{Span, Time};
+
+/// Units that are wanted for one request.
+pub struct Wanted {
+    /// Whose limit it is.
+    pub subject: Subject,
+    /// The limit, as this host knows it.
+    pub limit: Limit,
+    /// How many.
+    pub units: f64,
+    /// Units that are to be left for what is more urgent.
+    pub kept: f64,
+    /// Whether nothing else can take the request, so that it comes again.
+    pub queues: bool,
+}
+
+/// Units that were given for one request.
+pub struct Grant {
+    peers: Arc<Peers>,
+    subject: Subject,
+    units: f64,
+    /// When they were asked for.
+    asked: Time,
+    source: Source,
+}
+
+/// Where units came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The host that gives out.
+    Limiter,
+    /// This host's share.
+    Share,
+}
+
+/// What the host that gives out says.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Answer {
+    /// They are given.
+    Given(Given),
+    /// There are not enough.
+    Over(Over),
+    /// There is no limit.
+    Unlimited,
+}
+
+/// Asks the host that gives out, once for each time that a try may take; none when it did not answer.
+pub async fn ask(
+    state: &State,
+    peers: &Peers,
+    wanted: &Wanted,
+    tries: &[Duration],
+) -> Option<Answer> {
+    let asked = state.now();
+    let untold = state.shares.with(&wanted.subject, |share| share.untold());
+    let question = Question {
+        number: 0,
+        host: state.settings.name.clone(),
+        subject: wanted.subject.clone(),
+        units: wanted.units as f32,
+        kept: wanted.kept as f32,
+        queues: wanted.queues,
+        alone: untold as f32,
+    };
+    let answer = peers.ask_for(question, tries).await.and_then(answer);
+    let Some(answer) = answer else {
+        state.shares.not_answered(state.now());
+        return None;
+    };
+    state.shares.with(&wanted.subject, |share| {
+        share.answered(asked, untold);
+        if let Answer::Given(told) = answer {
+            share.given(wanted.units, told, asked);
+        }
+    });
+    Some(answer)
+}
+
+/// What a verdict says; none where the host that was asked does not give out.
+fn answer(verdict: Verdict) -> Option<Answer> {
+    match verdict {
+        Verdict::Given { all, left } => Some(Answer::Given(Given {
+            all: f64::from(all),
+            left: f64::from(left),
+        })),
+        Verdict::Refused { wait_ms, left } => Some(Answer::Over(Over {
+            wait: Span::from_ms(u64::from(wait_ms)),
+            left: f64::from(left),
+        })),
+        Verdict::Unlimited => Some(Answer::Unlimited),
+        Verdict::Elsewhere => None,
+    }
+}
+
+/// Uses units of this host's own share; otherwise the time after which there will be enough, if ever.
+pub fn use_alone(state: &State, wanted: &Wanted) -> Result<(), Option<Span>> {
+    let now = state.now();
+    state.shares.with(&wanted.subject, |share| {
+        share.use_alone(wanted.limit, wanted.units, now)
+    })
+}
+
+impl Wanted {
+    /// Units that were given for a question of `asked`.
+    pub fn granted(self, peers: &Arc<Peers>, asked: Time, source: Source) -> Grant {
+        Grant {
+            peers: peers.clone(),
+            subject: self.subject,
+            units: self.units,
+            asked,
+            source,
+        }
+    }
+}
+
+impl Grant {
+    /// Gives the units back: the request did not use them.
+    pub async fn give_back(self, state: &State) {
+        let age = state.now().since(self.asked);
+        if self.source == Source::Share || age > GIVEN_BACK_WITHIN {
+            return;
+        }
+        state.shares.with(&self.subject, |share| {
+            share.take_back(self.units, self.asked);
+        });
+        self.peers.give_back(self.subject, self.units, age).await;
+    }
+}
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -1,17 +1,29 @@
 //! Limits that replicas in need name in their answers: the requests a second that they take from all hosts together.
+//!
+//! A limit is known to all hosts within parts of a second. From then on each sending to the replica needs one request of
+//! the limit, which the leader gives out ([`crate::grant`]); a host that gets no answer goes on by its share, or sends
+//! nothing there. A refusal keeps the replica out of this host's choice until there may be room again.
 
 use crate::attempt::{Call, Place};
+use crate::grant::{self, Answer, Grant, Source, Wanted};
+use crate::message::Subject;
+use crate::peers::Peers;
+use crate::peers::quota::QUICK;
 use crate::state::State;
-use crate::table::Change;
+use crate::table::{Change, Choice, Met, Want};
 use hyper::header::HeaderMap;
 use platform::ingress::{self, Intake};
+use std::sync::Arc;
+use std::time::Duration;
 use tracing::{info, warn};
 use unit::Name;
 
+/// Time for the one try of a question: another replica may take the request sooner than a second try would be answered.
+const TRY: &[Duration] = QUICK.split_at(1).0;
+
 /// Takes in what an answer says of its replica's limit. One that the replica `ran` the request for and that names no
 /// limit says that none holds any more; a refusal without one says nothing.
 pub fn heard(state: &State, place: &Place, headers: &HeaderMap, ran: bool) {
-    let replica = &*place.replica;
     let rate = match ingress::intake(headers) {
         // Hosts tell each other rates in this precision, and compare them.
         Intake::Limited(rate) => Some(f64::from((rate as f32).min(f32::MAX))),
@@ -19,18 +31,26 @@
         Intake::Open => return,
         Intake::Unreadable(value) => {
             state.log.notable(|| {
-                warn!(target: "limit", event = "unreadable", replica, value, "what the replica names is no number of requests a second; it counts as not named")
+                warn!(target: "limit", event = "unreadable", replica = &*place.replica, value, "what the replica names is no number of requests a second; it counts as not named")
             });
             return;
         }
     };
     let now = state.now();
-    let heard = state
+    let change = state
         .table
         .lock()
         .heard_limit(&place.replica, place.incarnation, rate, now);
-    let Some(change) = heard else { return };
-    let by = &*state.settings.name;
+    if let Some(change) = change {
+        state.limited.notify_one();
+        let rate = rate.unwrap_or_default();
+        tell(state, &place.replica, rate, change, &state.settings.name);
+    }
+}
+
+/// Tells of a change of what is known of a limit, and which host said so.
+pub fn tell(state: &State, replica: &Name, rate: f64, change: Change, by: &Name) {
+    let (replica, by) = (&**replica, &**by);
     state.log.notable(|| match change {
         Change::First => info!(target: "limit", event = "named", replica, rate, by, "a replica in need takes so many requests a second from all hosts together"),
         Change::Other(before) => info!(target: "limit", event = "changed", replica, rate, before, by, "a replica in need names another limit"),
@@ -38,6 +58,99 @@
     });
 }
 
+/// A replica in need has no room for a request.
+#[derive(Debug)]
+pub struct Full;
+
+/// Gets a request of a replica's limit, if that has named one.
+pub async fn admit(
+    state: &State,
+    peers: &Arc<Peers>,
+    want: &Want<'_>,
+    choice: &Choice,
+) -> Result<Option<Grant>, Full> {
+    let asked = state.now();
+    let replica = &choice.replica;
+    let met = {
+        let mut table = state.table.lock();
+        let Some(met) = table.meet(replica, want, asked) else {
+            return Ok(None);
+        };
+        table.asks(replica, asked);
+        met
+    };
+    let wanted = wanted(&met, choice);
+    let answer = match state.shares.may_ask(asked) {
+        true => grant::ask(state, peers, &wanted, TRY).await,
+        false => None,
+    };
+    let now = state.now();
+    let source = {
+        let mut table = state.table.lock();
+        match answer {
+            Some(Answer::Given(given)) => {
+                table.told_of_room(replica, Some(Ok(given.left)), now);
+                Some(Source::Limiter)
+            }
+            Some(Answer::Over(over)) => {
+                table.told_of_room(replica, Some(Err(over)), now);
+                None
+            }
+            Some(Answer::Unlimited) => {
+                table.unlimited(replica);
+                return Ok(None);
+            }
+            None => {
+                table.told_of_room(replica, None, now);
+                let used = grant::use_alone(state, &wanted);
+                used.is_ok().then_some(Source::Share)
+            }
+        }
+    };
+    match source {
+        Some(source) => Ok(Some(wanted.granted(peers, asked, source))),
+        None => {
+            state
+                .log
+                .metrics
+                .counter("coveford_limit_refusals_total", &[])
+                .increment(1);
+            Err(Full)
+        }
+    }
+}
+
+fn wanted(met: &Met, choice: &Choice) -> Wanted {
+    Wanted {
+        subject: Subject::Replica(met.limited),
+        limit: met.notice.limit(1.0),
+        units: 1.0,
+        kept: met.kept,
+        queues: choice.candidates == 1,
+    }
+}
+
+/// Request that waits for room at a replica in need; dropping it counts it out.
+pub struct Held {
+    state: Arc<State>,
+    replica: Name,
+}
+
+/// Counts a request in that waits for room at a replica.
+pub fn hold(state: &Arc<State>, replica: &Name) -> Held {
+    state.table.lock().hold(replica, true);
+    Held {
+        state: state.clone(),
+        replica: replica.clone(),
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.state.table.lock().hold(&self.replica, false);
+    }
+}
+
 /// Counts and tells a sending to a replica that has named a limit.
 pub fn note_sending(state: &State, call: &Call, replica: &Name, last_event: Option<u64>) {
     let Some(rate) = state.table.lock().limit_of(replica, state.now()) else {
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -1,10 +1,12 @@
 //! What daemons tell each other in datagrams.
 
+pub mod limit;
 mod quarantine;
 mod quota;
 
+pub use limit::{Heard, Limited, Limits};
 pub use quarantine::{Fallen, Listed, Listing, Permit};
-pub use quota::{Question, Refund, Verdict};
+pub use quota::{Question, Refund, Subject, Verdict};
 
 use crate::contact::Word;
 use crate::readers::Reader;
@@ -39,12 +41,16 @@
     /// Where the hosts of a part of the fleet take datagrams, from the leader to the one that passes
     /// on to them.
     Part(Vec<SocketAddr>),
-    /// A host asks the leader whether an account may have one more request run.
+    /// A host asks the leader for units of a limit over all hosts.
     Question(Question),
     /// The leader's answer to the question of that number.
     Verdict(u32, Verdict),
     /// A host gives back what a request did not use.
     Refund(Refund),
+    /// Limits that replicas named to a host, to the leader.
+    Heard(Heard),
+    /// Limits that replicas name, from the leader.
+    Limits(Limits),
     /// A host saw a replica fall, to the leader; where hosts are few, to all.
     Fallen(Fallen),
     /// A run of a request that is listed has ended well, to the leader.
@@ -77,6 +83,8 @@
             Message::Question(_) => "question",
             Message::Verdict(..) => "verdict",
             Message::Refund(_) => "refund",
+            Message::Heard(_) => "heard",
+            Message::Limits(_) => "limits",
             Message::Fallen(_) => "fallen",
             Message::Sound(_) => "sound",
             Message::Tried(..) => "tried",
--- /dev/null
+++ b/crates/front/src/message/limit.rs
@@ -0,0 +1,77 @@
+//! What hosts tell each other of the limits that replicas name.
+
+use super::short;
+use platform::replica::{Entry, Incarnation};
+use route::quota::Notice;
+use serde::{Deserialize, Serialize};
+use unit::{Name, Span, Time};
+
+/// Size of a row, in bytes, counted generously.
+pub const ROW_SIZE: usize = 24;
+
+/// What was heard of the limit of one incarnation of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Limited {
+    /// Short name of the incarnation.
+    pub replica: u32,
+    /// Requests a second that it named last.
+    pub rate: f32,
+    /// Time since it did, in milliseconds.
+    pub named_ms: u32,
+    /// Time since the first answer after that which named none, in milliseconds.
+    pub unnamed_ms: Option<u32>,
+}
+
+/// Limits that a host has heard itself, to the leader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The host.
+    pub host: Name,
+    /// The limits.
+    pub limits: Vec<Limited>,
+}
+
+/// Limits that hold, or are over since a while ago, from the leader to all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Fencing token of the leader's term.
+    pub term: u64,
+    /// The leader.
+    pub host: Name,
+    /// The limits.
+    pub limits: Vec<Limited>,
+}
+
+/// Short name of one incarnation of a replica.
+fn incarnation(id: &str, incarnation: Incarnation) -> u32 {
+    short(&format!("{id}/{}", incarnation.unwrap_or_default()))
+}
+
+impl Limited {
+    /// What was heard, as it is told now.
+    pub fn new(entry: &Entry, notice: &Notice, now: Time) -> Limited {
+        let age_ms = |at: Time| now.since(at).ms() as u32;
+        Limited {
+            replica: Limited::name(entry),
+            rate: notice.rate as f32,
+            named_ms: age_ms(notice.named),
+            unnamed_ms: notice.unnamed.map(age_ms),
+        }
+    }
+
+    /// Short name of the incarnation that wrote an entry.
+    pub fn name(entry: &Entry) -> u32 {
+        incarnation(&entry.id, entry.incarnation)
+    }
+
+    /// What was heard, by this host's time; none where its number cannot be counted.
+    pub fn notice(&self, now: Time) -> Option<Notice> {
+        let at = |ms: u32| now - Span::from_ms(u64::from(ms));
+        let is_sound = self.rate.is_finite() && self.rate >= 0.0;
+        is_sound.then(|| Notice {
+            rate: f64::from(self.rate),
+            named: at(self.named_ms),
+            unnamed: self.unnamed_ms.map(at),
+        })
+    }
+}
--- a/crates/front/src/message/quota.rs
+++ b/crates/front/src/message/quota.rs
@@ -1,19 +1,33 @@
-//! What hosts and the one that gives out tell each other of what client accounts may use.
+//! What hosts and the one that gives out tell each other of limits over all hosts.
 
+use super::Limited;
 use serde::{Deserialize, Serialize};
 use unit::Name;
 
-/// Question of a host: may one more request of an account run?
+/// Whose limit it is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Subject {
+    /// A client account, which uses units of its own.
+    Account(Name),
+    /// A replica that takes so many requests a second, with what the host knows of its limit.
+    Replica(Limited),
+}
+
+/// Question of a host: may one more request run, or go to a replica?
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Question {
     /// Number under which it is answered.
     pub number: u32,
     /// The host.
     pub host: Name,
-    /// The account.
-    pub account: Name,
+    /// Whose limit it is.
+    pub subject: Subject,
     /// Units that the request uses at the most.
     pub units: f32,
+    /// Units that are to be left for what is more urgent.
+    pub kept: f32,
+    /// Whether nothing else can take the request, so that it comes again.
+    pub queues: bool,
     /// Units that the host used by its share since it was answered last.
     pub alone: f32,
 }
@@ -21,7 +35,7 @@
 impl Question {
     /// Whether its numbers can be counted.
     pub fn is_sound(&self) -> bool {
-        is_sound(self.units) && is_sound(self.alone)
+        is_sound(self.units) && is_sound(self.kept) && is_sound(self.alone)
     }
 }
 
@@ -40,11 +54,15 @@
         /// Units that could be given out at once.
         left: f32,
     },
-    /// The account is over its limit.
+    /// It is over the limit.
     Refused {
         /// Time after which there will be enough, in milliseconds.
         wait_ms: u32,
+        /// Units that are there.
+        left: f32,
     },
+    /// The replica names no limit any more.
+    Unlimited,
     /// The host that was asked does not give out.
     Elsewhere,
 }
@@ -54,8 +72,8 @@
 pub struct Refund {
     /// The host.
     pub host: Name,
-    /// The account.
-    pub account: Name,
+    /// Whose limit it is.
+    pub subject: Subject,
     /// How many.
     pub units: f32,
     /// Time since they were given, in milliseconds.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,11 +5,12 @@
 //! sooner. A lost datagram only makes a sum older; sums past their
 //! age are not used.
 //!
-//! Its parts: `inbox` is what hosts told the leader, `quota` what client accounts may use, `sums` when this host tells what it has in
+//! Its parts: `inbox` is what hosts told the leader, `quota` what is asked for and given of limits over all hosts, `limits` which of these replicas name, `sums` when this host tells what it has in
 //! flight, `parts` which hosts pass on what the leader tells all, `quarantine` which requests end replicas, `questions`
 //! what waits for an answer. The datagrams themselves are in [`message`].
 
 mod inbox;
+mod limits;
 pub mod parts;
 mod quarantine;
 mod questions;
@@ -57,7 +58,7 @@
     tellings: AtomicU32,
     /// Parts of a large fleet, while this host leads.
     parts: Mutex<Vec<Part>>,
-    /// What client accounts may use.
+    /// Limits over all hosts.
     quotas: Quotas,
     /// Questions for trials that wait for an answer.
     trials: Questions<Permit>,
@@ -127,7 +128,10 @@
         match message {
             Message::Sums(sums) => {
                 self.heard(&sums.host, now);
-                self.inbox.put(sums, from, now);
+                if self.inbox.put(sums, from, now) {
+                    // A host that has just begun is told of limits at once.
+                    self.state.limited.notify_one();
+                }
             }
             Message::Loads(sums) => {
                 self.heard(&sums.host, now);
@@ -149,6 +153,9 @@
             Message::Part(hosts) => *self.passes_to.lock() = (hosts, now),
             Message::Verdict(number, verdict) => self.answered(number, verdict),
             Message::Refund(refund) => self.take_back(&refund),
+            Message::Heard(heard) => self.join_limits(&heard.limits, &heard.host),
+            Message::Limits(limits) if self.is_of_former_term(limits.term) => {}
+            Message::Limits(limits) => self.join_limits(&limits.limits, &limits.host),
             Message::Fallen(fallen) => self.take_fall(&fallen),
             Message::Sound(print) => self.state.quarantine.sound(print),
             Message::Tried(print, broke) => self.state.quarantine.tried(print, broke, now),
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -95,11 +95,12 @@
         std::mem::take(&mut *self.uses.lock())
     }
 
-    /// Takes in a part of what a host tells in one round; parts of the same round add up.
-    pub fn put(&self, mut sums: Sums, from: SocketAddr, now: Time) {
+    /// Takes in a part of what a host tells in one round; parts of the same round add up. Tells whether the host is new.
+    pub fn put(&self, mut sums: Sums, from: SocketAddr, now: Time) -> bool {
         self.uses.lock().append(&mut sums.used);
         let mut hosts = self.hosts.lock();
         let known = hosts.get_mut(&sums.host);
+        let is_new = known.is_none();
         let cut = known.as_ref().and_then(|told| told.cut);
         let cut = if sums.cut { Some(now) } else { cut };
         match known {
@@ -121,6 +122,7 @@
                 hosts.insert(host, told);
             }
         }
+        is_new
     }
 
     /// Takes in a part of what a host has in flight between two rounds; parts of the same telling add
--- a/crates/front/src/peers/quota.rs
+++ b/crates/front/src/peers/quota.rs
@@ -1,12 +1,13 @@
-//! Asking the host that leads for what client accounts may use, and answering as the one that leads.
+//! Asking the host that leads for units of limits over all hosts, and answering as the one that leads.
 
 use super::Peers;
 use super::questions::Questions;
 use crate::leader::Term;
-use crate::message::{Message, Question, Refund, Verdict};
+use crate::message::{Limited, Message, Question, Refund, Subject, Verdict};
 use crate::shares;
 use parking_lot::Mutex;
-use route::quota::{Limit, Limiter, Tolerance, Units};
+use route::quota::{INTAKE, Limit, Limiter, Notice, Tolerance, Units};
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::time::Duration;
 use unit::{Name, Span, Time};
@@ -19,45 +20,47 @@
 /// replicas stands still for parts of a second while it plans.
 pub const PATIENT: &[Duration] = &[Duration::from_millis(400)];
 
+/// Part of the limits of replicas that a leader gives out whose term it cannot renew while the store is away: another host may
+/// lead by now and give out the whole, and both together stay within the tolerance.
+const PART_IN_DOUBT: f64 = 0.5;
+
 /// Questions to the one host that gives out, and what that host keeps.
 #[derive(Default)]
 pub struct Quotas {
     /// What is given out in the term in which this host leads.
-    limiter: Mutex<Option<(Term, Limiter)>>,
+    limiters: Mutex<Option<(Term, Limiters)>>,
     /// Questions that wait for an answer.
     open: Questions<Verdict>,
 }
 
+/// What one host gives out.
+struct Limiters {
+    accounts: Limiter<Name>,
+    /// By the short name of the incarnation.
+    replicas: Limiter<u32>,
+}
+
 impl Peers {
     /// Begins to give out, in a term in which this host leads.
     pub fn give_out(&self, term: Term, tolerance: Tolerance) {
-        let limiter = Limiter::new(tolerance, self.state.now());
-        *self.quotas.limiter.lock() = Some((term, limiter));
+        let now = self.state.now();
+        let limiters = Limiters {
+            accounts: Limiter::new(tolerance, now),
+            replicas: Limiter::new(INTAKE, now),
+        };
+        *self.quotas.limiters.lock() = Some((term, limiters));
     }
 
-    /// Asks for units of an account, once for each time that a try may take; none when there was no answer.
-    pub async fn ask_for(
-        &self,
-        account: &Name,
-        units: f64,
-        alone: f64,
-        tries: &[Duration],
-    ) -> Option<Verdict> {
+    /// Asks for units, once for each time that a try may take; none when there was no answer.
+    pub async fn ask_for(&self, question: Question, tries: &[Duration]) -> Option<Verdict> {
         let leader = self.state.leader.lock().clone()?.peers;
-        let question = Question {
-            number: 0,
-            host: self.state.settings.name.clone(),
-            account: account.clone(),
-            units: units as f32,
-            alone: alone as f32,
-        };
         if leader == self.state.settings.peers {
             return self.judge(&question);
         }
         for limit in tries.iter().copied() {
             let answer = self.ask_once(&question, leader, limit).await;
             if answer.is_some() {
-                return answer.filter(|verdict| *verdict != Verdict::Elsewhere);
+                return answer;
             }
         }
         None
@@ -97,36 +100,32 @@
         if !question.is_sound() {
             return None;
         }
-        let limit = self.limit_of(&question.account)?;
         let now = self.state.now();
-        self.with_limiter(|limiter| {
-            let units = |count: f32| Units {
-                account: &question.account,
-                limit,
-                host: &question.host,
-                count: f64::from(count),
-            };
-            limiter.used_alone(units(question.alone), now);
-            match limiter.give(units(question.units), now) {
-                Ok(given) => Verdict::Given {
-                    all: given.all as f32,
-                    left: given.left as f32,
-                },
-                Err(wait) => Verdict::Refused {
-                    wait_ms: wait.ms().ceil() as u32,
-                },
+        match &question.subject {
+            Subject::Account(account) => {
+                let limit = self.limit_of(account)?;
+                self.with_accounts(|limiter| decide(limiter, account, limit, question, now))
+            }
+            Subject::Replica(limited) => {
+                let Some(notice) = self.notice_of(limited, &question.host, now)? else {
+                    return Some(Verdict::Unlimited);
+                };
+                let replica = &limited.replica;
+                self.with_replicas(|limiter, part| {
+                    decide(limiter, replica, notice.limit(part), question, now)
+                })
             }
-        })
+        }
     }
 
-    /// Gives units of an account back that were given `age` ago and not used.
-    pub async fn give_back(&self, account: &Name, units: f64, age: Span) {
+    /// Gives units back that were given `age` ago and not used.
+    pub async fn give_back(&self, subject: Subject, units: f64, age: Span) {
         let Some(leader) = self.state.leader.lock().clone() else {
             return;
         };
         let refund = Refund {
             host: self.state.settings.name.clone(),
-            account: account.clone(),
+            subject,
             units: units as f32,
             age_ms: age.ms() as u32,
         };
@@ -138,39 +137,61 @@
 
     /// Takes units back.
     pub(super) fn take_back(&self, refund: &Refund) {
-        let limit = self.limit_of(&refund.account);
-        let Some(limit) = limit.filter(|_| refund.is_sound()) else {
+        if !refund.is_sound() {
             return;
-        };
+        }
         let now = self.state.now();
-        let given = now - Span::from_ms(u64::from(refund.age_ms));
-        self.with_limiter(|limiter| {
-            let units = Units {
-                account: &refund.account,
-                limit,
-                host: &refund.host,
-                count: f64::from(refund.units),
-            };
-            limiter.take_back(units, given, now);
-        });
+        match &refund.subject {
+            Subject::Account(account) => {
+                let Some(limit) = self.limit_of(account) else {
+                    return;
+                };
+                self.with_accounts(|limiter| take_back(limiter, account, limit, refund, now));
+            }
+            Subject::Replica(limited) => {
+                let Some(notice) = limited.notice(now) else {
+                    return;
+                };
+                let replica = &limited.replica;
+                self.with_replicas(|limiter, part| {
+                    take_back(limiter, replica, notice.limit(part), refund, now)
+                });
+            }
+        }
     }
 
     /// Notes that a host is in touch.
     pub(super) fn heard(&self, host: &Name, now: Time) {
-        self.with_limiter(|limiter| limiter.heard(host, now));
+        if let Some((_, limiters)) = self.quotas.limiters.lock().as_mut() {
+            limiters.accounts.heard(host, now);
+            limiters.replicas.heard(host, now);
+        }
     }
 
     /// Units given out of an account in the last window, if this host gives out.
-    pub fn given_out(&self, account: &str) -> Option<f64> {
+    pub fn given_out(&self, account: &Name) -> Option<f64> {
         let now = self.state.now();
-        self.with_limiter(|limiter| limiter.given(account, now))
+        self.with_accounts(|limiter| limiter.given(account, now))
+    }
+
+    /// Works with the limiter of accounts while the term holds in which it was begun.
+    fn with_accounts<T>(&self, work: impl FnOnce(&mut Limiter<Name>) -> T) -> Option<T> {
+        let mut limiters = self.quotas.limiters.lock();
+        let (term, limiters) = limiters.as_mut()?;
+        term.holds().then(|| work(&mut limiters.accounts))
     }
 
-    /// Works with the limiter while the term holds in which it was begun.
-    fn with_limiter<T>(&self, work: impl FnOnce(&mut Limiter) -> T) -> Option<T> {
-        let mut limiter = self.quotas.limiter.lock();
-        let (term, limiter) = limiter.as_mut()?;
-        term.holds().then(|| work(limiter))
+    /// Works with the limiter of replicas, and the part of their limits that it gives out, while this host leads as far as it
+    /// knows: also while the store is away and the term cannot be renewed.
+    fn with_replicas<T>(&self, work: impl FnOnce(&mut Limiter<u32>, f64) -> T) -> Option<T> {
+        let leads = self.state.leads();
+        let mut limiters = self.quotas.limiters.lock();
+        let (term, limiters) = limiters.as_mut()?;
+        let part = match term.holds() {
+            true => 1.0,
+            false => PART_IN_DOUBT,
+        };
+        leads.then(|| work(&mut limiters.replicas, part))
     }
 
     /// Limit of an account by the newest configuration here.
@@ -179,4 +200,63 @@
         let account = routes.accounts.as_ref()?.named(account)?;
         account.quota.as_ref().map(shares::limit)
     }
+
+    /// What is known of a replica's limit here and at the host that asks, if it holds; none at all where the question's number
+    /// cannot be counted.
+    fn notice_of(&self, limited: &Limited, host: &Name, now: Time) -> Option<Option<Notice>> {
+        let asked = limited.notice(now)?;
+        self.join_limits(std::slice::from_ref(limited), host);
+        let known = self.state.table.lock().notice_of(limited.replica);
+        let notice = known.unwrap_or(asked);
+        Some(Some(notice).filter(|notice| !notice.is_over(now)))
+    }
+}
+
+/// Gives a question's units out of a limit, or refuses them.
+fn decide<K: Eq + Hash + Clone>(
+    limiter: &mut Limiter<K>,
+    subject: &K,
+    limit: Limit,
+    question: &Question,
+    now: Time,
+) -> Verdict {
+    let units = |count: f32| Units {
+        subject,
+        limit,
+        host: &question.host,
+        count: f64::from(count),
+        kept: f64::from(question.kept),
+        queues: question.queues,
+    };
+    limiter.used_alone(units(question.alone), now);
+    match limiter.give(units(question.units), now) {
+        Ok(given) => Verdict::Given {
+            all: given.all as f32,
+            left: given.left as f32,
+        },
+        Err(over) => Verdict::Refused {
+            wait_ms: over.wait.ms().ceil() as u32,
+            left: over.left as f32,
+        },
+    }
+}
+
+/// Puts a refund's units back under a limit.
+fn take_back<K: Eq + Hash + Clone>(
+    limiter: &mut Limiter<K>,
+    subject: &K,
+    limit: Limit,
+    refund: &Refund,
+    now: Time,
+) {
+    let given = now - Span::from_ms(u64::from(refund.age_ms));
+    let units = Units {
+        subject,
+        limit,
+        host: &refund.host,
+        count: f64::from(refund.units),
+        kept: 0.0,
+        queues: false,
+    };
+    limiter.take_back(units, given, now);
 }
--- a/crates/front/src/peers/sums.rs
+++ b/crates/front/src/peers/sums.rs
@@ -34,6 +34,7 @@
             tokio::time::sleep(self.round()).await;
             round += 1;
             self.tell_round(round).await;
+            self.tell_heard_limits().await;
             self.repeat_falls().await;
         }
     }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -125,7 +125,11 @@
                 next_digest = tokio::time::Instant::now() + planner.peers.round();
                 round += 1;
                 planner.digest(round).await;
-                planner.tell_listing(round.is_multiple_of(digest::WHOLE_ROUNDS)).await;
+                let again = round.is_multiple_of(digest::WHOLE_ROUNDS);
+                planner.tell_listing(again).await;
+                if again {
+                    planner.peers.tell_limits().await;
+                }
             }
             _ = planner.state.quarantine.changed.notified() => planner.tell_listing(false).await,
         }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -5,9 +5,13 @@
 
 use crate::attempt::{Call, Failed, Place, Sent, send};
 use crate::events::Splitter;
+use crate::grant::Grant;
+use crate::limits;
+use crate::peers::Peers;
 use crate::quarantine;
 use crate::respond::{Body, whole};
 use crate::state::{InFlight, State};
+use crate::table::{Choice, Nowhere, Want};
 use bytes::Bytes;
 use conn::Line;
 use futures::stream;
@@ -28,6 +32,9 @@
 /// Silence of a stream that may be resumed after which is looked whether its replica is gone.
 const SILENCE: Span = Span::from_ms(1_000);
 
+/// Time for which a broken stream waits for room at a replica in need: clients give a stream up after a gap of two seconds.
+const RESUMES_WITHIN: Span = Span::from_ms(1_500);
+
 /// Part of the longest pause in time from which a pause tells that a replica is slow.
 const LONG_PART: f64 = 0.7;
 
@@ -89,6 +96,7 @@
 /// Answer that comes as events.
 struct Relay {
     state: Arc<State>,
+    peers: Arc<Peers>,
     call: Arc<Call>,
     source: Option<Source>,
     splitter: Splitter,
@@ -123,6 +131,7 @@
 /// Waits for the first whole event of an answer, then gives the answer that passes all on.
 pub async fn open_stream(
     state: &Arc<State>,
+    peers: &Arc<Peers>,
     call: &Arc<Call>,
     sent: Sent,
     tried: Vec<Name>,
@@ -133,6 +142,7 @@
     *answer.headers_mut() = returned(&source.head.headers);
     let mut relay = Relay {
         state: state.clone(),
+        peers: peers.clone(),
         call: call.clone(),
         source: Some(source),
         splitter: Splitter::default(),
@@ -330,17 +340,24 @@
         self.splitter.rest();
         let last = self.splitter.last().or(call.ask.last_event);
         while (self.tried.len() as u32) < call.route.attempts && state.now() < call.deadline {
-            let choice = {
-                let mut table = state.table.lock();
-                let now = state.now();
-                match table.choose(&call.want(&self.tried, None), now) {
-                    Ok(choice) if table.spend(&call.service, now) => choice,
-                    _ => return false,
-                }
+            let Some((choice, grant)) = self.next_replica().await else {
+                return false;
             };
+            let now = state.now();
+            if !state.table.lock().spend(&call.service, now) {
+                if let Some(grant) = grant {
+                    grant.give_back(&state).await;
+                }
+                return false;
+            }
             self.tried.push(choice.replica.clone());
             let place = Place::take(&state, &call, &choice);
             let sent = send(&state, &call, &choice, place, last).await;
+            if let (Some(grant), Err(failed)) = (grant, &sent)
+                && failed.proves_unsent()
+            {
+                grant.give_back(&state).await;
+            }
             state.log.notable(|| {
                 let outcome = match &sent {
                     Ok(sent) => format!("status {}", sent.response.status()),
@@ -360,6 +377,32 @@
         false
     }
 
+    /// Replica that may take the stream up, with a part of its limit where it has named one; waits shortly for room where
+    /// all that could are in need.
+    async fn next_replica(&self) -> Option<(Choice, Option<Grant>)> {
+        let (state, call) = (&self.state, &self.call);
+        let give_up = state.now() + RESUMES_WITHIN;
+        loop {
+            let now = state.now();
+            let want = Want {
+                resumes: true,
+                ..call.want(&self.tried, None)
+            };
+            let chosen = state.table.lock().choose(&want, now);
+            match chosen {
+                Ok(choice) => {
+                    if let Ok(grant) = limits::admit(state, &self.peers, &want, &choice).await {
+                        return Some((choice, grant));
+                    }
+                }
+                Err(Nowhere::Limited(_, turn)) if now + turn < give_up.min(call.deadline) => {
+                    let _ = tokio::time::timeout(turn.std(), state.changed.notified()).await;
+                }
+                Err(_) => return None,
+            }
+        }
+    }
+
     /// Breaks the answer off, so that it does not look whole.
     fn cut(&mut self, why: &Failed) -> io::Error {
         self.source = None;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -136,18 +136,27 @@
             Some(_) => &[],
             None => &progress.tried,
         };
-        let (choice, place) = match admit::place(entry, call, avoid, only.as_ref(), sending).await {
+        let admit::Placed {
+            choice,
+            place,
+            grant,
+        } = match admit::place(entry, call, avoid, only.as_ref(), sending).await {
             Ok(placed) => placed,
             Err(_) if sending > 0 => break,
             Err(fault) => return Err(fault),
         };
         let sent = send(state, call, &choice, place, call.ask.last_event).await;
+        if let (Some(grant), Err(failed)) = (grant, &sent)
+            && failed.proves_unsent()
+        {
+            grant.give_back(state).await;
+        }
         let was_sent = !matches!(sent, Err(Failed::Unsent(_) | Failed::Overdue));
         if was_sent && !progress.tried.contains(&choice.replica) {
             progress.tried.push(choice.replica.clone());
         }
         let passed = match sent {
-            Ok(sent) => pass_on(state, call, sent, &progress.tried).await,
+            Ok(sent) => pass_on(entry, call, sent, &progress.tried).await,
             Err(failed) => Err(failed),
         };
         let failed = match passed {
@@ -188,13 +197,14 @@
 
 /// Passes an answer on whose head has come: event by event, or whole.
 async fn pass_on(
-    state: &Arc<State>,
+    entry: &Entry,
     call: &Arc<Call>,
     sent: Sent,
     tried: &[Name],
 ) -> Result<Response<Body>, Failed> {
+    let state = &entry.state;
     match is_events(call, &sent.response) {
-        true => relay::open_stream(state, call, sent, tried.to_vec()).await,
+        true => relay::open_stream(state, &entry.peers, call, sent, tried.to_vec()).await,
         false => relay::read_whole(state, call, sent).await,
     }
 }
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -2,6 +2,8 @@
 
 use super::{Entry, RETURN_LATER, RETURN_RANGE, tell};
 use crate::attempt::{Call, Place};
+use crate::grant::Grant;
+use crate::limits::{self, Held};
 use crate::message::{Missing, Want};
 use crate::respond::Fault;
 use crate::state::{State, Wish};
@@ -32,6 +34,9 @@
 /// Part of its target for which a request may wait here for its model or adapter.
 const HELD_PART: f64 = 0.25;
 
+/// Part of its target for which a request may wait until a replica in need has room: the rest is for reading its prompt.
+const LIMITED_PART: f64 = 0.5;
+
 /// Part of the target within which a model must come for the request to wait for it.
 const COMING_PART: f64 = 0.8;
 
@@ -50,14 +55,78 @@
 /// Part of the places of a service below which nothing is refused.
 const PLACES_FREE: f64 = 0.5;
 
-/// Chooses a replica; waits shortly for a model or an adapter that is on its way.
+/// Where a request goes.
+pub(super) struct Placed {
+    pub(super) choice: Choice,
+    pub(super) place: Place,
+    /// Its part of the replica's limit, if that has named one.
+    pub(super) grant: Option<Grant>,
+}
+
+/// Replica that was found for a request.
+struct Found {
+    choice: Choice,
+    /// The request's place there, where it got that with its turn.
+    place: Option<Place>,
+    /// Whether it waited for its turn.
+    waited: bool,
+}
+
+impl Found {
+    fn at_once(choice: Choice) -> Found {
+        Found {
+            choice,
+            place: None,
+            waited: false,
+        }
+    }
+}
+
+/// Chooses a replica, and gets a part of its limit where it has named one; a replica that has no room for the request
+/// is not chosen again until it may have.
 pub(super) async fn place(
     entry: &Entry,
     call: &Arc<Call>,
     avoid: &[Name],
     only: Option<&Name>,
     sending: usize,
-) -> Result<Turn, Fault> {
+) -> Result<Placed, Fault> {
+    let state = &entry.state;
+    let mut held = None;
+    loop {
+        let found = find(entry, call, avoid, only, sending, &mut held).await?;
+        let want = call.want(avoid, only);
+        let Ok(grant) = limits::admit(state, &entry.peers, &want, &found.choice).await else {
+            // Not even this host's own word may keep others from their turn.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let Found {
+            choice,
+            place,
+            waited,
+        } = found;
+        if sending == 0 {
+            tell::sent(state, call, &choice, waited);
+        }
+        let place = place.unwrap_or_else(|| Place::take(state, call, &choice));
+        return Ok(Placed {
+            choice,
+            place,
+            grant,
+        });
+    }
+}
+
+/// Finds a replica; waits shortly for a model or an adapter that is on its way, or for room at replicas in need.
+async fn find(
+    entry: &Entry,
+    call: &Arc<Call>,
+    avoid: &[Name],
+    only: Option<&Name>,
+    sending: usize,
+    held: &mut Option<Held>,
+) -> Result<Found, Fault> {
     let state = &entry.state;
     let held_until = call.arrived + Span::from(call.route.target) * HELD_PART;
     loop {
@@ -65,16 +134,16 @@
         let want = call.want(avoid, only);
         let chosen = state.table.lock().choose(&want, now);
         let (until, fault) = match chosen {
-            Ok(choice) if sending > 0 => {
-                let place = Place::take(state, call, &choice);
-                return Ok((choice, place));
-            }
+            Ok(choice) if sending > 0 => return Ok(Found::at_once(choice)),
             Ok(choice) => {
                 if choice.crowded {
                     want_adapter(state, call, true);
                 }
                 return admit(entry, call, choice).await;
             }
+            Err(Nowhere::Limited(replica, turn)) => {
+                limited(state, call, (&replica, turn), held, now)
+            }
             Err(nowhere) => absent(state, call, nowhere, held_until, now),
         };
         // A host that stops has no time for requests that only wait.
@@ -86,6 +155,32 @@
     }
 }
 
+/// Until when a request may wait for room at replicas in need, and what it is told then. One that would not have its turn in
+/// time does not wait at all.
+fn limited(
+    state: &Arc<State>,
+    call: &Call,
+    (replica, turn): (&Name, Span),
+    held: &mut Option<Held>,
+    now: Time,
+) -> (Time, Fault) {
+    let until = call.arrived + Span::from(call.route.target) * LIMITED_PART;
+    if held.is_none() && now + turn > until {
+        return (now, in_need(turn));
+    }
+    // Its adapter may be on no other replica.
+    want_adapter(state, call, true);
+    held.get_or_insert_with(|| limits::hold(state, replica));
+    (until, in_need(turn))
+}
+
+/// Answer to a request whose replicas are in need and have no room.
+fn in_need(turn: Span) -> Fault {
+    let message =
+        "The replicas that could take the request are in need, and take no more of them now.";
+    Fault::not_run("limited", message, turn.max(RETURN_RANGE.0))
+}
+
 /// Until when a request may wait for what is on no replica, and what it is told then.
 fn absent(
     state: &State,
@@ -127,6 +222,7 @@
             let fault = Fault::not_run("unreachable", message, RETURN_UNREACHABLE);
             (held_until, fault)
         }
+        Nowhere::Limited(_, turn) => (now, in_need(turn)),
         Nowhere::NoReplica => {
             let message = "No replica of the service is there.";
             (now, Fault::not_run("no_replica", message, RETURN_LATER))
@@ -161,14 +257,14 @@
 
 /// Admits a request where it can meet its target: at once, or when its turn comes. Refuses it at
 /// once where it cannot.
-async fn admit(entry: &Entry, call: &Arc<Call>, choice: Choice) -> Result<Turn, Fault> {
+async fn admit(entry: &Entry, call: &Arc<Call>, choice: Choice) -> Result<Found, Fault> {
     let state = &entry.state;
     let now = state.now();
     let target = Span::from(call.route.target);
     let expected = now.since(call.arrived) + choice.first_token;
     let others_wait = entry.waiting.lock().is_waited_for(call);
     if choice.paced && !others_wait {
-        return Ok(go(state, call, choice));
+        return Ok(Found::at_once(choice));
     }
     let (taken, coming) = {
         let table = state.table.lock();
@@ -181,8 +277,11 @@
     }
     let until = call.arrived + (target * WAITING_PART).saturating_sub(choice.first_token);
     if let Some((choice, place)) = turn(entry, call, until, now).await {
-        tell::sent(state, call, &choice, true);
-        return Ok((choice, place));
+        return Ok(Found {
+            choice,
+            place: Some(place),
+            waited: true,
+        });
     }
     // Much may have changed in the wait: the first choice may have left.
     let now = state.now();
@@ -192,7 +291,7 @@
             let expected = now.since(call.arrived) + choice.first_token;
             Err(overloaded(expected, target, coming))
         }
-        Ok(choice) => Ok(go(state, call, choice)),
+        Ok(choice) => Ok(Found::at_once(choice)),
         Err(nowhere) => Err(absent(state, call, nowhere, now, now).1),
     }
 }
@@ -217,10 +316,3 @@
     let message = format!("The request would wait {expected} for its first token.");
     Fault::not_run("overloaded", message, wait)
 }
-
-/// Sends a request to the chosen replica at once.
-fn go(state: &Arc<State>, call: &Arc<Call>, choice: Choice) -> Turn {
-    tell::sent(state, call, &choice, false);
-    let place = Place::take(state, call, &choice);
-    (choice, place)
-}
--- a/crates/front/src/shares.rs
+++ b/crates/front/src/shares.rs
@@ -1,17 +1,23 @@
-//! This host's shares of what client accounts may use, for when nobody answers that gives out.
+//! This host's shares of limits over all hosts, for when nobody answers that gives out.
 
+use crate::message::Subject;
 use crate::settings::Bounds;
 use parking_lot::Mutex;
 use platform::account::Quota;
-use route::quota::{Limit, Share, Tolerance};
+use route::quota::{INTAKE, Limit, Share, Tolerance};
 use std::collections::HashMap;
+use std::hash::Hash;
 use unit::{Name, Span, Time};
 
 /// Time for which no answer is waited for after there was none: each question that is waited for in vain
 /// takes a part of its request's target.
 const NOT_ASKED: Span = Span::from_ms(250);
 
-/// What may be used beyond the limits, by the settings.
+/// Shares of one kind that are kept at once. Replicas in need come and go for as long as a host runs; beyond this
+/// all are forgotten, and the host has no share until it is answered again.
+const MOST_SHARES: usize = 4_096;
+
+/// What may be used beyond the limits of client accounts, by the settings.
 pub fn tolerance(bounds: &Bounds) -> Tolerance {
     Tolerance {
         window: bounds.quota_window.into(),
@@ -28,33 +34,36 @@
     }
 }
 
-/// Shares by account.
+/// Shares of all subjects.
 pub struct Shares {
-    tolerance: Tolerance,
-    by_account: Mutex<HashMap<Name, Share>>,
+    accounts: Mutex<Kind<Name>>,
+    /// By the short name of the incarnation.
+    replicas: Mutex<Kind<u32>>,
     /// Until when the host that gives out is not asked.
     not_asked_until: Mutex<Time>,
 }
 
+/// Shares of limits of one kind.
+struct Kind<K> {
+    tolerance: Tolerance,
+    shares: HashMap<K, Share>,
+}
+
 /// Makes the shares of a host that was given nothing yet.
 pub fn open(bounds: &Bounds) -> Shares {
     Shares {
-        tolerance: tolerance(bounds),
-        by_account: Mutex::default(),
+        accounts: Mutex::new(Kind::new(tolerance(bounds))),
+        replicas: Mutex::new(Kind::new(INTAKE)),
         not_asked_until: Mutex::default(),
     }
 }
 
 impl Shares {
-    /// Works with the share of an account.
-    pub fn with<T>(&self, account: &Name, work: impl FnOnce(&mut Share) -> T) -> T {
-        let mut shares = self.by_account.lock();
-        match shares.get_mut(account) {
-            Some(share) => work(share),
-            None => {
-                let new = Share::new(self.tolerance);
-                work(shares.entry(account.clone()).or_insert(new))
-            }
+    /// Works with the share of a subject.
+    pub fn with<T>(&self, subject: &Subject, work: impl FnOnce(&mut Share) -> T) -> T {
+        match subject {
+            Subject::Account(name) => work(self.accounts.lock().share(name)),
+            Subject::Replica(limited) => work(self.replicas.lock().share(&limited.replica)),
         }
     }
 
@@ -68,3 +77,21 @@
         *self.not_asked_until.lock() = now + NOT_ASKED;
     }
 }
+
+impl<K: Eq + Hash + Clone> Kind<K> {
+    fn new(tolerance: Tolerance) -> Kind<K> {
+        Kind {
+            tolerance,
+            shares: HashMap::new(),
+        }
+    }
+
+    fn share(&mut self, subject: &K) -> &mut Share {
+        if self.shares.len() >= MOST_SHARES && !self.shares.contains_key(subject) {
+            self.shares.clear();
+        }
+        let tolerance = self.tolerance;
+        let share = self.shares.entry(subject.clone());
+        share.or_insert_with(|| Share::new(tolerance))
+    }
+}
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -32,13 +32,15 @@
     pub entered: Notify,
     /// Notified when the entry of a replica has vanished, and the replica may be gone.
     pub missed: Notify,
+    /// Notified when what is known of a replica's limit has changed, so that other hosts are told.
+    pub limited: Notify,
     /// Notified when the prompt of a request was read or the request ended.
     pub eased: Notify,
     /// The platform's store.
     pub store: Store,
     /// Who reads the store, and what this host can pass on of it.
     pub readers: Readers,
-    /// Shares of what client accounts may use.
+    /// Shares of limits over all hosts.
     pub shares: Shares,
     /// Connections to replicas.
     pub pool: Pool,
@@ -101,6 +103,7 @@
         changed: Notify::new(),
         entered: Notify::new(),
         missed: Notify::new(),
+        limited: Notify::new(),
         eased: Notify::new(),
         store: platform::store::open(settings.store, store_limit),
         readers: Readers::default(),
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -17,7 +17,7 @@
 mod told;
 
 pub use choose::{Choice, Nowhere};
-pub use limits::Change;
+pub use limits::{Change, Met};
 pub use replica::Footprint;
 
 use crate::message::Use;
@@ -89,6 +89,8 @@
     pub avoid: &'a [Name],
     /// The only replica it may go to, when it has used all attempts elsewhere.
     pub only: Option<&'a Name>,
+    /// Whether it takes up a stream that has broken, which goes before what has not begun.
+    pub resumes: bool,
 }
 
 impl Table {
@@ -178,7 +180,9 @@
         for seen in self.view.all() {
             let entry = &seen.entry;
             let holds = model.is_none_or(|m| self.holds(entry, m, now));
-            if entry.service == *want.service && !entry.leaving && holds {
+            // The places of a limited replica are not there for the asking.
+            let is_limited = self.limit_of(&entry.id, now).is_some();
+            if entry.service == *want.service && !entry.leaving && holds && !is_limited {
                 let load = self.replicas.get(&entry.id).map(|s| s.load(now, direct));
                 taken += f64::from(load.unwrap_or_default().requests);
                 places += f64::from(entry.slots);
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -49,7 +49,7 @@
 }
 
 /// Why no replica was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Nowhere {
     /// No replica of the service is there.
     NoReplica,
@@ -59,6 +59,9 @@
     NoAdapter,
     /// The replicas that could take it cannot be reached at the moment.
     Unreachable,
+    /// The replicas that could take it are in need, and have no room now: the one where its turn comes first, and the time
+    /// until then.
+    Limited(Name, Span),
 }
 
 /// How far a replica fits a request; the better one is the greater.
@@ -72,6 +75,8 @@
     NoAdapter,
     /// It could take it, and is left alone, since it could not be reached.
     Absent,
+    /// It could take it, and is in need: there is no room now.
+    Limited,
     /// It can take it.
     Whole,
 }
@@ -97,24 +102,40 @@
         let model = want.ask.model.as_ref().filter(|_| engine.is_some());
         let (mut found, mut beside) = (Vec::new(), Vec::new());
         let mut nearest = Fit::Out;
+        let mut first_turn: Option<(Span, &Name)> = None;
         for seen in self.view.all() {
             let fit = self.fit(&seen.entry, want, model, now);
             nearest = nearest.max(fit);
             match fit {
                 Fit::Whole => found.push(seen),
                 Fit::NoAdapter => beside.push(seen),
+                Fit::Limited => {
+                    let turn = self.turn_at(&seen.entry.id, want, now);
+                    let turn = turn.map(|turn| (turn, &seen.entry.id));
+                    first_turn = first_turn.into_iter().chain(turn).min();
+                }
                 _ => {}
             }
         }
         if found.is_empty() {
-            return Err(self.nowhere(nearest, model, now));
+            return Err(match first_turn {
+                Some((turn, id)) if nearest == Fit::Limited => Nowhere::Limited(id.clone(), turn),
+                _ => self.nowhere(nearest, model, now),
+            });
         }
         let terms = self.terms(want, model, engine, now);
         let candidates = found.iter().map(|seen| self.candidate(&seen.entry, &terms));
         let candidates: Vec<Candidate> = candidates.collect();
         let ask = batch_ask(want, engine, self.blur(now));
-        let chosen = batch::choose(&ask, &candidates, &mut self.rng);
-        let (at, first_token) = chosen.ok_or(Nowhere::NoReplica)?;
+        let is_unheard = |at: &usize| {
+            let id = &found[*at].entry.id;
+            candidates[*at].takes(&ask) && self.is_unheard(id, now)
+        };
+        let unheard = (0..found.len()).find(is_unheard);
+        let (at, first_token) = match unheard {
+            Some(at) => (at, candidates[at].first_token(&ask)),
+            None => batch::choose(&ask, &candidates, &mut self.rng).ok_or(Nowhere::NoReplica)?,
+        };
         let takes = |seen: &&Seen| self.candidate(&seen.entry, &terms).takes(&ask);
         let crowded = !candidates[at].takes(&ask) && beside.iter().any(takes);
         Ok(Choice {
@@ -170,6 +191,7 @@
             || !reached && self.told.is_absent(&entry.id, now);
         let whole = match absent {
             true => Fit::Absent,
+            false if self.turn_at(&entry.id, want, now).is_some() => Fit::Limited,
             false => Fit::Whole,
         };
         let Some(model) = model else {
@@ -191,7 +213,7 @@
             Fit::Out => Nowhere::NoReplica,
             Fit::NoModel => Nowhere::NoModel(model.and_then(|m| self.told.coming(m, now))),
             Fit::NoAdapter => Nowhere::NoAdapter,
-            Fit::Absent | Fit::Whole => Nowhere::Unreachable,
+            Fit::Absent | Fit::Limited | Fit::Whole => Nowhere::Unreachable,
         }
     }
 
--- a/crates/front/src/table/limits.rs
+++ b/crates/front/src/table/limits.rs
@@ -1,11 +1,29 @@
 //! Limits that replicas name: how many requests a second they take from all hosts together.
 
-use super::Table;
-use platform::replica::Incarnation;
-use route::quota::Notice;
-use unit::{Name, Time};
+use super::choose::rank;
+use super::replica::State;
+use super::{Table, Want};
+use crate::message::Limited;
+use platform::replica::{Entry, Incarnation};
+use route::quota::{INTAKE, Notice, Outlook, Over};
+use std::collections::HashMap;
+use unit::{Name, Span, Time};
 
-/// What an answer says of its replica's limit, against what was known.
+/// Time for which a host tells the leader again what it heard itself, so that the next leader hears it too.
+const TOLD_AGAIN: Span = Span::from_secs(5);
+
+/// Time for which it is told that a limit is over: several whole rounds of a large fleet.
+const TOLD_OVER: Span = Span::from_secs(10);
+
+/// Time without an answer from a limited replica after which it goes before others, if there is room for a request: only an
+/// answer can say that its need is over.
+const UNHEARD: Span = Span::from_ms(1_000);
+
+/// Requests that each step of urgency leaves to those before it. All ranks together leave less than a full bucket holds, so
+/// that the least urgent has all of a limit where nothing else comes.
+const KEPT_A_RANK: f64 = 0.3;
+
+/// Change of what is known of a limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
     /// It names one, and none was known.
@@ -16,6 +34,71 @@
     Over,
 }
 
+/// What is known of the limit of a replica, beside its entry.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Intake {
+    /// What it last said, to any host.
+    notice: Notice,
+    /// When it last answered this host.
+    heard: Option<Time>,
+    /// What there was when it was last asked for.
+    outlook: Option<Outlook>,
+    /// Requests of this host that wait for room there.
+    held: u32,
+}
+
+/// Limit of a replica, as a request meets it.
+#[derive(Debug, Clone, Copy)]
+pub struct Met {
+    /// What is told of it to whoever gives out.
+    pub limited: Limited,
+    /// What the replica last said.
+    pub notice: Notice,
+    /// Units that are to be left for what is more urgent.
+    pub kept: f64,
+}
+
+impl Intake {
+    fn new(notice: Notice) -> Intake {
+        Intake {
+            notice,
+            heard: None,
+            outlook: None,
+            held: 0,
+        }
+    }
+
+    /// Time until there may be room for a request; zero when there may be some now.
+    fn wait(&self, kept: f64, now: Time) -> Span {
+        let limit = self.notice.limit(1.0);
+        let outlook = self.outlook;
+        outlook.map_or(Span::ZERO, |o| o.wait(1.0 + kept, INTAKE, limit, now))
+    }
+
+    /// Time until a request would have its turn that nothing else can take, behind those that wait already.
+    fn turn(&self, kept: f64, now: Time) -> Span {
+        let line = self.outlook.map_or(Span::ZERO, |o| o.line(now));
+        let before = Span::from_secs_f64(f64::from(self.held) / self.notice.limit(1.0).rate);
+        self.wait(kept, now).max(line) + before
+    }
+}
+
+impl State {
+    /// What is known of its limit, while that holds.
+    pub(super) fn limit(&self, now: Time) -> Option<&Intake> {
+        let intake = self.intake.as_ref();
+        intake.filter(|intake| !intake.notice.is_over(now))
+    }
+}
+
+/// Requests that a request leaves to those that are more urgent: a stream that is taken up again leaves none.
+fn kept(want: &Want) -> f64 {
+    match want.resumes {
+        true => 0.0,
+        false => KEPT_A_RANK * (rank(want.priority) + 1) as f64,
+    }
+}
+
 impl Table {
     /// Takes in what an answer says: the rate that it names, if it does. Tells what that changes; nothing where another
     /// incarnation of the replica is known by now.
@@ -29,30 +112,169 @@
         if self.view.get(id)?.entry.incarnation != incarnation {
             return None;
         }
-        let known = &mut self.replica(id).notice;
-        let valid = known.filter(|notice| !notice.is_over(now));
-        match (rate, valid) {
-            (Some(rate), None) => {
-                *known = Some(Notice::new(rate, now));
-                Some(Change::First)
-            }
-            (Some(rate), Some(before)) => {
-                *known = Some(Notice::new(rate, now));
-                (before.rate != rate).then_some(Change::Other(before.rate))
-            }
+        if rate.is_none() && self.replicas.get(id)?.intake.is_none() {
+            return None;
+        }
+        let known = &mut self.replica(id).intake;
+        let before = known.map(|intake| intake.notice);
+        let notice = match (rate, before) {
+            (Some(rate), _) => Notice::new(rate, now),
             (None, Some(mut notice)) => {
-                let is_first = notice.unnamed.is_none();
                 notice.unname(now);
-                *known = Some(notice);
-                is_first.then_some(Change::Over)
+                notice
             }
-            (None, None) => None,
+            (None, None) => return None,
+        };
+        let intake = known.get_or_insert_with(|| Intake::new(notice));
+        intake.notice = notice;
+        intake.heard = Some(now);
+        change(before, &notice, now)
+    }
+
+    /// Takes in what other hosts heard; tells replicas, what they name, and what that changes.
+    pub fn join_limits(&mut self, told: &[Limited], now: Time) -> Vec<(Name, f64, Change)> {
+        let told = told
+            .iter()
+            .filter_map(|t| Some((t.replica, t.notice(now)?)));
+        let told: HashMap<u32, Notice> = told.collect();
+        if told.is_empty() {
+            return Vec::new();
         }
+        let entries = self.view.all().map(|seen| &seen.entry);
+        let named = entries.filter_map(|e| Some((e.id.clone(), *told.get(&Limited::name(e))?)));
+        let named: Vec<(Name, Notice)> = named.collect();
+        let mut changes = Vec::new();
+        for (id, told) in named {
+            let known = &mut self.replica(&id).intake;
+            let before = known.map(|intake| intake.notice);
+            let intake = known.get_or_insert_with(|| Intake::new(told));
+            intake.notice.join(&told);
+            let notice = intake.notice;
+            if let Some(change) = change(before, &notice, now) {
+                changes.push((id, notice.rate, change));
+            }
+        }
+        changes
     }
 
     /// Limit that a replica has named and that still holds, in requests a second.
     pub fn limit_of(&self, id: &str, now: Time) -> Option<f64> {
-        let notice = self.replicas.get(id)?.notice?;
-        (!notice.is_over(now)).then_some(notice.rate)
+        Some(self.replicas.get(id)?.limit(now)?.notice.rate)
+    }
+
+    /// Replicas that have named a limit, with that, or none where it is over.
+    pub fn limited(&self, now: Time) -> Vec<(Name, Option<f64>)> {
+        let named = self.replicas.iter().filter(|(_, s)| s.intake.is_some());
+        let named = named.map(|(id, s)| (id.clone(), s.limit(now).map(|l| l.notice.rate)));
+        named.collect()
+    }
+
+    /// What is known of the limit of an incarnation, by its short name.
+    pub fn notice_of(&self, replica: u32) -> Option<Notice> {
+        let mut entries = self.view.all().map(|seen| &seen.entry);
+        let entry = entries.find(|entry| Limited::name(entry) == replica)?;
+        Some(self.replicas.get(&entry.id)?.intake?.notice)
+    }
+
+    /// Limits that this host has heard itself lately, to be told.
+    pub fn heard_limits(&self, now: Time) -> Vec<Limited> {
+        let is_own = |intake: &Intake| intake.heard.is_some_and(|at| now.since(at) < TOLD_AGAIN);
+        self.rows(is_own, now)
+    }
+
+    /// Limits that hold, or are over since a while ago, to be told.
+    pub fn limits(&self, now: Time) -> Vec<Limited> {
+        let is_told = |intake: &Intake| {
+            let over = intake.notice.unnamed;
+            over.is_none_or(|at| now.since(at) < TOLD_OVER)
+        };
+        self.rows(is_told, now)
+    }
+
+    fn rows(&self, is_told: impl Fn(&Intake) -> bool, now: Time) -> Vec<Limited> {
+        let row = |entry: &Entry| {
+            let intake = self.replicas.get(&entry.id)?.intake.as_ref()?;
+            is_told(intake).then(|| Limited::new(entry, &intake.notice, now))
+        };
+        self.view
+            .all()
+            .filter_map(|seen| row(&seen.entry))
+            .collect()
+    }
+
+    /// Limit that a request meets at a replica, if that has named one.
+    pub fn meet(&self, id: &str, want: &Want, now: Time) -> Option<Met> {
+        let notice = self.replicas.get(id)?.limit(now)?.notice;
+        let entry = &self.view.get(id)?.entry;
+        Some(Met {
+            limited: Limited::new(entry, &notice, now),
+            notice,
+            kept: kept(want),
+        })
+    }
+
+    /// Notes that a request is being asked for, so that others here do not ask for the same one.
+    pub fn asks(&mut self, id: &str, now: Time) {
+        let intake = self.replicas.get_mut(id).and_then(|s| s.intake.as_mut());
+        let Some(intake) = intake else { return };
+        let limit = intake.notice.limit(1.0);
+        if let Some(outlook) = &mut intake.outlook {
+            outlook.take(1.0, limit, now);
+        }
+    }
+
+    /// Notes how many requests there were when one was asked for: given, refused, or without an answer.
+    pub fn told_of_room(&mut self, id: &str, told: Option<Result<f64, Over>>, now: Time) {
+        let intake = self.replicas.get_mut(id).and_then(|s| s.intake.as_mut());
+        if let Some(intake) = intake {
+            intake.outlook = Some(match told {
+                Some(Ok(left)) => Outlook::new(left, now),
+                Some(Err(over)) => Outlook::over(over, now),
+                None => Outlook::nothing(INTAKE, now),
+            });
+        }
+    }
+
+    /// Notes that the leader knows of no limit of a replica.
+    pub fn unlimited(&mut self, id: &str) {
+        if let Some(state) = self.replicas.get_mut(id) {
+            state.intake = None;
+        }
+    }
+
+    /// Counts a request of this host in that waits for room at a replica, or out.
+    pub fn hold(&mut self, id: &str, waits: bool) {
+        let intake = self.replicas.get_mut(id).and_then(|s| s.intake.as_mut());
+        if let Some(intake) = intake {
+            intake.held = match waits {
+                true => intake.held + 1,
+                false => intake.held.saturating_sub(1),
+            };
+        }
+    }
+
+    /// Time until a request would have its turn at a replica; none where there may be room for it now.
+    pub(super) fn turn_at(&self, id: &str, want: &Want, now: Time) -> Option<Span> {
+        let intake = self.replicas.get(id)?.limit(now)?;
+        let kept = kept(want);
+        (intake.wait(kept, now) > Span::ZERO).then(|| intake.turn(kept, now))
+    }
+
+    /// Whether a replica is limited, and nothing was heard of it here for so long that it goes before others.
+    pub(super) fn is_unheard(&self, id: &str, now: Time) -> bool {
+        let intake = self.replicas.get(id).and_then(|s| s.limit(now));
+        let is_long = |at: Time| now.since(at) >= UNHEARD;
+        intake.is_some_and(|intake| intake.heard.is_none_or(is_long))
+    }
+}
+
+/// What has changed from one notice to the next.
+fn change(before: Option<Notice>, notice: &Notice, now: Time) -> Option<Change> {
+    let holds = |notice: &Notice| notice.unnamed.is_none();
+    match before.filter(|before| !before.is_over(now)) {
+        None => holds(notice).then_some(Change::First),
+        Some(before) if holds(&before) && !holds(notice) => Some(Change::Over),
+        Some(before) if !holds(&before) && holds(notice) => Some(Change::First),
+        Some(before) => (before.rate != notice.rate).then_some(Change::Other(before.rate)),
     }
 }
--- a/crates/front/src/table/replica.rs
+++ b/crates/front/src/table/replica.rs
@@ -2,12 +2,12 @@
 
 use super::absence::Absence;
 use super::choose::{rank, tokens};
+use super::limits::Intake;
 use super::pace::Pace;
 use super::share::Share;
 use super::{DIRECT_AGE, SUMS_AGE, Want};
 use crate::message::Load;
 use platform::ingress::Ask;
-use route::quota::Notice;
 use std::collections::{BTreeMap, VecDeque};
 use unit::{Name, Time};
 
@@ -39,8 +39,8 @@
     pub(super) others_at: Time,
     /// What each other host has in flight there, as it told itself, and when.
     pub(super) hosts: BTreeMap<Name, (Load, Time)>,
-    /// What it last said of its limit.
-    pub(super) notice: Option<Notice>,
+    /// What is known of its limit, if it has named one.
+    pub(super) intake: Option<Intake>,
     /// Share of its answers that failed.
     pub(super) failing: Share,
     /// Mark of long pauses in its streams.
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -108,17 +108,34 @@
     );
     let served = statuses.iter().filter(|s| **s == 200).count();
     assert!(served >= 6, "{served} in 6 s: half of the limit is used");
-    let begun = Instant::now();
-    let (_, answer) = loop {
-        let (id, answer) = site::ask(&hosts[0], "/stream/x", Some("m1")).await;
-        if answer.status() != 200 {
-            break (id, answer);
-        }
-    };
-    assert_eq!(answer.status(), 503);
-    let wait: f64 = answer.header("retry-after").unwrap().parse().unwrap();
-    assert!((0.1..=10.0).contains(&wait), "come back after {wait} s");
-    assert!(begun.elapsed() < Duration::from_secs(2), "at once");
+    // More at once than come to their turn while they may wait, which is half of their target of 1 s.
+    let mut asked = JoinSet::new();
+    for host in hosts.iter().cycle().take(30) {
+        let callers = host.callers();
+        asked.spawn(async move {
+            let begun = Instant::now();
+            let (_, answer) = site::ask_at(callers, "/stream/x", Some("m1")).await;
+            (answer, begun.elapsed())
+        });
+    }
+    let answers = asked.join_all().await;
+    let (served, refused): (Vec<_>, Vec<_>) = answers
+        .iter()
+        .partition(|(answer, _)| answer.status() == 200);
+    assert!(served.len() <= allowed(2.0), "{} were served", served.len());
+    for (answer, took) in &refused {
+        assert_eq!(answer.status(), 503);
+        let wait: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+        assert!((0.1..=10.0).contains(&wait), "come back after {wait} s");
+        assert!(*took < Duration::from_millis(700), "held for {took:?}");
+    }
+    let at_once = refused
+        .iter()
+        .filter(|(_, took)| *took < Duration::from_millis(200));
+    assert!(
+        at_once.count() >= 20,
+        "what has no turn in time is told so at once"
+    );
 }
 
 /// Requests that may run once only count as the others do.
--- a/crates/front/tests/quota.rs
+++ b/crates/front/tests/quota.rs
@@ -3,7 +3,7 @@
 mod site;
 
 use front::Daemon;
-use front::message::{Message, Question, Refund, Verdict, decode, encode};
+use front::message::{Message, Question, Refund, Subject, Verdict, decode, encode};
 use platform_standin::replica::Fault;
 use platform_standin::store::Store;
 use platform_standin::{Account, store};
@@ -149,13 +149,15 @@
         let question = Question {
             number: 7,
             host: "h".into(),
-            account: "mine".into(),
+            subject: Subject::Account("mine".into()),
             units,
+            kept: units,
+            queues: true,
             alone: units,
         };
         let refund = Refund {
             host: "h".into(),
-            account: "mine".into(),
+            subject: Subject::Account("mine".into()),
             units,
             age_ms: 1,
         };
--- a/crates/front/tests/sums.rs
+++ b/crates/front/tests/sums.rs
@@ -21,6 +21,7 @@
         gap: None,
         avoid: &[],
         only: None,
+        resumes: false,
     };
     for _ in 0..2 {
         table.enter(id, &want, at(0));
--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -1,7 +1,9 @@
-//! Quotas of client accounts, held over all hosts: no network, no clock.
+//! Limits held over all hosts, of what client accounts may use and of what replicas in need take: no network, no
+//! clock.
 //!
-//! One host, the one that leads, runs the [`Limiter`]: a token bucket for each account, which every host
-//! asks before it lets a request in. Its state is lost with it, so that a new limiter starts with buckets
+//! One host, the one that leads, runs the [`Limiter`]: a token bucket for each account and for each replica in need,
+//! which every host asks before it lets a request in, or sends one there. A [`Notice`] is what a replica said of its
+//! limit, an [`Outlook`] what a host may expect before it asks. Its state is lost with it, so that a new limiter starts with buckets
 //! that are overdrawn as far as they may be: rate and burst then hold over any number of successors, and
 //! nothing has to be handed over.
 //!
@@ -13,11 +15,13 @@
 mod ledger;
 mod limiter;
 mod notice;
+mod outlook;
 mod share;
 
 pub use ledger::Ledger;
 pub use limiter::{Limiter, Units};
 pub use notice::Notice;
+pub use outlook::Outlook;
 pub use share::Share;
 
 use unit::Span;
@@ -34,7 +38,7 @@
 /// run later, so a window may hold what the account gains in this time beyond its limit.
 pub const GIVEN_BACK_WITHIN: Span = Span::from_ms(500);
 
-/// Rate and burst of one account over all hosts, in its own units.
+/// Rate and burst over all hosts: of an account in its own units, or of a replica in requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
     /// Units a second.
@@ -52,6 +56,15 @@
     pub left: f64,
 }
 
+/// What a host is told that asked for more than there is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Over {
+    /// Time after which there will be enough.
+    pub wait: Span,
+    /// Units that are there.
+    pub left: f64,
+}
+
 /// What may be used beyond the limits, in any window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Tolerance {
@@ -71,6 +84,13 @@
 /// as much less is given out.
 const NEEDED_OVERAGE: f64 = 0.1;
 
+/// Tolerance of the limits that replicas name, in requests.
+pub const INTAKE: Tolerance = Tolerance {
+    window: Span::from_ms(4_000),
+    overage: 0.5,
+    slack: 5.0,
+};
+
 impl Tolerance {
     /// Units by which a bucket may be overdrawn.
     fn overdraft(&self) -> f64 {
--- a/crates/route/src/quota/limiter.rs
+++ b/crates/route/src/quota/limiter.rs
@@ -1,7 +1,8 @@
-//! The one place that gives out what accounts may use.
+//! The one place that gives out what accounts may use, and what replicas in need take.
 
-use super::{ALONE_FOR, ALONE_PART, GIVEN_BACK_WITHIN, Given, Ledger, Limit, Tolerance};
+use super::{ALONE_FOR, ALONE_PART, GIVEN_BACK_WITHIN, Given, Ledger, Limit, Over, Tolerance};
 use std::collections::HashMap;
+use std::hash::Hash;
 use unit::{Name, Span, Time};
 
 /// Part of the rate that a new limiter leaves for [`ALONE_FOR`] to hosts that it has not heard of and that
@@ -18,22 +19,27 @@
 /// Time over which refused requests count as a queue before the next one that is told when to come back.
 const QUEUE: Span = Span::from_ms(1_000);
 
-/// Longest time after which an account over its limit is told to come back.
+/// Longest time after which what is over a limit is told to come back.
 const LONGEST_WAIT: Span = Span::from_secs(10);
 
-/// Token buckets of all accounts.
+/// Time without any question after which a bucket is forgotten; it is full long before.
+const FORGOTTEN_AFTER: Span = Span::from_secs(60);
+
+/// Token buckets of all subjects: client accounts by name, or incarnations of replicas.
 #[derive(Debug)]
-pub struct Limiter {
+pub struct Limiter<K> {
     tolerance: Tolerance,
     /// When it began.
     since: Time,
-    accounts: HashMap<Name, Account>,
+    buckets: HashMap<K, Bucket>,
+    /// When buckets were last looked through for those to be forgotten.
+    looked: Time,
     hosts: Hosts,
 }
 
-/// Bucket of one account, and who used it.
+/// Bucket of one subject, and who used it.
 #[derive(Debug)]
-struct Account {
+struct Bucket {
     /// Units that may be given out now; below nothing when it is overdrawn.
     level: f64,
     /// When the level was brought up to date.
@@ -49,25 +55,38 @@
 }
 
 /// Units that a host asks for, gives back or has used.
-#[derive(Debug, Clone, Copy)]
-pub struct Units<'a> {
-    /// The account.
-    pub account: &'a Name,
-    /// Its limit by the newest configuration.
+#[derive(Debug)]
+pub struct Units<'a, K> {
+    /// Whose limit it is.
+    pub subject: &'a K,
+    /// The limit, as it was last heard of.
     pub limit: Limit,
     /// The host.
     pub host: &'a Name,
     /// How many.
     pub count: f64,
+    /// Units that are to be left for what is more urgent.
+    pub kept: f64,
+    /// Whether what is refused comes again for the same units, since nothing else can take it.
+    pub queues: bool,
+}
+
+impl<K> Clone for Units<'_, K> {
+    fn clone(&self) -> Self {
+        *self
+    }
 }
 
-impl Limiter {
+impl<K> Copy for Units<'_, K> {}
+
+impl<K: Eq + Hash + Clone> Limiter<K> {
     /// Makes one with overdrawn buckets: what a predecessor gave out last is not known.
-    pub fn new(tolerance: Tolerance, now: Time) -> Limiter {
+    pub fn new(tolerance: Tolerance, now: Time) -> Limiter<K> {
         Limiter {
             tolerance,
             since: now,
-            accounts: HashMap::new(),
+            buckets: HashMap::new(),
+            looked: now,
             hosts: Hosts::default(),
         }
     }
@@ -77,96 +96,115 @@
         self.hosts.heard(host, now);
     }
 
-    /// Gives out units of an account, or tells the time after which there will be enough.
-    pub fn give(&mut self, units: Units, now: Time) -> Result<Given, Span> {
+    /// Gives out units, or tells the time after which there will be enough.
+    pub fn give(&mut self, units: Units<K>, now: Time) -> Result<Given, Over> {
         self.heard(units.host, now);
         let window = self.tolerance.window;
         let overdraft = self.tolerance.overdraft();
         let limit = self.tolerance.given_out(units.limit);
-        let account = self.account(units.account, limit, now);
-        // What never fits into a window would leave the account in debt for longer than one.
+        let bucket = self.bucket(units.subject, limit, now);
+        // What never fits into a window would leave a debt for longer than one.
         if units.count > limit.rate * window.secs() + limit.burst {
-            return Err(LONGEST_WAIT);
+            return Err(Over {
+                wait: LONGEST_WAIT,
+                left: bucket.level,
+            });
         }
         // A request that is larger than a full bucket is let in by a full one.
-        let needed = units.count.min(limit.burst + overdraft);
-        let missing = needed - overdraft - account.level;
+        let needed = (units.count + units.kept).min(limit.burst + overdraft);
+        let missing = needed - overdraft - bucket.level;
         if missing > 0.0 {
-            let queue = account.refused.used(now);
-            account.refused.add(units.count, now);
+            let queue = bucket.refused.used(now);
+            if units.queues {
+                bucket.refused.add(units.count, now);
+            }
             let wait = Span::from_secs_f64((missing + queue) / limit.rate);
-            return Err(wait.min(LONGEST_WAIT));
+            return Err(Over {
+                wait: wait.min(LONGEST_WAIT),
+                left: bucket.level,
+            });
         }
-        account.level -= units.count;
-        account.given.add(units.count, now);
-        let ledger = account.hosts.entry(units.host.clone());
+        bucket.level -= units.count;
+        bucket.given.add(units.count, now);
+        let ledger = bucket.hosts.entry(units.host.clone());
         let ledger = ledger.or_insert_with(|| Ledger::new(window));
         ledger.add(units.count, now);
         Ok(Given {
-            all: account.given.used(now),
-            left: account.level,
+            all: bucket.given.used(now),
+            left: bucket.level,
         })
     }
 
     /// Takes back units that were given out at `given` and not used, if that was a moment ago.
-    pub fn take_back(&mut self, units: Units, given: Time, now: Time) {
+    pub fn take_back(&mut self, units: Units<K>, given: Time, now: Time) {
         if now.since(given) > GIVEN_BACK_WITHIN {
             return;
         }
         let limit = self.tolerance.given_out(units.limit);
-        let account = self.account(units.account, limit, now);
-        account.level = (account.level + units.count).min(limit.burst);
-        account.given.remove(units.count, given);
-        if let Some(ledger) = account.hosts.get_mut(units.host) {
+        let bucket = self.bucket(units.subject, limit, now);
+        bucket.level = (bucket.level + units.count).min(limit.burst);
+        bucket.given.remove(units.count, given);
+        if let Some(ledger) = bucket.hosts.get_mut(units.host) {
             ledger.remove(units.count, given);
         }
     }
 
     /// Takes in what a host has used by its share since it was answered last. While the host was silent its
     /// share was set aside, and before this limiter began nothing was given out: that is not counted again.
-    pub fn used_alone(&mut self, units: Units, now: Time) {
+    pub fn used_alone(&mut self, units: Units<K>, now: Time) {
         self.heard(units.host, now);
         let since = self.hosts.in_touch_since(units.host);
         let limit = self.tolerance.given_out(units.limit);
-        let account = self.account(units.account, limit, now);
-        let before = account.reported.insert(units.host.clone(), since);
+        let bucket = self.bucket(units.subject, limit, now);
+        let before = bucket.reported.insert(units.host.clone(), since);
         if before == Some(since) {
-            account.level -= units.count;
+            bucket.level -= units.count;
         }
     }
 
-    /// Units given out of an account in the last window.
-    pub fn given(&mut self, account: &str, now: Time) -> f64 {
-        let account = self.accounts.get_mut(account);
-        account.map_or(0.0, |a| a.given.used(now))
+    /// Units given out to a subject in the last window.
+    pub fn given(&self, subject: &K, now: Time) -> f64 {
+        let bucket = self.buckets.get(subject);
+        bucket.map_or(0.0, |b| b.given.used(now))
     }
 
-    /// The account with its level brought up to date.
-    fn account(&mut self, name: &Name, limit: Limit, now: Time) -> &mut Account {
+    /// The bucket with its level brought up to date.
+    fn bucket(&mut self, subject: &K, limit: Limit, now: Time) -> &mut Bucket {
         let window = self.tolerance.window;
         self.hosts.look(window, now);
-        if !self.accounts.contains_key(name) {
-            let new = Account::new(&self.tolerance, self.since);
-            self.accounts.insert(name.clone(), new);
+        self.forget(now);
+        if !self.buckets.contains_key(subject) {
+            let new = Bucket::new(&self.tolerance, self.since);
+            self.buckets.insert(subject.clone(), new);
         }
-        let account = self.accounts.get_mut(name).expect("it was just put in");
-        let set_aside = account.share_of(&self.hosts.silent) * ALONE_PART;
+        let bucket = self.buckets.get_mut(subject).expect("it was just put in");
+        let set_aside = bucket.share_of(&self.hosts.silent) * ALONE_PART;
         let set_aside = match now.since(self.since) < ALONE_FOR {
             true => set_aside.max(LEFT_TO_UNHEARD),
             false => set_aside,
         };
-        let gained = now.since(account.at).secs() * limit.rate * (1.0 - set_aside);
-        account.level = (account.level + gained).min(limit.burst);
-        account.at = now;
-        account
+        let gained = now.since(bucket.at).secs() * limit.rate * (1.0 - set_aside);
+        bucket.level = (bucket.level + gained).min(limit.burst);
+        bucket.at = now;
+        bucket
+    }
+
+    /// Forgets the buckets that nobody has asked about for long.
+    fn forget(&mut self, now: Time) {
+        if now.since(self.looked) < FORGOTTEN_AFTER {
+            return;
+        }
+        self.looked = now;
+        let is_kept = |bucket: &Bucket| now.since(bucket.at) < FORGOTTEN_AFTER;
+        self.buckets.retain(|_, bucket| is_kept(bucket));
     }
 }
 
-impl Account {
-    /// An account of which a predecessor may have given out all it could until `since`.
-    fn new(tolerance: &Tolerance, since: Time) -> Account {
+impl Bucket {
+    /// A bucket of which a predecessor may have given out all it could until `since`.
+    fn new(tolerance: &Tolerance, since: Time) -> Bucket {
         let window = tolerance.window;
-        Account {
+        Bucket {
             level: -tolerance.overdraft(),
             at: since,
             hosts: HashMap::new(),
--- a/crates/route/src/quota/notice.rs
+++ b/crates/route/src/quota/notice.rs
@@ -49,10 +49,10 @@
         self.unnamed.is_some_and(|at| now.since(at) >= HOLDS_ON)
     }
 
-    /// Limit by which requests are given out.
-    pub fn limit(&self) -> Limit {
+    /// Limit by which requests are given out by a host that may give so great a part of it.
+    pub fn limit(&self, part: f64) -> Limit {
         Limit {
-            rate: self.rate.max(LEAST_RATE),
+            rate: (self.rate * part).max(LEAST_RATE),
             burst: 0.0,
         }
     }
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -144,10 +144,12 @@
             host.share.take_back(count, at(given));
             if let Some(limiter) = limiter.as_mut().filter(|_| ms >= host.cut_until) {
                 let units = Units {
-                    account: &account,
+                    subject: &account,
                     limit,
                     host: &host.name,
                     count,
+                    kept: 0.0,
+                    queues: true,
                 };
                 limiter.take_back(units, at(given), now);
             }
@@ -167,10 +169,12 @@
             let counts = if ms >= BEGIN_MS { count } else { 0.0 };
             outcome.asked += counts;
             let units = Units {
-                account: &account,
+                subject: &account,
                 limit,
                 host: &host.name,
                 count,
+                kept: 0.0,
+                queues: true,
             };
             let untold = host.share.untold();
             let arrives = reaches && !rng.random_bool(trouble.lost);
@@ -387,10 +391,12 @@
         burst: 10_000.0,
     };
     let units = |count| Units {
-        account: &account,
+        subject: &account,
         limit,
         host: &host,
         count,
+        kept: 0.0,
+        queues: true,
     };
     let mut limiter = Limiter::new(TOLERANCE, at(0));
     assert!(limiter.give(units(1e19), at(10_000)).is_err());
@@ -406,10 +412,12 @@
         burst: 10_000.0,
     };
     let units = Units {
-        account: &account,
+        subject: &account,
         limit,
         host: &host,
         count: 5_000.0,
+        kept: 0.0,
+        queues: true,
     };
     let mut limiter = Limiter::new(
         Tolerance {
@@ -419,7 +427,7 @@
         at(0),
     );
     limiter.give(units, at(0)).unwrap_err();
-    let wait = limiter.give(units, at(400)).unwrap_err();
+    let wait = limiter.give(units, at(400)).unwrap_err().wait;
     let back = at(400) + wait;
     assert!(limiter.give(units, back).is_ok(), "told {wait}");
 }
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -99,6 +99,7 @@
         gap: Some(Span::from_ms(300)),
         avoid: &[],
         only: None,
+        resumes: false,
     };
     let took = each(|| {
         black_box(table.choose(&want, Time(1)).ok());
