--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -7,8 +7,8 @@
 mod site;
 
 use front::Daemon;
-use platform_standin::replica::Replica;
-use platform_standin::store::Store;
+use platform_standin::replica::{Fault, Replica};
+use platform_standin::store::{Mode, Store};
 use site::{daemon, engine, store};
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -56,10 +56,12 @@
         let (host, path) = (&hosts[n % hosts.len()], paths[n % paths.len()]);
         let model = (!path.starts_with("/once") && !path.starts_with("/again")).then_some("m1");
         let callers = host.callers();
-        asked.spawn(async move { site::ask_at(callers, path, model).await.1.status() });
+        asked.spawn(async move { (n, site::ask_at(callers, path, model).await.1.status()) });
         sleep(Duration::from_millis(25)).await;
     }
-    asked.join_all().await
+    let mut statuses = asked.join_all().await;
+    statuses.sort_unstable();
+    statuses.into_iter().map(|(_, status)| status).collect()
 }
 
 /// Sends requests until a replica has named its limit, then for the bound, and then on; gives the statuses of the last
@@ -157,3 +159,190 @@
     let served = statuses.iter().filter(|s| **s == 200).count();
     assert_eq!(served, statuses.len(), "the other replicas take the rest");
 }
+
+/// Requests that reached a replica in the windows of a time.
+async fn watch(hosts: &[Daemon], replica: &Replica, time: Duration) -> (Vec<u16>, usize) {
+    let from = Instant::now();
+    let statuses = press(hosts, &["/stream/x"], time).await;
+    (statuses, most_in_a_window(&replica.arrived_after(from)))
+}
+
+fn all_served(statuses: &[u16]) {
+    let served = statuses.iter().filter(|s| **s == 200).count();
+    assert_eq!(served, statuses.len(), "the other replica takes the rest");
+}
+
+/// The host that gives out ends without a word: the others send no more than their shares, and the next one goes on.
+#[tokio::test]
+async fn a_limit_holds_while_the_leader_dies_and_a_host_begins() {
+    let store = store().await;
+    let needy = engine(&store, "i-1", &["m1"]).await;
+    let _other = engine(&store, "i-2", &["m1"]).await;
+    let mut hosts = hosts(&store, 3).await;
+    needy.name_limit(Some("3"));
+    press(&hosts, &["/stream/x"], BOUND).await;
+    let leader = hosts.iter().position(|h| h.state().leads()).unwrap();
+    drop(hosts.remove(leader));
+    let (statuses, most) = watch(&hosts, &needy, Duration::from_secs(5)).await;
+    assert!(most <= allowed(3.0), "{most} in 4 s after the death");
+    all_served(&statuses);
+    hosts.push(daemon(&store, "d4").await);
+    let (statuses, most) = watch(&hosts, &needy, Duration::from_secs(5)).await;
+    assert!(
+        most <= allowed(3.0),
+        "{most} in 4 s with a host that begins"
+    );
+    assert!(most >= 6, "half of the limit is used: {most} in 4 s");
+    all_served(&statuses);
+}
+
+/// The store is away for longer than a lease: the leader, whose term is in doubt, gives out half.
+#[tokio::test]
+async fn a_limit_holds_and_is_used_while_the_store_is_away() {
+    let store = store().await;
+    let needy = engine(&store, "i-1", &["m1"]).await;
+    let _other = engine(&store, "i-2", &["m1"]).await;
+    let hosts = hosts(&store, 3).await;
+    needy.name_limit(Some("3"));
+    press(&hosts, &["/stream/x"], BOUND).await;
+    store.set_mode(Mode::Silent);
+    let (statuses, most) = watch(&hosts, &needy, Duration::from_secs(5)).await;
+    assert!(most <= allowed(3.0), "{most} in 4 s");
+    all_served(&statuses);
+    let (_, most) = watch(&hosts, &needy, Duration::from_secs(5)).await;
+    assert!(
+        (6..=allowed(3.0)).contains(&most),
+        "{most} in 4 s, long away"
+    );
+    store.set_mode(Mode::Up);
+}
+
+/// A replica that names none any more is back at its share within seconds.
+#[tokio::test]
+async fn a_replica_whose_need_is_over_is_back_within_seconds() {
+    let store = store().await;
+    let needy = engine(&store, "i-1", &["m1"]).await;
+    let _other = engine(&store, "i-2", &["m1"]).await;
+    let hosts = hosts(&store, 3).await;
+    needy.name_limit(Some("0"));
+    press(&hosts, &["/stream/x"], BOUND).await;
+    let (_, most) = watch(&hosts, &needy, Duration::from_secs(5)).await;
+    assert!((1..=5).contains(&most), "a limit of zero: {most} in 4 s");
+    needy.name_limit(None);
+    press(&hosts, &["/stream/x"], Duration::from_secs(6)).await;
+    let from = Instant::now();
+    press(&hosts, &["/stream/x"], Duration::from_secs(2)).await;
+    let back = needy.arrived_after(from).len();
+    assert!(back > 15, "{back} of 80 requests in 2 s");
+}
+
+/// What is no number of requests a second is no limit, and does not end one.
+#[tokio::test]
+async fn what_is_no_number_changes_nothing() {
+    let store = store().await;
+    let odd = engine(&store, "i-1", &["m1"]).await;
+    let host = daemon(&store, "d1").await;
+    for value in ["-1", "inf", "NaN", "two", "", "1e999"] {
+        odd.name_limit(Some(value));
+        let (_, answer) = site::ask(&host, "/stream/x", Some("m1")).await;
+        assert_eq!(answer.status(), 200, "{value}");
+        assert!(
+            host.state()
+                .table
+                .lock()
+                .limited(host.state().now())
+                .is_empty()
+        );
+    }
+    odd.name_limit(Some("2.5"));
+    site::ask(&host, "/stream/x", Some("m1")).await;
+    odd.name_limit(Some("nothing"));
+    for _ in 0..3 {
+        site::ask(&host, "/stream/x", Some("m1")).await;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    let limited = host.state().table.lock().limited(host.state().now());
+    assert_eq!(limited, [("i-1".into(), Some(2.5))]);
+}
+
+/// A refusal may name a limit as well; one that names none does not end it.
+#[tokio::test]
+async fn refusals_tell_limits_and_do_not_end_them() {
+    let store = store().await;
+    let needy = site::web(&store, "w-1").await;
+    let host = daemon(&store, "d1").await;
+    let limit = || {
+        host.state()
+            .table
+            .lock()
+            .limit_of("w-1", host.state().now())
+    };
+    needy.set_fault(Fault::Sheds);
+    needy.name_limit(Some("50"));
+    site::ask(&host, "/again/x", None).await;
+    assert_eq!(limit(), Some(50.0));
+    needy.name_limit(None);
+    for _ in 0..5 {
+        site::ask(&host, "/again/x", None).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(limit(), Some(50.0));
+}
+
+/// A limit goes with the incarnation that named it, on all hosts.
+#[tokio::test]
+async fn a_limit_goes_with_its_incarnation() {
+    let store = store().await;
+    let needy = site::web(&store, "w-1").await;
+    let hosts = hosts(&store, 3).await;
+    needy.name_limit(Some("1"));
+    site::ask(&hosts[0], "/again/x", None).await;
+    let knows = |h: &Daemon| {
+        h.state()
+            .table
+            .lock()
+            .limit_of("w-1", h.state().now())
+            .is_some()
+    };
+    site::until(|| hosts.iter().all(knows)).await;
+    needy.restart();
+    site::until(|| !hosts.iter().any(knows)).await;
+    let statuses = press(&hosts, &["/again/x"], Duration::from_secs(2)).await;
+    all_served(&statuses);
+}
+
+/// A broken stream goes before what has not begun, and is taken up within the limits of all replicas that are left.
+#[tokio::test]
+async fn resumed_streams_keep_to_limits_and_go_first() {
+    let store = store().await;
+    let needy = engine(&store, "i-1", &["m1"]).await;
+    let breaks = engine(&store, "i-2", &["m1"]).await;
+    let hosts = hosts(&store, 3).await;
+    needy.name_limit(Some("2"));
+    press(&hosts, &["/resume/x"], BOUND).await;
+    breaks.set_fault(Fault::CutsEvents);
+    let from = Instant::now();
+    press(&hosts, &["/resume/x"], Duration::from_secs(5)).await;
+    let most = most_in_a_window(&needy.arrived_after(from));
+    assert!(most <= allowed(2.0), "{most} in 4 s");
+}
+
+/// While more urgent requests come than a replica in need takes, the others do not get their places.
+#[tokio::test]
+async fn the_more_urgent_go_first() {
+    let store = store().await;
+    let needy = engine(&store, "i-1", &["m1"]).await;
+    let hosts = hosts(&store, 3).await;
+    needy.name_limit(Some("4"));
+    press(&hosts, &["/stream/x", "/later/x"], BOUND).await;
+    let statuses = press(&hosts, &["/stream/x", "/later/x"], Duration::from_secs(5)).await;
+    let served = |turn: usize| {
+        let of = statuses.iter().skip(turn).step_by(2);
+        of.filter(|s| **s == 200).count()
+    };
+    let (urgent, later) = (served(0), served(1));
+    assert!(
+        urgent >= 10 && later * 4 <= urgent,
+        "{urgent} urgent, {later} later"
+    );
+}
