A replica in need counts in plans as what it serves

Seen: a model whose only copy is on a replica that takes one request a second counted as served, and got no second copy before demand had smoothed up on other grounds. Change: copies are summed by what their replicas serve now (the limit times the time of a run, over the places); one in need is worth its part as a place for copies too, and what it holds is no reason to give the sound copy up. Nothing changes where no replica is in need: sums of whole copies are the same numbers.

--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -3,6 +3,7 @@
 use super::{Book, Demand, Planner, demand, entries, taken};
 use crate::message::Load;
 use crate::orders::{Bucket, Job, Known};
+use crate::table::Table;
 use place::copies::{self, Step};
 use platform::config::{self, Engine};
 use platform::replica::{Entry, Operation};
@@ -55,11 +56,16 @@
     pub(super) fn plan_service(&self, service: &Name, engine: &Engine) -> bool {
         let now = self.state.now();
         let loads = self.peers.inbox.loads(now);
-        let entries = entries(&self.state.table.lock(), service);
+        let (entries, needs) = {
+            let table = self.state.table.lock();
+            let entries = entries(&table, service);
+            let needs = needs(&table, service, &entries, now);
+            (entries, needs)
+        };
         let (replicas, models, available) = {
             let mut book = self.book.lock();
             let book = &mut *book;
-            let replicas = replicas(&entries, &book.known, engine, &loads, now);
+            let replicas = replicas(&entries, &book.known, engine, (&loads, &needs), now);
             book.note_held(service, engine, &replicas, now);
             let models = models(service, engine, &book.demand, now);
             let new = || self.bucket(engine, now);
@@ -158,7 +164,11 @@
     fn holds(&self, replica: usize, known: &Known, now: Time) -> bool {
         let planned = &self.replicas[replica];
         let entry = &self.entries[replica];
-        self::replica(entry, known, self.engine, planned.load, now) == *planned
+        let seen = self::replica(entry, known, self.engine, planned.load, now);
+        copies::Replica {
+            in_need: planned.in_need,
+            ..seen
+        } == *planned
     }
 
     /// Announces that a replica gives models up, to make room for another.
@@ -272,13 +282,17 @@
     entries: &[Entry],
     known: &HashMap<Name, Known>,
     engine: &Engine,
-    loads: &HashMap<u32, Load>,
+    (loads, needs): (&HashMap<u32, Load>, &HashMap<Name, f64>),
     now: Time,
 ) -> Vec<copies::Replica> {
     let nothing = Known::default();
     let seen_by_plan = |entry: &Entry| {
         let known = known.get(&entry.id).unwrap_or(&nothing);
-        replica(entry, known, engine, taken(entry, loads), now)
+        let seen = replica(entry, known, engine, taken(entry, loads), now);
+        copies::Replica {
+            in_need: needs.get(&entry.id).copied(),
+            ..seen
+        }
     };
     entries.iter().map(seen_by_plan).collect()
 }
@@ -306,5 +320,21 @@
         unloading: known.makes_room(),
         stays: !entry.leaving && !known.is_lost(now),
         load,
+        in_need: None,
     }
 }
+
+/// Part of their places that replicas in need can keep busy with the requests a second that they take.
+fn needs(table: &Table, service: &Name, entries: &[Entry], now: Time) -> HashMap<Name, f64> {
+    let part = |entry: &Entry| {
+        let rate = table.limit_of(&entry.id, now)?;
+        let runs = entry
+            .held
+            .iter()
+            .map(|held| table.pace_of(service, &held.model).1);
+        let run = runs.max()?;
+        let busy = rate * run.secs() / f64::from(entry.slots.max(1));
+        Some((entry.id.clone(), busy.min(1.0)))
+    };
+    entries.iter().filter_map(part).collect()
+}
--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -62,6 +62,15 @@
     pub stays: bool,
     /// Share of its places that are taken.
     pub load: f64,
+    /// Part of what it could serve that it takes now, where it is in need.
+    pub in_need: Option<f64>,
+}
+
+impl Replica {
+    /// What it serves now, as a part of a sound replica.
+    fn serves(&self) -> f64 {
+        self.in_need.unwrap_or(1.0)
+    }
 }
 
 /// Order that the plan wants given.
--- a/crates/place/src/copies/fleet.rs
+++ b/crates/place/src/copies/fleet.rs
@@ -25,6 +25,8 @@
     pub(super) held: usize,
     /// Those that are there or will be.
     pub(super) all: usize,
+    /// What these serve, in copies on sound replicas: one in need serves a part.
+    serving: f64,
 }
 
 /// Replicas and models while a plan is made; both by index.
@@ -93,8 +95,13 @@
     }
 
     fn demand_on(&self, replica: &Replica) -> f64 {
-        let part = |m: &usize| self.models[*m].demand / self.counts[*m].all.max(1) as f64;
-        on(replica).map(part).sum()
+        on(replica).map(|m| self.part_on(*m, replica)).sum()
+    }
+
+    /// Demand for a model that falls on a replica which holds it.
+    fn part_on(&self, model: usize, replica: &Replica) -> f64 {
+        let serving = self.counts[model].serving.max(1.0);
+        self.models[model].demand * replica.serves() / serving
     }
 
     /// Whether a replica holds a model or will.
@@ -102,14 +109,14 @@
         on(&self.replicas[r]).any(|m| *m == model)
     }
 
-    /// Value of one more copy of a model where there are `count`, on a replica on which so much demand
+    /// Value of one more copy of a model where others serve so much already, on a replica on which so much demand
     /// for other models falls.
-    fn value(&self, model: usize, count: usize, others: f64) -> f64 {
+    fn value(&self, model: usize, serving: f64, others: f64) -> f64 {
         let model = &self.models[model];
-        let n = (count as f64).max(NO_COPY);
-        let demand = match count {
-            0 => model.demand.max(model.expected),
-            _ => model.demand,
+        let n = serving.max(NO_COPY);
+        let demand = match serving <= 0.0 {
+            true => model.demand.max(model.expected),
+            false => model.demand,
         };
         // A copy relieves the others the less, the more its replica has to do already.
         let asked = (1.0 + RELIEVED) * demand + model.recent;
@@ -122,12 +129,13 @@
 
     /// What one more copy of a model gains on a replica, at the most: nothing is given up for it.
     pub(super) fn gain(&self, model: usize, r: usize) -> f64 {
-        self.value(model, self.counts[model].all, self.demand[r]) * self.patience(model)
+        let value = self.value(model, self.counts[model].serving, self.demand[r]);
+        value * self.replicas[r].serves() * self.patience(model)
     }
 
     /// What one more copy of a model gains on an empty replica.
     pub(super) fn most_gain(&self, model: usize) -> f64 {
-        self.value(model, self.counts[model].all, 0.0) * self.patience(model)
+        self.value(model, self.counts[model].serving, 0.0) * self.patience(model)
     }
 
     /// Factor by which a model is worth more the longer it was on no replica.
@@ -147,10 +155,13 @@
 
     /// What is lost when a replica gives up a copy.
     pub(super) fn loss(&self, model: usize, r: usize) -> f64 {
-        let count = self.counts[model].all.max(1);
-        let own = self.models[model].demand / count as f64;
-        let left = count - 1;
-        self.value(model, left, (self.demand[r] - own).max(0.0))
+        let replica = &self.replicas[r];
+        let own = self.part_on(model, replica);
+        let left = match self.counts[model].all {
+            0 | 1 => 0.0,
+            _ => self.counts[model].serving - replica.serves(),
+        };
+        self.value(model, left, (self.demand[r] - own).max(0.0)) * replica.serves()
     }
 }
 
@@ -175,9 +186,11 @@
         for model in &replica.held {
             counts[*model].held += 1;
             counts[*model].all += 1;
+            counts[*model].serving += replica.serves();
         }
         for model in &replica.coming {
             counts[*model].all += 1;
+            counts[*model].serving += replica.serves();
         }
     }
     counts
--- a/crates/place/tests/copies.rs
+++ b/crates/place/tests/copies.rs
@@ -27,9 +27,55 @@
         promised: None,
         stays: true,
         load: 0.0,
+        in_need: None,
     }
 }
 
+fn in_need(part: f64, replica: Replica) -> Replica {
+    Replica {
+        in_need: Some(part),
+        ..replica
+    }
+}
+
+/// Two models alike, each with one copy; that of the second is on a replica that takes a twentieth of what it could.
+#[test]
+fn a_model_whose_only_copy_is_in_need_gets_another() {
+    let models = [model(0.5), model(0.5)];
+    let sound = replica(&[0], 0.0);
+    let needy = in_need(0.05, replica(&[1], 0.0));
+    let empty = replica(&[], 40.0);
+    let steps = plan(&[sound, needy, empty], &models, 1, 1);
+    let load = Step::Load {
+        replica: 2,
+        model: 1,
+        from_store: true,
+    };
+    assert_eq!(steps, [load]);
+}
+
+/// Its only sound copy does not give way, and a copy goes to a sound replica rather than to one in need.
+#[test]
+fn what_a_replica_in_need_serves_counts_as_little_as_it_is() {
+    let models = [model(2.0), model(0.5)];
+    let sound = replica(&[1], 0.0);
+    let needy = in_need(0.05, replica(&[1], 0.0));
+    let other = replica(&[0], 0.0);
+    assert_eq!(plan(&[sound.clone(), needy, other], &models, 1, 3), []);
+    let models = [model(2.0)];
+    let needy = in_need(0.05, replica(&[], 40.0));
+    let steps = plan(
+        &[replica(&[0], 0.0), needy, replica(&[], 40.0)],
+        &models,
+        1,
+        1,
+    );
+    assert!(
+        matches!(steps[..], [Step::Load { replica: 2, .. }]),
+        "{steps:?}"
+    );
+}
+
 #[test]
 fn a_model_without_a_copy_goes_first() {
     let models = [model(3.0), model(0.0), model(0.0)];
