On-call sees who is in need: gauges, status, why and losses name limits

coveford_limited_replicas and coveford_replica_limit{replica}; status has a column and a sentence for each replica in need; why tells what a host knew of limits around a request, and sendings to replicas in need; losses counts refusals for want of room as 'limited'. Tests: gauges, story, losses.

--- a/crates/cli/src/gauges.rs
+++ b/crates/cli/src/gauges.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use hyper::header::HOST;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     pub keys_age_ms: Option<u64>,
     /// Requests that are kept out, since they end the replicas that run them.
     pub kept_out: u64,
+    /// Replicas in need by identity, with the requests a second that each takes from all hosts together.
+    pub limits: BTreeMap<String, f64>,
 }
 
 /// Asks all daemons at once; one that does not answer says why in [`Daemon::unreachable`].
@@ -95,9 +98,18 @@
         accounts: whole("coveford_accounts "),
         keys_age_ms: gauge("coveford_keys_age_seconds ").map(|s| (s * 1e3) as u64),
         kept_out: whole("coveford_requests_kept_out ").unwrap_or_default(),
+        limits: text.lines().filter_map(limit).collect(),
     }
 }
 
+/// Replica in need and what it takes, by the line of its gauge; one that is over is told as endless.
+fn limit(line: &str) -> Option<(String, f64)> {
+    let line = line.strip_prefix("coveford_replica_limit{replica=\"")?;
+    let (replica, rate) = line.split_once("\"} ")?;
+    let rate: f64 = rate.trim().parse().ok()?;
+    rate.is_finite().then(|| (replica.to_owned(), rate))
+}
+
 /// The daemons as a table.
 pub fn table(daemons: &[Daemon]) -> String {
     let header = [
@@ -111,16 +123,17 @@
         "ACCOUNTS",
         "KEYS AGE",
         "KEPT OUT",
+        "IN NEED",
     ];
     let rows = daemons.iter().map(row);
     render::table(header, rows.collect())
 }
 
 /// A daemon's address, and its figures or why it gave none.
-fn row(daemon: &Daemon) -> [String; 10] {
+fn row(daemon: &Daemon) -> [String; 11] {
     let addr = daemon.addr.to_string();
     if let Some(why) = &daemon.unreachable {
-        let mut row = [const { String::new() }; 10];
+        let mut row = [const { String::new() }; 11];
         row[0] = addr;
         row[1] = why.clone();
         return row;
@@ -138,6 +151,7 @@
             .keys_age_ms
             .map_or(String::new(), |ms| format!("{ms} ms")),
         daemon.kept_out.to_string(),
+        daemon.limits.len().to_string(),
     ]
 }
 
@@ -171,6 +185,11 @@
             "{kept_out} requests are kept out, since they ended each replica that ran them; the lines 'kept_out' of part 'quarantine' tell which."
         ));
     }
+    for (replica, rate) in in_need(&answered) {
+        found.push(format!(
+            "Replica {replica} is in need: it takes {rate} requests a second from all hosts together; the lines of part 'limit' tell since when."
+        ));
+    }
     let old = |d: &&&Daemon| d.keys_age_ms.is_some_and(|ms| ms > OLD_KEYS_MS);
     let unsure = answered.iter().filter(old).count();
     if unsure > 0 {
@@ -182,6 +201,16 @@
     found
 }
 
+/// Replicas in need, and the least that any daemon knows each to take.
+fn in_need(daemons: &[&Daemon]) -> BTreeMap<String, f64> {
+    let mut limits: BTreeMap<String, f64> = BTreeMap::new();
+    for (replica, rate) in daemons.iter().flat_map(|d| &d.limits) {
+        let least = limits.entry(replica.clone()).or_insert(*rate);
+        *least = least.min(*rate);
+    }
+    limits
+}
+
 /// Fails if no daemon answered.
 pub fn check(daemons: &[Daemon]) -> Result<(), Error> {
     match daemons.iter().all(|d| d.unreachable.is_some()) {
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -10,7 +10,15 @@
 use std::path::{Path, PathBuf};
 
 /// Parts of a daemon whose lines say what it believed when it decided.
-const BELIEFS: [&str; 6] = ["view", "config", "store", "leader", "quarantine", "daemon"];
+const BELIEFS: [&str; 7] = [
+    "view",
+    "config",
+    "store",
+    "leader",
+    "limit",
+    "quarantine",
+    "daemon",
+];
 
 /// Time before and after a request's lines in which beliefs are told, in milliseconds.
 const AROUND_MS: i64 = 5_000;
@@ -95,7 +103,7 @@
     }
 
     fn is_about(&self, id: &str) -> bool {
-        self.text("target") == "request" && self.text("id") == id
+        ["request", "limit"].contains(&self.text("target")) && self.text("id") == id
     }
 
     /// The line as a sentence.
@@ -134,6 +142,19 @@
             ("request", "cancelled") => {
                 format!("Its client left after {ms:.0} ms; the connection to {replica} was closed.")
             }
+            ("limit", "sent") => format!(
+                "It went to {replica}, which is in need and takes {} requests a second from all hosts together.",
+                self.number("rate")
+            ),
+            ("limit", "named" | "changed") => format!(
+                "{replica} is in need: by the word of {} it takes {} requests a second from all hosts together.",
+                self.text("by"),
+                self.number("rate")
+            ),
+            ("limit", "over") => format!(
+                "{replica} is no longer in need, by the word of {}.",
+                self.text("by")
+            ),
             ("request", "answered") => format!("It was answered after {ms:.0} ms."),
             _ => self.plain(),
         }
@@ -212,7 +233,12 @@
     let believed = |line: &&Line| {
         let near = line.at_ms >= start - AROUND_MS && line.at_ms <= end + AROUND_MS;
         let part = BELIEFS.contains(&line.text("target")) && hosts.contains(line.text("host"));
-        let other = line.text("target") == "view" && !replicas.contains(line.text("replica"));
+        let of_replica = ["view", "limit"].contains(&line.text("target"));
+        // What became known of all replicas that were out of the choice matters where no replica took it.
+        let is_limit = line.text("target") == "limit";
+        let is_sending = is_limit && line.text("event") == "sent";
+        let matters = replicas.contains(line.text("replica")) || is_limit && replicas.is_empty();
+        let other = is_sending || of_replica && !matters;
         near && part && !other
     };
     let mut told: Vec<&Line> = lines
--- a/crates/cli/tests/gauges.rs
+++ b/crates/cli/tests/gauges.rs
@@ -72,6 +72,18 @@
     assert!(found[0].contains("2 requests are kept out"), "{found:?}");
 }
 
+#[test]
+fn replicas_in_need_are_said_with_what_they_take() {
+    let text = "coveford_configuration_version 38\ncoveford_leads 1\ncoveford_replica_limit{replica=\"i-1\"} 1.3\ncoveford_replica_limit{replica=\"i-2\"} inf\n";
+    let daemon = read(ADDR.parse().unwrap(), text);
+    assert_eq!(daemon.limits.len(), 1, "one that is over is not in need");
+    let found = findings(&[daemon]);
+    assert!(
+        found[0].contains("Replica i-1 is in need: it takes 1.3 requests a second"),
+        "{found:?}"
+    );
+}
+
 #[tokio::test]
 async fn daemons_that_do_not_answer_are_told() {
     // A port that was free a moment ago.
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -13,6 +13,7 @@
 {"host":"c2","timestamp":"2026-04-29T05:54:13.500000Z","event":"answered","route":"status","status":200,"ms":30,"target_ms":150,"target":"request"}
 {"host":"c2","timestamp":"2026-04-29T05:54:13.500000Z","event":"answered","route":"status","status":500,"ms":30,"target_ms":150,"target":"request"}
 {"host":"c2","timestamp":"2026-04-29T05:54:14.000000Z","event":"refused","route":"chat","status":503,"reason":"no_adapter","ms":100,"target":"request"}
+{"host":"c2","timestamp":"2026-04-29T05:54:14.000000Z","event":"refused","route":"chat","status":503,"reason":"limited","ms":1,"target":"request"}
 {"host":"c2","timestamp":"2026-04-29T05:54:14.000000Z","event":"broken","route":"chat","ms":1000,"target":"request"}
 {"host":"c2","timestamp":"2026-04-29T05:54:15.000000Z","event":"left_out","lines":7,"target":"log"}
 {"host":"c2","timestamp":"2026-04-29T05:54:15.000000Z","event":"sent","id":"x","route":"chat","target":"request"}
@@ -28,6 +29,7 @@
     assert_eq!(of("long pause", "chat"), 1.0);
     assert_eq!(of("failed by its replica", "status"), 10.0);
     assert_eq!(of("no adapter", "chat"), 1.0, "a refusal stands for itself");
+    assert_eq!(of("limited", "chat"), 1.0);
     assert_eq!(of("stream broken off", "chat"), 1.0);
     assert_eq!(losses.left_out, 7.0);
 }
--- a/crates/cli/tests/story.rs
+++ b/crates/cli/tests/story.rs
@@ -12,6 +12,9 @@
 {"host":"a2","timestamp":"2026-08-12T10:31:59.700000Z","level":"INFO","message":"a request is not let in by its key","event":"refused","id":"k1","route":"r-1","status":401,"reason":"key_unknown","key":"3f09ac","version":38,"age_ms":412.0,"ms":0.0,"why":"No account holds this key.","target":"request"}
 {"host":"a2","timestamp":"2026-08-12T10:31:59.710000Z","level":"INFO","message":"a request is not let in by its key","event":"refused","id":"k2","route":"r-1","status":503,"reason":"key_unconfirmed","account":"hule930","version":38,"age_ms":4120.0,"retry_after_ms":500.0,"ms":0.0,"why":"This host last heard of the accounts' keys 4.12 s ago.","target":"request"}
 {"host":"a2","timestamp":"2026-08-12T10:31:59.720000Z","level":"WARN","message":"the request is given up","event":"refused","id":"q1","route":"r-1","account":"hule930","status":429,"reason":"over_quota","retry_after_ms":640.0,"ms":1.4,"why":"Account hule930 is over its limit of 10985 a second and 39546 at once; this request uses 1632.","target":"request"}
+{"host":"b1","timestamp":"2026-08-12T10:32:20.100000Z","level":"INFO","message":"a replica in need takes so many requests a second from all hosts together","event":"named","replica":"i-55","rate":1.3,"by":"b2","target":"limit"}
+{"host":"b1","timestamp":"2026-08-12T10:32:20.700000Z","level":"INFO","message":"a request goes to a replica in need","event":"sent","id":"n0","replica":"i-55","rate":1.3,"priority":2,"target":"limit"}
+{"host":"b1","timestamp":"2026-08-12T10:32:21.000000Z","level":"WARN","message":"the request is given up","event":"refused","id":"n1","route":"r-1","status":503,"reason":"limited","retry_after_ms":900.0,"ms":1.1,"why":"The replicas that could take the request are in need, and take no more of them now.","target":"request"}
 not a line of a log
 "#;
 
@@ -61,6 +64,19 @@
     assert!(story[0].contains("come back in 640 ms. Its account is hule930."));
 }
 
+#[test]
+fn a_refusal_for_want_of_room_leads_to_the_limit_and_who_told_it() {
+    let story = tell("n1", &read(DAY));
+    assert_eq!(story.len(), 2, "{story:#?}");
+    assert!(story[0].contains("i-55 is in need: by the word of b2 it takes 1.3 requests a second"));
+    assert!(story[1].contains("limited") && story[1].contains("come back in 900 ms"));
+    let story = tell("n0", &read(DAY));
+    assert!(
+        story.iter().any(|line| line.contains("It went to i-55")),
+        "{story:#?}"
+    );
+}
+
 #[test]
 fn an_unknown_request_has_no_story() {
     assert!(tell("nobody", &read(DAY)).is_empty());
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -306,6 +306,7 @@
     let (suspected, kept_out) = state.quarantine.counts(state.now());
     set("coveford_requests_suspected", &[], suspected as f64);
     set("coveford_requests_kept_out", &[], kept_out as f64);
+    limit_gauges(state);
     let table = state.table.lock();
     let version = table.routes.as_ref().map_or(0, |r| r.version);
     set("coveford_configuration_version", &[], version as f64);
@@ -315,6 +316,25 @@
     set("coveford_store_away", &[], away);
 }
 
+/// Replicas whose limits are told each by itself; the rest are counted only.
+const MOST_LIMITS: usize = 100;
+
+/// Tells which replicas have named limits; one that is over is told as endless, since a gauge cannot be taken back.
+fn limit_gauges(state: &State) {
+    let mut limited = state.table.lock().limited(state.now());
+    let metrics = &state.log.metrics;
+    let in_need = limited.iter().filter(|(_, rate)| rate.is_some()).count();
+    metrics
+        .gauge("coveford_limited_replicas", &[])
+        .set(in_need as f64);
+    limited.sort_by_key(|(_, rate)| rate.is_none());
+    for (replica, rate) in limited.iter().take(MOST_LIMITS) {
+        let labels = [("replica", &**replica)];
+        let rate = rate.unwrap_or(f64::INFINITY);
+        metrics.gauge("coveford_replica_limit", &labels).set(rate);
+    }
+}
+
 /// Closes old connections, forgets old removals, and tells what the logs left out.
 async fn upkeep(state: Arc<State>) {
     loop {
