The soak's replicas get into need, and two stay in it through the peace after all faults

By a number series of its own, so that seeds do all else as before. Checked: no window of 4 s over what a replica takes where it named that for 3 s before the window and nothing was disturbed since 3 s before that.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::accounts::{self, Caller};
 use crate::client::{HELD, PATIENCE, Told};
-use crate::site::Site;
+use crate::site::{Need, Site};
 use platform_standin::replica::Replica;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -33,6 +33,7 @@
     }
     violations.extend(replicas.iter().filter_map(memory));
     violations.extend(replicas.iter().filter_map(|r| leaving(r, &site.disturbed)));
+    violations.extend((0..replicas.len()).filter_map(|r| limit(site, r)));
     violations.extend(tokens(replicas));
     violations.extend(accounts::check(told, replicas, &site.written));
     violations.extend(stopped(replicas, peace));
@@ -81,6 +82,38 @@
     (late > 0).then(|| format!("{late} requests reached replica {id} long after it left"))
 }
 
+/// Window in which requests to a replica in need are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// The most that may arrive in a window: half more than the replica takes, and some that cross the news.
+fn most(rate: f64) -> usize {
+    (rate * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
+}
+
+/// Whether a replica got more than it takes in some window, with nothing in the way and the limit known.
+fn limit(site: &Site, replica: usize) -> Option<String> {
+    let arrivals = site.replicas[replica].arrived_after(site.written[0]);
+    let needs: Vec<&Need> = site.needs.iter().filter(|n| n.replica == replica).collect();
+    let in_the_way = |from: Instant, to: Instant| {
+        let from = from.checked_sub(UNDISTURBED).unwrap_or(from);
+        site.disturbed.iter().any(|d| (from..=to).contains(d))
+    };
+    let broken = arrivals.iter().enumerate().find_map(|(i, end)| {
+        let begin = end.checked_sub(WINDOW)?;
+        let known = begin.checked_sub(UNDISTURBED)?;
+        let before = needs.iter().rev().find(|n| n.at <= known)?;
+        let within = needs.iter().filter(|n| n.at > known && n.at <= *end);
+        let rates = within.map(|n| n.rate).chain([before.rate]);
+        let rate = rates.reduce(|a, b| Some(a?.max(b?)))??;
+        let count = arrivals[..=i].iter().filter(|at| **at > begin).count();
+        (count > most(rate) && !in_the_way(known, *end)).then_some((count, rate))
+    });
+    let id = &site.replicas[replica].options.id;
+    broken.map(|(count, rate)| {
+        format!("{count} requests reached replica {id} in 4 s, which takes {rate} a second")
+    })
+}
+
 fn memory(replica: &Replica) -> Option<String> {
     let id = &replica.options.id;
     replica
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,7 +4,7 @@
 use crate::site::{Pause, Site};
 use nix::sys::signal::Signal;
 use platform_standin::proxy::Mode as Way;
-use platform_standin::replica::Fault;
+use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Mode;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -48,6 +48,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     // Restarts have numbers of their own, so that a seed does all else as it did without them.
     let mut restarts = SmallRng::seed_from_u64(!seed);
+    let mut needs = SmallRng::seed_from_u64(seed.rotate_left(32));
     let end = Instant::now() + length;
     let mut undos: Vec<Undo> = Vec::new();
     let mut faults = 0;
@@ -61,8 +62,16 @@
             undos.push(Undo { at, what });
         }
         restart(site, &mut restarts);
+        change_need(site, &mut needs);
         faults += 1;
     }
+    // Through the peace after all faults, in which nothing excuses a host.
+    for service in ["llm", "web"] {
+        let stays = |r: &Replica| r.options.service == service && r.left().is_none();
+        if let Some(replica) = site.replicas.iter().rposition(stays) {
+            site.name_limit(replica, Some(LAST_NEED));
+        }
+    }
     undo_due(site, &mut undos, true).await?;
     for host in &mut site.hosts {
         host.signal(Signal::SIGCONT);
@@ -148,11 +157,31 @@
 const STEPS_PER_RESTART: u32 = 6;
 
 /// Starts a replica again under its identity, now and then, unless it has announced that it leaves.
-fn restart(site: &Site, rng: &mut SmallRng) {
+fn restart(site: &mut Site, rng: &mut SmallRng) {
     let replica = rng.random_range(0..site.replicas.len());
     let is_due = rng.random_ratio(1, STEPS_PER_RESTART);
     if is_due && site.replicas[replica].left().is_none() {
         site.replicas[replica].restart();
+        site.name_limit(replica, None);
+    }
+}
+
+/// Steps of which one lets a replica name another limit, or none any more.
+const STEPS_PER_NEED: u32 = 5;
+
+/// Requests a second that replicas in need name.
+const NEEDS: std::ops::Range<f64> = 0.0..8.0;
+
+/// What two replicas name at last.
+const LAST_NEED: f64 = 2.0;
+
+/// Lets a replica get into need or out of it, now and then.
+fn change_need(site: &mut Site, rng: &mut SmallRng) {
+    let replica = rng.random_range(0..site.replicas.len());
+    let rate = rng.random_range(NEEDS);
+    if rng.random_ratio(1, STEPS_PER_NEED) {
+        let named = site.limit_of(replica).is_none().then_some(rate);
+        site.name_limit(replica, named);
     }
 }
 
