--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -180,10 +180,13 @@
         for seen in self.view.all() {
             let entry = &seen.entry;
             let holds = model.is_none_or(|m| self.holds(entry, m, now));
-            // The places of a limited replica are not there for the asking.
-            let is_limited = self.limit_of(&entry.id, now).is_some();
-            if entry.service == *want.service && !entry.leaving && holds && !is_limited {
-                let load = self.replicas.get(&entry.id).map(|s| s.load(now, direct));
+            if entry.service == *want.service && !entry.leaving && holds {
+                let state = self.replicas.get(&entry.id);
+                // The places of a replica in need are not there for the asking.
+                if state.is_some_and(|s| s.limit(now).is_some()) {
+                    continue;
+                }
+                let load = state.map(|s| s.load(now, direct));
                 taken += f64::from(load.unwrap_or_default().requests);
                 places += f64::from(entry.slots);
             }
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -110,7 +110,8 @@
                 Fit::Whole => found.push(seen),
                 Fit::NoAdapter => beside.push(seen),
                 Fit::Limited => {
-                    let turn = self.turn_at(&seen.entry.id, want, now);
+                    let state = self.replicas.get(&seen.entry.id);
+                    let turn = state.and_then(|s| s.turn(want, now));
                     let turn = turn.map(|turn| (turn, &seen.entry.id));
                     first_turn = first_turn.into_iter().chain(turn).min();
                 }
@@ -191,7 +192,7 @@
             || !reached && self.told.is_absent(&entry.id, now);
         let whole = match absent {
             true => Fit::Absent,
-            false if self.turn_at(&entry.id, want, now).is_some() => Fit::Limited,
+            false if state.is_some_and(|s| s.turn(want, now).is_some()) => Fit::Limited,
             false => Fit::Whole,
         };
         let Some(model) = model else {
--- a/crates/front/src/table/limits.rs
+++ b/crates/front/src/table/limits.rs
@@ -103,6 +103,13 @@
         let intake = self.intake.as_ref();
         intake.filter(|intake| !intake.notice.is_over(now))
     }
+
+    /// Time until a request would have its turn there; none where there may be room for it now.
+    pub(super) fn turn(&self, want: &Want, now: Time) -> Option<Span> {
+        let intake = self.limit(now)?;
+        let kept = kept(want);
+        (intake.wait(kept, now) > Span::ZERO).then(|| intake.turn(kept, now))
+    }
 }
 
 /// Requests that a request leaves to those that are more urgent: a stream that is taken up again leaves none.
@@ -274,13 +281,6 @@
         }
     }
 
-    /// Time until a request would have its turn at a replica; none where there may be room for it now.
-    pub(super) fn turn_at(&self, id: &str, want: &Want, now: Time) -> Option<Span> {
-        let intake = self.replicas.get(id)?.limit(now)?;
-        let kept = kept(want);
-        (intake.wait(kept, now) > Span::ZERO).then(|| intake.turn(kept, now))
-    }
-
     /// Whether a replica is limited, and nothing was heard of it here for so long that it goes before others.
     pub(super) fn is_unheard(&self, id: &str, now: Time) -> bool {
         let intake = self.replicas.get(id).and_then(|s| s.limit(now));
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -48,6 +48,17 @@
     hosts
 }
 
+/// Two replicas of one model, and three hosts before them.
+async fn two_replicas() -> (Store, [Replica; 2], Vec<Daemon>) {
+    let store = store().await;
+    let replicas = [
+        engine(&store, "i-1", &["m1"]).await,
+        engine(&store, "i-2", &["m1"]).await,
+    ];
+    let hosts = hosts(&store, 3).await;
+    (store, replicas, hosts)
+}
+
 /// Statuses of the requests that were sent, a path each 25 ms in turn over hosts and paths, for a time.
 async fn press(hosts: &[Daemon], paths: &[&'static str], time: Duration) -> Vec<u16> {
     let end = Instant::now() + time;
@@ -85,10 +96,7 @@
 
 #[tokio::test]
 async fn a_limited_replica_gets_no_more_than_it_takes_from_three_hosts() {
-    let store = store().await;
-    let needy = engine(&store, "i-1", &["m1"]).await;
-    let _other = engine(&store, "i-2", &["m1"]).await;
-    let hosts = hosts(&store, 3).await;
+    let (_store, [needy, _other], hosts) = two_replicas().await;
     let (statuses, most) = pressed(&hosts, &needy, &["/stream/x", "/resume/x"], "1.3").await;
     assert!(
         most <= allowed(1.3),
@@ -178,10 +186,7 @@
 /// The host that gives out ends without a word: the others send no more than their shares, and the next one goes on.
 #[tokio::test]
 async fn a_limit_holds_while_the_leader_dies_and_a_host_begins() {
-    let store = store().await;
-    let needy = engine(&store, "i-1", &["m1"]).await;
-    let _other = engine(&store, "i-2", &["m1"]).await;
-    let mut hosts = hosts(&store, 3).await;
+    let (store, [needy, _other], mut hosts) = two_replicas().await;
     needy.name_limit(Some("3"));
     press(&hosts, &["/stream/x"], BOUND).await;
     let leader = hosts.iter().position(|h| h.state().leads()).unwrap();
@@ -202,10 +207,7 @@
 /// The store is away for longer than a lease: the leader, whose term is in doubt, gives out half.
 #[tokio::test]
 async fn a_limit_holds_and_is_used_while_the_store_is_away() {
-    let store = store().await;
-    let needy = engine(&store, "i-1", &["m1"]).await;
-    let _other = engine(&store, "i-2", &["m1"]).await;
-    let hosts = hosts(&store, 3).await;
+    let (store, [needy, _other], hosts) = two_replicas().await;
     needy.name_limit(Some("3"));
     press(&hosts, &["/stream/x"], BOUND).await;
     store.set_mode(Mode::Silent);
@@ -223,10 +225,7 @@
 /// A replica that names none any more is back at its share within seconds.
 #[tokio::test]
 async fn a_replica_whose_need_is_over_is_back_within_seconds() {
-    let store = store().await;
-    let needy = engine(&store, "i-1", &["m1"]).await;
-    let _other = engine(&store, "i-2", &["m1"]).await;
-    let hosts = hosts(&store, 3).await;
+    let (_store, [needy, _other], hosts) = two_replicas().await;
     needy.name_limit(Some("0"));
     press(&hosts, &["/stream/x"], BOUND).await;
     let (_, most) = watch(&hosts, &needy, Duration::from_secs(5)).await;
@@ -317,10 +316,7 @@
 /// A broken stream goes before what has not begun, and is taken up within the limits of all replicas that are left.
 #[tokio::test]
 async fn resumed_streams_keep_to_limits_and_go_first() {
-    let store = store().await;
-    let needy = engine(&store, "i-1", &["m1"]).await;
-    let breaks = engine(&store, "i-2", &["m1"]).await;
-    let hosts = hosts(&store, 3).await;
+    let (_store, [needy, breaks], hosts) = two_replicas().await;
     needy.name_limit(Some("2"));
     press(&hosts, &["/resume/x"], BOUND).await;
     breaks.set_fault(Fault::CutsEvents);
