--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -222,6 +222,32 @@
     store.set_mode(Mode::Up);
 }
 
+/// All replicas of a service are in need, each with a limit of its own: each gets no more than it takes, together at least half.
+#[tokio::test]
+async fn limits_on_all_replicas_of_a_service_hold_each() {
+    let store = store().await;
+    let needy = [
+        site::web(&store, "w-1").await,
+        site::web(&store, "w-2").await,
+        site::web(&store, "w-3").await,
+    ];
+    let hosts = hosts(&store, 3).await;
+    let limits = [("1", 1.0), ("2.5", 2.5), ("4", 4.0)];
+    for (replica, (named, _)) in needy.iter().zip(limits) {
+        replica.name_limit(Some(named));
+    }
+    press(&hosts, &["/once/x", "/again/x"], BOUND).await;
+    let from = Instant::now();
+    let statuses = press(&hosts, &["/once/x", "/again/x"], Duration::from_secs(6)).await;
+    for (replica, (_, rate)) in needy.iter().zip(limits) {
+        let most = most_in_a_window(&replica.arrived_after(from));
+        assert!(most <= allowed(rate), "{most} in 4 s of {rate} a second");
+        let half = (rate * WINDOW.as_secs_f64() / 2.0) as usize;
+        assert!(most >= half, "{most} in 4 s of {rate} a second");
+    }
+    assert!(statuses.iter().all(|s| [200, 503].contains(s)));
+}
+
 /// A replica that names none any more is back at its share within seconds.
 #[tokio::test]
 async fn a_replica_whose_need_is_over_is_back_within_seconds() {
