--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -1,17 +1,16 @@
 //! Passing a replica's answer on: whole bodies at once, streams event by event.
 //!
 //! A stream that breaks is taken up at another replica behind its last whole event, if its route
-//! allows that; otherwise the client's connection breaks, so that the answer never looks whole.
+//! allows that (`resume`); otherwise the client's connection breaks, so that the answer never looks whole.
 
-use crate::attempt::{Call, Failed, Place, Sent, send};
+mod resume;
+
+use crate::attempt::{Call, Failed, Place, Sent};
 use crate::events::Splitter;
-use crate::grant::Grant;
-use crate::limits;
 use crate::peers::Peers;
 use crate::quarantine;
 use crate::respond::{Body, whole};
 use crate::state::{InFlight, State};
-use crate::table::{Choice, Nowhere, Want};
 use bytes::Bytes;
 use conn::Line;
 use futures::stream;
@@ -32,9 +31,6 @@
 /// Silence of a stream that may be resumed after which is looked whether its replica is gone.
 const SILENCE: Span = Span::from_ms(1_000);
 
-/// Time for which a broken stream waits for room at a replica in need: clients give a stream up after a gap of two seconds.
-const RESUMES_WITHIN: Span = Span::from_ms(1_500);
-
 /// Part of the longest pause in time from which a pause tells that a replica is slow.
 const LONG_PART: f64 = 0.7;
 
@@ -326,83 +322,6 @@
         Ok(())
     }
 
-    /// Takes the stream up at another replica; tells whether that was possible.
-    async fn resume(&mut self, why: &Failed) -> bool {
-        if let Some(source) = self.source.take() {
-            source.place.ended(&self.call, why);
-            self.state.pool.forget(&source.place.replica);
-        }
-        let (state, call) = (self.state.clone(), self.call.clone());
-        let repeatable = call.route.kind.is_repeatable();
-        if *why == Failed::Late || !repeatable || !quarantine::may_repeat(&state, &call) {
-            return false;
-        }
-        self.splitter.rest();
-        let last = self.splitter.last().or(call.ask.last_event);
-        while (self.tried.len() as u32) < call.route.attempts && state.now() < call.deadline {
-            let Some((choice, grant)) = self.next_replica().await else {
-                return false;
-            };
-            let now = state.now();
-            if !state.table.lock().spend(&call.service, now) {
-                if let Some(grant) = grant {
-                    grant.give_back(&state).await;
-                }
-                return false;
-            }
-            self.tried.push(choice.replica.clone());
-            let place = Place::take(&state, &call, &choice);
-            let sent = send(&state, &call, &choice, place, last).await;
-            if let (Some(grant), Err(failed)) = (grant, &sent)
-                && failed.proves_unsent()
-            {
-                grant.give_back(&state).await;
-            }
-            state.log.notable(|| {
-                let outcome = match &sent {
-                    Ok(sent) => format!("status {}", sent.response.status()),
-                    Err(failed) => failed.to_string(),
-                };
-                info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %why, outcome, "a broken stream is taken up elsewhere")
-            });
-            match sent {
-                Ok(sent) if sent.response.status().is_success() => {
-                    self.source = Some(Source::from(sent));
-                    return true;
-                }
-                Err(Failed::Barred(_) | Failed::Held(_)) => return false,
-                _ => {}
-            }
-        }
-        false
-    }
-
-    /// Replica that may take the stream up, with a part of its limit where it has named one; waits shortly for room where
-    /// all that could are in need.
-    async fn next_replica(&self) -> Option<(Choice, Option<Grant>)> {
-        let (state, call) = (&self.state, &self.call);
-        let give_up = state.now() + RESUMES_WITHIN;
-        loop {
-            let now = state.now();
-            let want = Want {
-                resumes: true,
-                ..call.want(&self.tried, None)
-            };
-            let chosen = state.table.lock().choose(&want, now);
-            match chosen {
-                Ok(choice) => {
-                    if let Ok(grant) = limits::admit(state, &self.peers, &want, &choice).await {
-                        return Some((choice, grant));
-                    }
-                }
-                Err(Nowhere::Limited(_, turn)) if now + turn < give_up.min(call.deadline) => {
-                    let _ = tokio::time::timeout(turn.std(), state.changed.notified()).await;
-                }
-                Err(_) => return None,
-            }
-        }
-    }
-
     /// Breaks the answer off, so that it does not look whole.
     fn cut(&mut self, why: &Failed) -> io::Error {
         self.source = None;
--- /dev/null
+++ b/crates/front/src/relay/resume.rs
@@ -0,0 +1,91 @@
+//! Taking a broken stream up at another replica.
+
+use super::{Relay, Source};
+use crate::attempt::{Failed, Place, send};
+use crate::grant::Grant;
+use crate::table::{Choice, Nowhere, Want};
+use crate::{limits, quarantine};
+use tracing::info;
+use unit::Span;
+
+/// Time for which a broken stream waits for room at a replica in need: clients give a stream up after a gap of two seconds.
+const RESUMES_WITHIN: Span = Span::from_ms(1_500);
+
+impl Relay {
+    /// Takes the stream up at another replica; tells whether that was possible.
+    pub(super) async fn resume(&mut self, why: &Failed) -> bool {
+        if let Some(source) = self.source.take() {
+            source.place.ended(&self.call, why);
+            self.state.pool.forget(&source.place.replica);
+        }
+        let (state, call) = (self.state.clone(), self.call.clone());
+        let repeatable = call.route.kind.is_repeatable();
+        if *why == Failed::Late || !repeatable || !quarantine::may_repeat(&state, &call) {
+            return false;
+        }
+        self.splitter.rest();
+        let last = self.splitter.last().or(call.ask.last_event);
+        while (self.tried.len() as u32) < call.route.attempts && state.now() < call.deadline {
+            let Some((choice, grant)) = self.next_replica().await else {
+                return false;
+            };
+            let now = state.now();
+            if !state.table.lock().spend(&call.service, now) {
+                if let Some(grant) = grant {
+                    grant.give_back(&state).await;
+                }
+                return false;
+            }
+            self.tried.push(choice.replica.clone());
+            let place = Place::take(&state, &call, &choice);
+            let sent = send(&state, &call, &choice, place, last).await;
+            if let (Some(grant), Err(failed)) = (grant, &sent)
+                && failed.proves_unsent()
+            {
+                grant.give_back(&state).await;
+            }
+            state.log.notable(|| {
+                let outcome = match &sent {
+                    Ok(sent) => format!("status {}", sent.response.status()),
+                    Err(failed) => failed.to_string(),
+                };
+                info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %why, outcome, "a broken stream is taken up elsewhere")
+            });
+            match sent {
+                Ok(sent) if sent.response.status().is_success() => {
+                    self.source = Some(Source::from(sent));
+                    return true;
+                }
+                Err(Failed::Barred(_) | Failed::Held(_)) => return false,
+                _ => {}
+            }
+        }
+        false
+    }
+
+    /// Replica that may take the stream up, with a part of its limit where it has named one; waits shortly for room where
+    /// all that could are in need.
+    async fn next_replica(&self) -> Option<(Choice, Option<Grant>)> {
+        let (state, call) = (&self.state, &self.call);
+        let give_up = state.now() + RESUMES_WITHIN;
+        loop {
+            let now = state.now();
+            let want = Want {
+                resumes: true,
+                ..call.want(&self.tried, None)
+            };
+            let chosen = state.table.lock().choose(&want, now);
+            match chosen {
+                Ok(choice) => {
+                    if let Ok(grant) = limits::admit(state, &self.peers, &want, &choice).await {
+                        return Some((choice, grant));
+                    }
+                }
+                Err(Nowhere::Limited(_, turn)) if now + turn < give_up.min(call.deadline) => {
+                    let _ = tokio::time::timeout(turn.std(), state.changed.notified()).await;
+                }
+                Err(_) => return None,
+            }
+        }
+    }
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,5 +1,7 @@
 //! Starting, draining and ending a daemon on a platform.
 
+mod gauges;
+
 use crate::accounts;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::peers::{self, Peers};
@@ -234,8 +236,7 @@
 ) -> Result<Server, Error> {
     let (state, peers) = (state.clone(), peers.clone());
     let answer = move |_: Request<Incoming>| {
-        gauges(&state);
-        account_gauges(&state, &peers);
+        gauges::update(&state, &peers);
         let text = state.log.metrics.render();
         async move { Ok(Response::new(respond::whole(text.into()))) }
     };
@@ -252,89 +253,6 @@
     conn::serve(listener, HOST_CONNECTIONS, answer).context(RuntimeSnafu)
 }
 
-/// Accounts whose use is told each by itself at the host that gives out; the rest are not told.
-const MOST_ACCOUNTS: usize = 100;
-
-/// Tells what accounts were given in the last window, at the host that gives out.
-fn account_gauges(state: &State, peers: &Peers) {
-    let routes = state.table.lock().routes.clone();
-    let accounts = routes.as_ref().and_then(|r| r.accounts.as_ref());
-    let Some(accounts) = accounts else { return };
-    let metrics = &state.log.metrics;
-    metrics
-        .gauge("coveford_accounts", &[])
-        .set(accounts.all().count() as f64);
-    let age = crate::accounts::known_age(state);
-    metrics
-        .gauge("coveford_keys_age_seconds", &[])
-        .set(age.secs());
-    for account in accounts.all().take(MOST_ACCOUNTS) {
-        let given = peers.given_out(&account.name);
-        if let (Some(given), Some(quota)) = (given, account.quota) {
-            let labels = [("account", &*account.name)];
-            metrics.gauge("coveford_account_given", &labels).set(given);
-            metrics
-                .gauge("coveford_account_rate", &labels)
-                .set(quota.rate);
-        }
-    }
-}
-
-/// Brings the gauges up to date before they are read.
-fn gauges(state: &State) {
-    use std::sync::atomic::Ordering::Relaxed;
-    let metrics = &state.log.metrics;
-    let set = |name, labels: &[(&'static str, &str)], value: f64| {
-        metrics.gauge(name, labels).set(value);
-    };
-    let calls = state.store.calls();
-    let kinds = [
-        ("read", &calls.reads),
-        ("watch", &calls.watches),
-        ("write", &calls.writes),
-        ("lease", &calls.leases),
-    ];
-    for (kind, count) in kinds {
-        set(
-            "coveford_store_calls",
-            &[("kind", kind)],
-            count.load(Relaxed) as f64,
-        );
-    }
-    set("coveford_in_flight", &[], state.in_flight() as f64);
-    set("coveford_leads", &[], f64::from(u8::from(state.leads())));
-    let (suspected, kept_out) = state.quarantine.counts(state.now());
-    set("coveford_requests_suspected", &[], suspected as f64);
-    set("coveford_requests_kept_out", &[], kept_out as f64);
-    limit_gauges(state);
-    let table = state.table.lock();
-    let version = table.routes.as_ref().map_or(0, |r| r.version);
-    set("coveford_configuration_version", &[], version as f64);
-    set("coveford_replicas", &[], table.view.all().count() as f64);
-    set("coveford_hosts", &[], table.hosts as f64);
-    let away = f64::from(u8::from(table.view.contact.is_away()));
-    set("coveford_store_away", &[], away);
-}
-
-/// Replicas whose limits are told each by itself; the rest are counted only.
-const MOST_LIMITS: usize = 100;
-
-/// Tells which replicas have named limits; one that is over is told as endless, since a gauge cannot be taken back.
-fn limit_gauges(state: &State) {
-    let mut limited = state.table.lock().limited(state.now());
-    let metrics = &state.log.metrics;
-    let in_need = limited.iter().filter(|(_, rate)| rate.is_some()).count();
-    metrics
-        .gauge("coveford_limited_replicas", &[])
-        .set(in_need as f64);
-    limited.sort_by_key(|(_, rate)| rate.is_none());
-    for (replica, rate) in limited.iter().take(MOST_LIMITS) {
-        let labels = [("replica", &**replica)];
-        let rate = rate.unwrap_or(f64::INFINITY);
-        metrics.gauge("coveford_replica_limit", &labels).set(rate);
-    }
-}
-
 /// Closes old connections, forgets old removals, and tells what the logs left out.
 async fn upkeep(state: Arc<State>) {
     loop {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,6 +1,7 @@
 //! One request of a client, from its head to its answer.
 
 mod admit;
+mod lacking;
 mod read;
 mod tell;
 
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -1,12 +1,11 @@
 //! Admission: choosing a replica for a request, letting it wait for its turn, or refusing it.
 
-use super::{Entry, RETURN_LATER, RETURN_RANGE, tell};
+use super::lacking::{absent, limited, want_adapter};
+use super::{Entry, RETURN_RANGE, tell};
 use crate::attempt::{Call, Place};
 use crate::grant::Grant;
 use crate::limits::{self, Held};
-use crate::message::{Missing, Want};
 use crate::respond::Fault;
-use crate::state::{State, Wish};
 use crate::table::{Choice, Nowhere};
 use crate::waiting::Turn;
 use route::batch;
@@ -15,31 +14,12 @@
 use tokio::time::timeout;
 use unit::{Name, Span, Time};
 
-/// When a client may come back whose adapter had no room yet.
-const RETURN_FOR_ADAPTER: Span = Span::from_ms(300);
-
-/// When a client may come back whose replicas could not be reached: about a restart's time.
-const RETURN_UNREACHABLE: Span = Span::from_ms(800);
-
-/// Time within which the leader answers when a model that is on no replica is there, if it can come: a
-/// few ways between hosts and one plan.
-const LEADER_ANSWERS: Span = Span::from_ms(60);
-
-/// Time from a copy's arrival until all hosts know of it: a round of sums.
-const TOLD_WITHIN: Span = Span::from_ms(300);
-
 /// Expected time to the first token, as a part of its target, beyond which a request is refused.
 const REFUSED_BEYOND: f64 = 1.2;
 
 /// Part of its target for which a request may wait here for its model or adapter.
 const HELD_PART: f64 = 0.25;
 
-/// Part of its target for which a request may wait until a replica in need has room: the rest is for reading its prompt.
-const LIMITED_PART: f64 = 0.5;
-
-/// Part of the target within which a model must come for the request to wait for it.
-const COMING_PART: f64 = 0.8;
-
 /// Part of the target that a request may spend waiting here and in reading its prompt.
 const WAITING_PART: f64 = 0.8;
 
@@ -155,106 +135,6 @@
     }
 }
 
-/// Until when a request may wait for room at replicas in need, and what it is told then. One that would not have its turn in
-/// time does not wait at all.
-fn limited(
-    state: &Arc<State>,
-    call: &Call,
-    (replica, turn): (&Name, Span),
-    held: &mut Option<Held>,
-    now: Time,
-) -> (Time, Fault) {
-    let until = call.arrived + Span::from(call.route.target) * LIMITED_PART;
-    if held.is_none() && now + turn > until {
-        return (now, in_need(turn));
-    }
-    // Its adapter may be on no other replica.
-    want_adapter(state, call, true);
-    held.get_or_insert_with(|| limits::hold(state, replica));
-    (until, in_need(turn))
-}
-
-/// Answer to a request whose replicas are in need and have no room.
-fn in_need(turn: Span) -> Fault {
-    let message =
-        "The replicas that could take the request are in need, and take no more of them now.";
-    Fault::not_run("limited", message, turn.max(RETURN_RANGE.0))
-}
-
-/// Until when a request may wait for what is on no replica, and what it is told then.
-fn absent(
-    state: &State,
-    call: &Call,
-    nowhere: Nowhere,
-    held_until: Time,
-    now: Time,
-) -> (Time, Fault) {
-    let target = Span::from(call.route.target);
-    match nowhere {
-        Nowhere::NoModel(Some(coming))
-            if now.since(call.arrived) + coming < target * COMING_PART =>
-        {
-            let until = call.arrived + target * COMING_PART;
-            let message = "The model is being loaded.";
-            (until, Fault::not_run("model_loading", message, coming))
-        }
-        Nowhere::NoModel(coming) => {
-            let until = match coming {
-                Some(_) => now,
-                None => {
-                    want_model(state, call);
-                    call.arrived + LEADER_ANSWERS
-                }
-            };
-            let wait = coming.map_or(RETURN_LATER, |c| c + TOLD_WITHIN);
-            let message = "No replica holds the model at the moment.";
-            let wait = wait.max(RETURN_RANGE.0);
-            (until, Fault::not_run("no_model", message, wait))
-        }
-        Nowhere::NoAdapter => {
-            want_adapter(state, call, false);
-            let message = "The adapter is on no replica yet.";
-            let fault = Fault::not_run("no_adapter", message, RETURN_FOR_ADAPTER);
-            (held_until, fault)
-        }
-        Nowhere::Unreachable => {
-            let message = "The replicas that could take the request cannot be reached.";
-            let fault = Fault::not_run("unreachable", message, RETURN_UNREACHABLE);
-            (held_until, fault)
-        }
-        Nowhere::Limited(_, turn) => (now, in_need(turn)),
-        Nowhere::NoReplica => {
-            let message = "No replica of the service is there.";
-            (now, Fault::not_run("no_replica", message, RETURN_LATER))
-        }
-    }
-}
-
-/// Asks the leader, by way of the task that tells it, to have a request's adapter loaded; `beside`
-/// the replicas that hold it, if these have too much to do.
-fn want_adapter(state: &State, call: &Call, beside: bool) {
-    if let (Some(model), Some(adapter)) = (&call.ask.model, &call.ask.adapter) {
-        // The task that receives lives as long as the daemon.
-        let _ = state.wanted.send(Wish::Adapter(Want {
-            service: call.service.clone(),
-            model: model.clone(),
-            adapter: adapter.clone(),
-            beside,
-        }));
-    }
-}
-
-/// Tells the leader that a request's model is on no replica, so that it comes before the next plan.
-fn want_model(state: &State, call: &Call) {
-    if let Some(model) = &call.ask.model {
-        // The task that receives lives as long as the daemon.
-        let _ = state.wanted.send(Wish::Model(Missing {
-            service: call.service.clone(),
-            model: model.clone(),
-        }));
-    }
-}
-
 /// Admits a request where it can meet its target: at once, or when its turn comes. Refuses it at
 /// once where it cannot.
 async fn admit(entry: &Entry, call: &Arc<Call>, choice: Choice) -> Result<Found, Fault> {
