A connection that has ended in a drain is not worked on again

Callers saw two of five events as a whole answer from a host that was stopping. Cause: a connection accepted before the stop, whose first request comes after it, is given half a second of its own. If it ends in that time since its answer breaks off, it was told to shut down gracefully all the same and polled once more; without a body left, the library then writes the end of the body. Class: a future polled after it is done. Ruled out: the stand-in (it cut the replica's connection), the relay (it told the failure), chunked bodies cut by the drain's end (the host stopped 49 ms later, cut 0). Change: a connection that has ended is dropped. The test that failed passes: the answer is broken.

--- a/crates/conn/src/serve.rs
+++ b/crates/conn/src/serve.rs
@@ -206,17 +206,21 @@
     tokio::select! {
         _ = conn.as_mut() => {}
         _ = reached(&mut phase, Phase::Draining) => {
+            let mut has_ended = false;
             if !asked.load(Ordering::SeqCst) {
                 // Its caller may be sending its first request at this very moment.
                 tokio::select! {
-                    _ = timeout(FIRST_REQUEST, conn.as_mut()) => {}
+                    ended = timeout(FIRST_REQUEST, conn.as_mut()) => has_ended = ended.is_ok(),
                     _ = reached(&mut phase, Phase::Cut) => {}
                 }
             }
-            conn.as_mut().graceful_shutdown();
-            tokio::select! {
-                _ = conn.as_mut() => {}
-                _ = reached(&mut cut, Phase::Cut) => {}
+            // One that ended by an answer's failure would end that answer as if it were whole.
+            if !has_ended {
+                conn.as_mut().graceful_shutdown();
+                tokio::select! {
+                    _ = conn.as_mut() => {}
+                    _ = reached(&mut cut, Phase::Cut) => {}
+                }
             }
         }
         _ = cuts.changed() => {}
