--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::accounts::{self, Caller};
 use crate::client::{HELD, PATIENCE, Told};
-use crate::site::{Need, Site};
+use crate::site::Site;
 use platform_standin::replica::Replica;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -33,7 +33,7 @@
     }
     violations.extend(replicas.iter().filter_map(memory));
     violations.extend(replicas.iter().filter_map(|r| leaving(r, &site.disturbed)));
-    violations.extend((0..replicas.len()).filter_map(|r| limit(site, r)));
+    violations.extend(replicas.iter().filter_map(|r| limit(site, r)));
     violations.extend(tokens(replicas));
     violations.extend(accounts::check(told, replicas, &site.written));
     violations.extend(stopped(replicas, peace));
@@ -91,9 +91,9 @@
 }
 
 /// Whether a replica got more than it takes in some window, with nothing in the way and the limit known.
-fn limit(site: &Site, replica: usize) -> Option<String> {
-    let arrivals = site.replicas[replica].arrived_after(site.written[0]);
-    let needs: Vec<&Need> = site.needs.iter().filter(|n| n.replica == replica).collect();
+fn limit(site: &Site, replica: &Replica) -> Option<String> {
+    let arrivals = replica.arrived_after(site.written[0]);
+    let limits = replica.limits();
     let in_the_way = |from: Instant, to: Instant| {
         let from = from.checked_sub(UNDISTURBED).unwrap_or(from);
         site.disturbed.iter().any(|d| (from..=to).contains(d))
@@ -101,14 +101,16 @@
     let broken = arrivals.iter().enumerate().find_map(|(i, end)| {
         let begin = end.checked_sub(WINDOW)?;
         let known = begin.checked_sub(UNDISTURBED)?;
-        let before = needs.iter().rev().find(|n| n.at <= known)?;
-        let within = needs.iter().filter(|n| n.at > known && n.at <= *end);
-        let rates = within.map(|n| n.rate).chain([before.rate]);
-        let rate = rates.reduce(|a, b| Some(a?.max(b?)))??;
+        let before = limits.iter().rposition(|(at, _)| *at <= known)?;
+        let until = limits.partition_point(|(at, _)| at <= end);
+        let rates = limits[before..until]
+            .iter()
+            .map(|(_, named)| named.as_ref()?.parse().ok());
+        let rate = rates.reduce(|a, b: Option<f64>| Some(a?.max(b?)))??;
         let count = arrivals[..=i].iter().filter(|at| **at > begin).count();
         (count > most(rate) && !in_the_way(known, *end)).then_some((count, rate))
     });
-    let id = &site.replicas[replica].options.id;
+    let id = &replica.options.id;
     broken.map(|(count, rate)| {
         format!("{count} requests reached replica {id} in 4 s, which takes {rate} a second")
     })
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -65,13 +65,6 @@
         change_need(site, &mut needs);
         faults += 1;
     }
-    // Through the peace after all faults, in which nothing excuses a host.
-    for service in ["llm", "web"] {
-        let stays = |r: &Replica| r.options.service == service && r.left().is_none();
-        if let Some(replica) = site.replicas.iter().rposition(stays) {
-            site.name_limit(replica, Some(LAST_NEED));
-        }
-    }
     undo_due(site, &mut undos, true).await?;
     for host in &mut site.hosts {
         host.signal(Signal::SIGCONT);
@@ -86,6 +79,7 @@
         }
         sleep(Duration::from_millis(200)).await;
     }
+    last_needs(site).await;
     Ok(faults)
 }
 
@@ -157,12 +151,11 @@
 const STEPS_PER_RESTART: u32 = 6;
 
 /// Starts a replica again under its identity, now and then, unless it has announced that it leaves.
-fn restart(site: &mut Site, rng: &mut SmallRng) {
+fn restart(site: &Site, rng: &mut SmallRng) {
     let replica = rng.random_range(0..site.replicas.len());
     let is_due = rng.random_ratio(1, STEPS_PER_RESTART);
     if is_due && site.replicas[replica].left().is_none() {
         site.replicas[replica].restart();
-        site.name_limit(replica, None);
     }
 }
 
@@ -172,17 +165,58 @@
 /// Requests a second that replicas in need name.
 const NEEDS: std::ops::Range<f64> = 0.0..8.0;
 
+/// Time in which a replica that runs answers, and its longest answer in bytes.
+const ASKED_FOR: Duration = Duration::from_millis(500);
+const MOST_ANSWER: usize = 64 * 1_024;
+
 /// What two replicas name at last.
-const LAST_NEED: f64 = 2.0;
+const LAST_NEED: &str = "2";
 
 /// Lets a replica get into need or out of it, now and then.
-fn change_need(site: &mut Site, rng: &mut SmallRng) {
-    let replica = rng.random_range(0..site.replicas.len());
-    let rate = rng.random_range(NEEDS);
+fn change_need(site: &Site, rng: &mut SmallRng) {
+    let replica = &site.replicas[rng.random_range(0..site.replicas.len())];
+    let rate = rng.random_range(NEEDS).to_string();
     if rng.random_ratio(1, STEPS_PER_NEED) {
-        let named = site.limit_of(replica).is_none().then_some(rate);
-        site.name_limit(replica, named);
+        let is_named = replica
+            .limits()
+            .last()
+            .is_some_and(|(_, named)| named.is_some());
+        replica.name_limit((!is_named).then_some(&rate));
+    }
+}
+
+/// Leaves one replica of each service in need through the peace after all faults, in which nothing excuses a host: one
+/// that others can stand in for, so that what it does not take is served all the same.
+async fn last_needs(site: &Site) {
+    let mut staying = Vec::new();
+    for replica in &site.replicas {
+        replica.name_limit(None);
+        if replica.left().is_none() && answers(replica).await {
+            staying.push(replica);
+        }
     }
+    for service in ["llm", "web"] {
+        let of_service = |r: &&Replica| r.options.service == service;
+        let staying: Vec<&Replica> = staying.iter().copied().filter(of_service).collect();
+        let stands_in = |one: &Replica| {
+            let others = staying.iter().filter(|r| r.options.id != one.options.id);
+            let held: Vec<String> = others.flat_map(|r| r.models().into_keys()).collect();
+            staying.len() > 1 && one.models().keys().all(|model| held.contains(model))
+        };
+        if let Some(replica) = staying.iter().rev().find(|r| stands_in(r)) {
+            replica.name_limit(Some(LAST_NEED));
+        }
+    }
+}
+
+/// Whether a replica's process runs.
+async fn answers(replica: &Replica) -> bool {
+    let Ok(mut line) = conn::Line::open(replica.addr, ASKED_FOR).await else {
+        return false;
+    };
+    let mut request = hyper::Request::new(conn::Body::default());
+    *request.uri_mut() = "/".parse().expect("it is a path");
+    line.exchange(request, ASKED_FOR, MOST_ANSWER).await.is_ok()
 }
 
 /// Harms a host's way to the store.
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -63,8 +63,6 @@
     pub disturbed: Vec<Instant>,
     /// When hosts stood still.
     pub pauses: Vec<Pause>,
-    /// What replicas named of their limits, in order.
-    pub needs: Vec<Need>,
     next_replica: u32,
 }
 
@@ -117,7 +115,6 @@
         written: Vec::new(),
         disturbed: Vec::new(),
         pauses: Vec::new(),
-        needs: Vec::new(),
         next_replica: 1,
     };
     site.configure();
@@ -135,17 +132,6 @@
     Ok(site)
 }
 
-/// What a replica names from a moment on.
-#[derive(Debug, Clone, Copy)]
-pub struct Need {
-    /// The replica, by index.
-    pub replica: usize,
-    /// The moment.
-    pub at: Instant,
-    /// Requests a second that it takes; none where it names no limit.
-    pub rate: Option<f64>,
-}
-
 /// Time in which a host's process was paused.
 #[derive(Debug, Clone, Copy)]
 pub struct Pause {
@@ -182,20 +168,6 @@
         }
     }
 
-    /// Lets a replica name how many requests a second it takes, or nothing.
-    pub fn name_limit(&mut self, replica: usize, rate: Option<f64>) {
-        let named = rate.map(|rate| rate.to_string());
-        self.replicas[replica].name_limit(named.as_deref());
-        let at = Instant::now();
-        self.needs.push(Need { replica, at, rate });
-    }
-
-    /// What a replica names now.
-    pub fn limit_of(&self, replica: usize) -> Option<f64> {
-        let named = self.needs.iter().rev().find(|n| n.replica == replica);
-        named.and_then(|need| need.rate)
-    }
-
     /// Notes that the store or a host is disturbed now.
     pub fn disturb(&mut self) {
         self.disturbed.push(Instant::now());
