--- a/crates/front/src/table/limits.rs
+++ b/crates/front/src/table/limits.rs
@@ -36,7 +36,7 @@
 
 /// What is known of the limit of a replica, beside its entry.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Intake {
+pub(super) struct Need {
     /// What it last said, to any host.
     notice: Notice,
     /// When it last answered this host.
@@ -60,9 +60,9 @@
     pub kept: f64,
 }
 
-impl Intake {
-    fn new(notice: Notice) -> Intake {
-        Intake {
+impl Need {
+    fn new(notice: Notice) -> Need {
+        Need {
             notice,
             heard: None,
             outlook: None,
@@ -99,16 +99,16 @@
 
 impl State {
     /// What is known of its limit, while that holds.
-    pub(super) fn limit(&self, now: Time) -> Option<&Intake> {
-        let intake = self.intake.as_ref();
-        intake.filter(|intake| !intake.notice.is_over(now))
+    pub(super) fn limit(&self, now: Time) -> Option<&Need> {
+        let need = self.need.as_ref();
+        need.filter(|need| !need.notice.is_over(now))
     }
 
     /// Time until a request would have its turn there; none where there may be room for it now.
     pub(super) fn turn(&self, want: &Want, now: Time) -> Option<Span> {
-        let intake = self.limit(now)?;
+        let need = self.limit(now)?;
         let kept = kept(want);
-        (intake.wait(kept, now) > Span::ZERO).then(|| intake.turn(kept, now))
+        (need.wait(kept, now) > Span::ZERO).then(|| need.turn(kept, now))
     }
 }
 
@@ -121,6 +121,11 @@
 }
 
 impl Table {
+    /// What is known of a replica's limit, to be changed.
+    fn need(&mut self, id: &str) -> Option<&mut Need> {
+        self.replicas.get_mut(id)?.need.as_mut()
+    }
+
     /// Takes in what an answer says: the rate that it names, if it does. Tells what that changes; nothing where another
     /// incarnation of the replica is known by now.
     pub fn heard_limit(
@@ -133,11 +138,11 @@
         if self.view.get(id)?.entry.incarnation != incarnation {
             return None;
         }
-        if rate.is_none() && self.replicas.get(id)?.intake.is_none() {
+        if rate.is_none() && self.replicas.get(id)?.need.is_none() {
             return None;
         }
-        let known = &mut self.replica(id).intake;
-        let before = known.map(|intake| intake.notice);
+        let known = &mut self.replica(id).need;
+        let before = known.map(|need| need.notice);
         let notice = match (rate, before) {
             (Some(rate), _) => Notice::new(rate, now),
             (None, Some(mut notice)) => {
@@ -146,9 +151,9 @@
             }
             (None, None) => return None,
         };
-        let intake = known.get_or_insert_with(|| Intake::new(notice));
-        intake.notice = notice;
-        intake.heard = Some(now);
+        let need = known.get_or_insert_with(|| Need::new(notice));
+        need.notice = notice;
+        need.heard = Some(now);
         change(before, &notice, now)
     }
 
@@ -166,11 +171,11 @@
         let named: Vec<(Name, Notice)> = named.collect();
         let mut changes = Vec::new();
         for (id, told) in named {
-            let known = &mut self.replica(&id).intake;
-            let before = known.map(|intake| intake.notice);
-            let intake = known.get_or_insert_with(|| Intake::new(told));
-            intake.notice.join(&told);
-            let notice = intake.notice;
+            let known = &mut self.replica(&id).need;
+            let before = known.map(|need| need.notice);
+            let need = known.get_or_insert_with(|| Need::new(told));
+            need.notice.join(&told);
+            let notice = need.notice;
             if let Some(change) = change(before, &notice, now) {
                 changes.push((id, notice.rate, change));
             }
@@ -185,7 +190,7 @@
 
     /// Replicas that have named a limit, with that, or none where it is over.
     pub fn limited(&self, now: Time) -> Vec<(Name, Option<f64>)> {
-        let named = self.replicas.iter().filter(|(_, s)| s.intake.is_some());
+        let named = self.replicas.iter().filter(|(_, s)| s.need.is_some());
         let named = named.map(|(id, s)| (id.clone(), s.limit(now).map(|l| l.notice.rate)));
         named.collect()
     }
@@ -194,35 +199,35 @@
     pub fn notice_of(&self, replica: u32) -> Option<Notice> {
         let mut entries = self.view.all().map(|seen| &seen.entry);
         let entry = entries.find(|entry| Limited::name(entry) == replica)?;
-        Some(self.replicas.get(&entry.id)?.intake?.notice)
+        Some(self.replicas.get(&entry.id)?.need?.notice)
     }
 
     /// Limits that this host has heard itself lately, to be told.
     pub fn heard_limits(&self, now: Time) -> Vec<Limited> {
-        let is_own = |intake: &Intake| intake.heard.is_some_and(|at| now.since(at) < TOLD_AGAIN);
+        let is_own = |need: &Need| need.heard.is_some_and(|at| now.since(at) < TOLD_AGAIN);
         self.rows(is_own, now)
     }
 
     /// Limits that hold, or are over since a while ago, to be told.
     pub fn limits(&self, now: Time) -> Vec<Limited> {
-        self.rows(|intake| intake.is_told(now), now)
+        self.rows(|need| need.is_told(now), now)
     }
 
     /// Those of them that say something else than was told last, which they now are.
     pub fn changed_limits(&mut self, now: Time) -> Vec<Limited> {
-        let is_news = |intake: &Intake| intake.is_told(now) && intake.told != Some(intake.says());
+        let is_news = |need: &Need| need.is_told(now) && need.told != Some(need.says());
         let changed = self.rows(is_news, now);
-        let intakes = self.replicas.values_mut().filter_map(|s| s.intake.as_mut());
-        for intake in intakes {
-            intake.told = Some(intake.says());
+        let needs = self.replicas.values_mut().filter_map(|s| s.need.as_mut());
+        for need in needs {
+            need.told = Some(need.says());
         }
         changed
     }
 
-    fn rows(&self, is_told: impl Fn(&Intake) -> bool, now: Time) -> Vec<Limited> {
+    fn rows(&self, is_told: impl Fn(&Need) -> bool, now: Time) -> Vec<Limited> {
         let row = |entry: &Entry| {
-            let intake = self.replicas.get(&entry.id)?.intake.as_ref()?;
-            is_told(intake).then(|| Limited::new(entry, &intake.notice, now))
+            let need = self.replicas.get(&entry.id)?.need.as_ref()?;
+            is_told(need).then(|| Limited::new(entry, &need.notice, now))
         };
         self.view
             .all()
@@ -243,19 +248,17 @@
 
     /// Notes that a request is being asked for, so that others here do not ask for the same one.
     pub fn asks(&mut self, id: &str, now: Time) {
-        let intake = self.replicas.get_mut(id).and_then(|s| s.intake.as_mut());
-        let Some(intake) = intake else { return };
-        let limit = intake.notice.limit(1.0);
-        if let Some(outlook) = &mut intake.outlook {
+        let Some(need) = self.need(id) else { return };
+        let limit = need.notice.limit(1.0);
+        if let Some(outlook) = &mut need.outlook {
             outlook.take(1.0, limit, now);
         }
     }
 
     /// Notes how many requests there were when one was asked for: given, refused, or without an answer.
     pub fn told_of_room(&mut self, id: &str, told: Option<Result<f64, Over>>, now: Time) {
-        let intake = self.replicas.get_mut(id).and_then(|s| s.intake.as_mut());
-        if let Some(intake) = intake {
-            intake.outlook = Some(match told {
+        if let Some(need) = self.need(id) {
+            need.outlook = Some(match told {
                 Some(Ok(left)) => Outlook::new(left, now),
                 Some(Err(over)) => Outlook::over(over, now),
                 None => Outlook::nothing(INTAKE, now),
@@ -266,26 +269,25 @@
     /// Notes that the leader knows of no limit of a replica.
     pub fn unlimited(&mut self, id: &str) {
         if let Some(state) = self.replicas.get_mut(id) {
-            state.intake = None;
+            state.need = None;
         }
     }
 
     /// Counts a request of this host in that waits for room at a replica, or out.
     pub fn hold(&mut self, id: &str, waits: bool) {
-        let intake = self.replicas.get_mut(id).and_then(|s| s.intake.as_mut());
-        if let Some(intake) = intake {
-            intake.held = match waits {
-                true => intake.held + 1,
-                false => intake.held.saturating_sub(1),
+        if let Some(need) = self.need(id) {
+            need.held = match waits {
+                true => need.held + 1,
+                false => need.held.saturating_sub(1),
             };
         }
     }
 
     /// Whether a replica is limited, and nothing was heard of it here for so long that it goes before others.
     pub(super) fn is_unheard(&self, id: &str, now: Time) -> bool {
-        let intake = self.replicas.get(id).and_then(|s| s.limit(now));
+        let need = self.replicas.get(id).and_then(|s| s.limit(now));
         let is_long = |at: Time| now.since(at) >= UNHEARD;
-        intake.is_some_and(|intake| intake.heard.is_none_or(is_long))
+        need.is_some_and(|need| need.heard.is_none_or(is_long))
     }
 }
 
--- a/crates/front/src/table/replica.rs
+++ b/crates/front/src/table/replica.rs
@@ -2,7 +2,7 @@
 
 use super::absence::Absence;
 use super::choose::{rank, tokens};
-use super::limits::Intake;
+use super::limits::Need;
 use super::pace::Pace;
 use super::share::Share;
 use super::{DIRECT_AGE, SUMS_AGE, Want};
@@ -40,7 +40,7 @@
     /// What each other host has in flight there, as it told itself, and when.
     pub(super) hosts: BTreeMap<Name, (Load, Time)>,
     /// What is known of its limit, if it has named one.
-    pub(super) intake: Option<Intake>,
+    pub(super) need: Option<Need>,
     /// Share of its answers that failed.
     pub(super) failing: Share,
     /// Mark of long pauses in its streams.
