--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
+use unit::Span;
 
 /// Time after the first naming from which all hosts keep to a limit.
 const BOUND: Duration = Duration::from_millis(3_000);
@@ -23,6 +24,9 @@
 /// Window in which requests to a limited replica are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
+/// Time for which a host is suspended: longer than a lease and than a window.
+const AWAY: Span = Span::from_secs(6);
+
 /// The most that reaches a replica in a window under a limit of so many a second.
 fn allowed(rate: f64) -> usize {
     (rate * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
@@ -204,6 +208,25 @@
     all_served(&statuses);
 }
 
+/// Hosts are suspended one after the other, the leader among them: their steady clocks stand still, and what they count by
+/// goes on with the time of the world.
+#[tokio::test]
+async fn a_limit_holds_while_hosts_are_suspended() {
+    let (_store, [needy, _other], hosts) = two_replicas().await;
+    needy.name_limit(Some("2"));
+    press(&hosts, &["/stream/x"], BOUND).await;
+    let from = Instant::now();
+    for host in &hosts {
+        host.state().clock.suspend(AWAY);
+        press(&hosts, &["/stream/x"], Duration::from_millis(1_500)).await;
+    }
+    press(&hosts, &["/stream/x"], WINDOW).await;
+    let most = most_in_a_window(&needy.arrived_after(from));
+    assert!(most <= allowed(2.0), "{most} in 4 s");
+    let knows = |h: &Daemon| h.state().table.lock().limit_of("i-1", h.state().now());
+    assert!(hosts.iter().all(|h| knows(h) == Some(2.0)));
+}
+
 /// The store is away for longer than a lease: the leader, whose term is in doubt, gives out half.
 #[tokio::test]
 async fn a_limit_holds_and_is_used_while_the_store_is_away() {
