Sight: all that an answer says of its replica is read in one place and told

Change: platform::answer reads a head once, into one type with a field for each thing; front::heard takes it in wherever a head is read: first and second sendings, streams taken up elsewhere, trials, 1xx to 5xx, unsigned and foreign answers, answers to orders and reports. A line when a replica is first known to leave or to rest, with the field's value, the host and the request; a line and a counter for each sending to one that wants none, with the time since it was placed. Nothing is decided by it.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -8,6 +8,7 @@
 
 use crate::accounts::{self, Refusal};
 use crate::clock::Elapsed;
+use crate::heard;
 use crate::limits;
 use crate::quarantine;
 use crate::respond::Fault;
@@ -16,6 +17,7 @@
 use conn::{Body, Error, Line};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use platform::answer::{self, Said};
 use platform::ingress;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +31,8 @@
     pub line: Line,
     /// Head, and the body yet to be read.
     pub response: Response<Incoming>,
+    /// What the head says of the replica.
+    pub said: Said,
 }
 
 /// Why a sending brought no answer.
@@ -36,8 +40,13 @@
 pub enum Failed {
     /// Nothing was handed to a connection.
     Unsent(String),
-    /// The replica states that it did not run the request, with that status.
-    NotRun(u16),
+    /// The replica states that it did not run the request.
+    NotRun {
+        /// Status of its answer.
+        status: u16,
+        /// Whether it says that the request is meant for another replica, model or adapter.
+        misdirected: bool,
+    },
     /// It was sent, and no good answer came; it may have run.
     Lost(String),
     /// The replica ran it, and answered with that status, which tells of its own failure.
@@ -55,7 +64,7 @@
 impl Failed {
     /// Whether it is proven that nothing of the request reached the replica.
     pub fn proves_unsent(&self) -> bool {
-        self.proves_not_run() && !matches!(self, Failed::NotRun(_))
+        self.proves_not_run() && !matches!(self, Failed::NotRun { .. })
     }
 
     /// Whether it is proven that the request did not run there and will not.
@@ -63,7 +72,7 @@
         matches!(
             self,
             Failed::Unsent(_)
-                | Failed::NotRun(_)
+                | Failed::NotRun { .. }
                 | Failed::Overdue
                 | Failed::Barred(_)
                 | Failed::Held(_)
@@ -75,7 +84,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Failed::Unsent(why) => write!(f, "not sent: {why}"),
-            Failed::NotRun(status) => write!(f, "refused unrun with status {status}"),
+            Failed::NotRun { status, .. } => write!(f, "refused unrun with status {status}"),
             Failed::Lost(why) => write!(f, "lost: {why}"),
             Failed::Failing(status) => write!(f, "the replica failed it with status {status}"),
             Failed::Late => f.write_str("its time ran out"),
@@ -105,12 +114,14 @@
     let account = accounts::confirm(state, call).map_err(Failed::Barred)?;
     quarantine::confirm(state, call).map_err(Failed::Held)?;
     let account = account.as_ref().map(|a| &*a.name);
-    let request = request(state, call, choice, last_event, account);
+    let mut request = request(state, call, choice, last_event, account);
+    heard::listen(state, &mut request, place.source(call));
     let left = call.left(state.now());
     if left.is_zero() {
         return Err(Failed::Overdue);
     }
     limits::note_sending(state, call, &choice.replica, last_event);
+    heard::note_sending(state, call, &place);
     let answered = state
         .clock
         .timeout_at(call.deadline, line.send(request, left));
@@ -164,31 +175,32 @@
     line: Line,
     response: Response<Incoming>,
 ) -> Result<Sent, Failed> {
-    let status = response.status().as_u16();
-    let headers = response.headers();
-    if !ingress::is_answer_to(headers, Some(&call.id)) {
+    let said = answer::read(response.status(), response.headers());
+    heard::take_in(state, &place.source(call), &said);
+    if !said.answers(&call.id) {
         place.failed();
         return Err(Failed::Lost("an answer to another request came".into()));
     }
-    if ingress::states_not_run(status, headers) {
-        limits::heard(state, &place, headers, false);
+    if said.not_run {
         place.failed();
-        place.refused(status);
-        give_back(state, &place.replica, line, response).await;
-        return Err(Failed::NotRun(status));
+        give_back(state, &place.replica, line, &said, response).await;
+        return Err(Failed::NotRun {
+            status: said.status,
+            misdirected: said.misdirected,
+        });
     }
-    if !ingress::is_signed(headers) {
+    if !said.signed {
         place.failed();
         return Err(Failed::Lost(format!(
-            "an answer with status {status} without signature came"
+            "an answer with status {} without signature came",
+            said.status
         )));
     }
-    limits::heard(state, &place, response.headers(), true);
-    place.reached();
     Ok(Sent {
         place,
         line,
         response,
+        said,
     })
 }
 
@@ -199,16 +211,20 @@
 const REFUSAL_LIMIT: Duration = Duration::from_millis(50);
 
 /// Reads what is left of a refusal and keeps its connection, if that may be kept.
-async fn give_back(state: &State, replica: &Name, line: Line, response: Response<Incoming>) {
+async fn give_back(
+    state: &State,
+    replica: &Name,
+    line: Line,
+    said: &Said,
+    response: Response<Incoming>,
+) {
     use http_body_util::{BodyExt, Limited};
-    let (head, body) = response.into_parts();
-    if !ingress::keeps_connection(&head.headers) {
+    if !said.keeps_connection {
         return;
     }
-    let read = Limited::new(body, MOST_REFUSAL).collect();
+    let read = Limited::new(response.into_body(), MOST_REFUSAL).collect();
     if matches!(tokio::time::timeout(REFUSAL_LIMIT, read).await, Ok(Ok(_))) {
-        let keeps_for = ingress::keeps_for(&head.headers);
-        state.pool.give(replica, line, keeps_for, state.now());
+        state.pool.give(replica, line, said.keeps_for, state.now());
     }
 }
 
--- a/crates/front/src/attempt/place.rs
+++ b/crates/front/src/attempt/place.rs
@@ -1,10 +1,10 @@
 //! Place of a request at a replica: what the table counts and learns of it.
 
 use super::{Call, Failed};
+use crate::heard::Source;
 use crate::quarantine;
 use crate::state::State;
 use crate::table::{Choice, Footprint};
-use platform::ingress;
 use platform::replica::Incarnation;
 use std::sync::Arc;
 use unit::{Name, Time};
@@ -85,21 +85,13 @@
         self.state.table.lock().unreachable(&self.replica, now);
     }
 
-    /// Notes that the replica answered under its identity.
-    pub(super) fn reached(&self) {
-        let now = self.state.now();
-        self.state.table.lock().reached(&self.replica, now);
-    }
-
-    /// Notes that the request was refused with that status, and not run.
-    pub(super) fn refused(&self, status: u16) {
-        match status {
-            ingress::MISDIRECTED => {
-                let now = self.state.now();
-                let mut table = self.state.table.lock();
-                table.misdirected(&self.replica, self.whole, now);
-            }
-            _ => self.reached(),
+    /// Where an answer to the request comes from.
+    pub(super) fn source(&self, call: &Call) -> Source {
+        Source {
+            replica: self.replica.clone(),
+            incarnation: self.incarnation,
+            subject: call.id.clone(),
+            whole: self.whole,
         }
     }
 
--- /dev/null
+++ b/crates/front/src/heard.rs
@@ -0,0 +1,115 @@
+//! Takes in what the head of an answer says of its replica, wherever one is read.
+
+use crate::attempt::{Call, Place};
+use crate::limits;
+use crate::state::State;
+use crate::table::{Asked, Closed};
+use conn::Body;
+use hyper::Request;
+use platform::answer::{self, Reading, Said};
+use platform::replica::Incarnation;
+use std::sync::Arc;
+use tracing::{info, warn};
+use unit::{Name, Span};
+
+/// Where an answer came from, and what it answers.
+#[derive(Debug, Clone)]
+pub struct Source {
+    /// The replica.
+    pub replica: Name,
+    /// Which start of it was asked.
+    pub incarnation: Incarnation,
+    /// The request's identity, or what else was asked.
+    pub subject: Name,
+    /// Whether what was asked names no adapter.
+    pub whole: bool,
+}
+
+/// Takes in all that an answer says of its replica.
+pub fn take_in(state: &State, from: &Source, said: &Said) {
+    if said.leaves {
+        leaves(state, from);
+    }
+    match &said.rest {
+        Reading::Value(rest) => rests(state, from, Span::from(*rest)),
+        Reading::Unreadable(value) => state.log.notable(|| {
+            warn!(target: "replica", event = "unreadable", replica = &*from.replica, id = &*from.subject, value, "what the replica asks for is no time; it counts as not asked")
+        }),
+        Reading::Absent => {}
+    }
+    let answers = said.answers(&from.subject);
+    let ran = answers && said.signed && !said.not_run;
+    limits::heard(state, from, &said.limit, ran);
+    let now = state.now();
+    if answers && said.misdirected {
+        let mut table = state.table.lock();
+        table.misdirected(&from.replica, from.whole, now);
+    } else if answers && (said.signed || said.not_run) {
+        state.table.lock().reached(&from.replica, now);
+    }
+}
+
+/// Takes in that a replica leaves.
+fn leaves(state: &State, from: &Source) {
+    let is_news =
+        state
+            .table
+            .lock()
+            .view
+            .heard_leaving(&from.replica, from.incarnation, state.now());
+    if is_news {
+        state.log.notable(|| {
+            info!(target: "replica", event = "leaving", replica = &*from.replica, id = &*from.subject, by = &*state.settings.name, "a replica says in an answer that it leaves")
+        });
+    }
+}
+
+/// Takes in that a replica wants nothing from this host for a time.
+fn rests(state: &State, from: &Source, rest: Span) {
+    let now = state.now();
+    let asked = state
+        .table
+        .lock()
+        .heard_rest(&from.replica, from.incarnation, rest, now);
+    if let Some(Asked { first, left }) = asked {
+        state
+            .log
+            .metrics
+            .counter("coveford_rests_total", &[])
+            .increment(1);
+        let (asked_ms, left_ms) = (rest.ms(), left.ms());
+        state.log.notable(|| {
+            info!(target: "replica", event = "rests", replica = &*from.replica, id = &*from.subject, by = &*state.settings.name, asked_ms, left_ms, first, "a replica turned a request away and wants nothing from this host for a time")
+        });
+    }
+}
+
+/// Tells of a sending to a replica that has said that it leaves or rests.
+pub fn note_sending(state: &State, call: &Call, place: &Place) {
+    let now = state.now();
+    let Some(closed) = state.table.lock().closed(&place.replica, now) else {
+        return;
+    };
+    let (word, left_ms) = match closed {
+        Closed::Leaves => ("leaves", None),
+        Closed::Rests(left) => ("rests", Some(left.ms())),
+    };
+    let labels = [("word", word)];
+    let metrics = &state.log.metrics;
+    metrics
+        .counter("coveford_sendings_against_word_total", &labels)
+        .increment(1);
+    let placed_ms = now.since(place.at).ms();
+    state.log.notable(|| {
+        info!(target: "replica", event = "sent", id = &*call.id, replica = &*place.replica, word, left_ms, placed_ms, "a request goes to a replica that wants none")
+    });
+}
+
+/// Takes in the answers that come to a request before the one with the result.
+pub fn listen(state: &Arc<State>, request: &mut Request<Body>, from: Source) {
+    let state = state.clone();
+    hyper::ext::on_informational(request, move |response| {
+        let said = answer::read(response.status(), response.headers());
+        take_in(&state, &from, &said);
+    });
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod follow;
 pub mod grant;
+pub mod heard;
 pub mod leader;
 pub mod limits;
 pub mod log;
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -4,15 +4,15 @@
 //! the limit, which the leader gives out ([`crate::grant`]); a host that gets no answer goes on by its share, or sends
 //! nothing there. A refusal keeps the replica out of this host's choice until there may be room again.
 
-use crate::attempt::{Call, Place};
+use crate::attempt::Call;
 use crate::grant::{self, Answer, Grant, Source, Wanted};
+use crate::heard;
 use crate::message::Subject;
 use crate::peers::Peers;
 use crate::peers::quota::QUICK;
 use crate::state::State;
 use crate::table::{Change, Choice, Met, Want};
-use hyper::header::HeaderMap;
-use platform::ingress::{self, Intake};
+use platform::answer::Reading;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -23,15 +23,15 @@
 
 /// Takes in what an answer says of its replica's limit. One that the replica `ran` the request for and that names no
 /// limit says that none holds any more; a refusal without one says nothing.
-pub fn heard(state: &State, place: &Place, headers: &HeaderMap, ran: bool) {
-    let rate = match ingress::intake(headers) {
+pub fn heard(state: &State, from: &heard::Source, limit: &Reading<f64>, ran: bool) {
+    let rate = match limit {
         // Hosts tell each other rates in this precision, and compare them.
-        Intake::Limited(rate) => Some(f64::from((rate as f32).min(f32::MAX))),
-        Intake::Open if ran => None,
-        Intake::Open => return,
-        Intake::Unreadable(value) => {
+        Reading::Value(rate) => Some(f64::from((*rate as f32).min(f32::MAX))),
+        Reading::Absent if ran => None,
+        Reading::Absent => return,
+        Reading::Unreadable(value) => {
             state.log.notable(|| {
-                warn!(target: "limit", event = "unreadable", replica = &*place.replica, value, "what the replica names is no number of requests a second; it counts as not named")
+                warn!(target: "limit", event = "unreadable", replica = &*from.replica, value, "what the replica names is no number of requests a second; it counts as not named")
             });
             return;
         }
@@ -40,11 +40,11 @@
     let change = state
         .table
         .lock()
-        .heard_limit(&place.replica, place.incarnation, rate, now);
+        .heard_limit(&from.replica, from.incarnation, rate, now);
     if let Some(change) = change {
         state.limited.notify_one();
         let rate = rate.unwrap_or_default();
-        tell(state, &place.replica, rate, change, &state.settings.name);
+        tell(state, &from.replica, rate, change, &state.settings.name);
     }
 }
 
--- a/crates/front/src/planner/give.rs
+++ b/crates/front/src/planner/give.rs
@@ -1,7 +1,9 @@
 //! Giving replicas the orders that wait for them, and noting what came of each.
 
 use super::{Book, Planner};
+use crate::heard;
 use crate::orders::{Job, Known, Pending};
+use platform::answer::Said;
 use platform::config::Engine;
 use platform::replica::{self, Entry, Operation, Order, Ordered};
 use std::sync::Arc;
@@ -92,8 +94,9 @@
 
     /// Asks a replica what it holds; tells whether orders may go on.
     async fn look(&self, entry: &Entry) -> bool {
-        let report = replica::report(&self.pool, entry.addr, &entry.id, CALL_LIMIT).await;
-        match report {
+        let told = replica::report(&self.pool, entry.addr, &entry.id, CALL_LIMIT).await;
+        self.hear(entry, "report", told.said.as_ref());
+        match told.outcome {
             Ok(report) => {
                 let mut book = self.book.lock();
                 let Some(known) = book.known.get_mut(&entry.id) else {
@@ -112,6 +115,18 @@
         }
     }
 
+    /// Takes in what an answer to a call says of its replica, if one came.
+    fn hear(&self, entry: &Entry, call: &str, said: Option<&Said>) {
+        let Some(said) = said else { return };
+        let from = heard::Source {
+            replica: entry.id.clone(),
+            incarnation: entry.incarnation,
+            subject: call.into(),
+            whole: true,
+        };
+        heard::take_in(&self.state, &from, said);
+    }
+
     /// Gives one order and notes what came of it; tells whether to go on.
     async fn give(self: &Arc<Self>, entry: &Entry, job: Job, expected: u64) -> bool {
         let order = Order {
@@ -122,7 +137,9 @@
             holder: self.state.settings.name.clone(),
             fence: self.term.token,
         };
-        let answer = replica::order(&self.pool, entry.addr, &entry.id, &order, CALL_LIMIT).await;
+        let told = replica::order(&self.pool, entry.addr, &entry.id, &order, CALL_LIMIT).await;
+        self.hear(entry, "order", told.said.as_ref());
+        let answer = told.outcome;
         let now = self.state.now();
         self.tell_ordered(entry, &order, &answer);
         self.note(entry, job, expected, answer, now)
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -18,7 +18,7 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::{self, HeaderMap};
-use hyper::http::response::Parts;
+use platform::answer::Said;
 use platform::ingress;
 use std::io;
 use std::sync::Arc;
@@ -51,6 +51,7 @@
         mut place,
         line,
         response,
+        said,
     } = sent;
     let (head, body) = response.into_parts();
     let read = Limited::new(body, MOST_ANSWER).collect();
@@ -72,7 +73,7 @@
     if !failed {
         quarantine::ended_well(state, call);
     }
-    keep(state, &place, line, &head.headers);
+    keep(state, &place, line, &said);
     let mut response = Response::new(whole(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = returned(&head.headers);
@@ -80,12 +81,11 @@
 }
 
 /// Gives a connection back once its answer was read whole, if the replica keeps it.
-fn keep(state: &State, place: &Place, line: Line, headers: &HeaderMap) {
-    if ingress::keeps_connection(headers) {
-        let keeps_for = ingress::keeps_for(headers);
+fn keep(state: &State, place: &Place, line: Line, said: &Said) {
+    if said.keeps_connection {
         state
             .pool
-            .give(&place.replica, line, keeps_for, state.now());
+            .give(&place.replica, line, said.keeps_for, state.now());
     }
 }
 
@@ -120,7 +120,7 @@
 struct Source {
     place: Place,
     line: Line,
-    head: Parts,
+    said: Said,
     body: Incoming,
 }
 
@@ -132,10 +132,10 @@
     sent: Sent,
     tried: Vec<Name>,
 ) -> Result<Response<Body>, Failed> {
-    let source = Source::from(sent);
     let mut answer = Response::new(());
-    *answer.status_mut() = source.head.status;
-    *answer.headers_mut() = returned(&source.head.headers);
+    *answer.status_mut() = sent.response.status();
+    *answer.headers_mut() = returned(sent.response.headers());
+    let source = Source::from(sent);
     let mut relay = Relay {
         state: state.clone(),
         peers: peers.clone(),
@@ -167,12 +167,11 @@
 impl Source {
     /// The events of an answer whose head has come.
     fn from(sent: Sent) -> Source {
-        let (head, body) = sent.response.into_parts();
         Source {
             place: sent.place,
             line: sent.line,
-            head,
-            body,
+            said: sent.said,
+            body: sent.response.into_body(),
         }
     }
 }
@@ -316,8 +315,7 @@
         if let Some(mut source) = self.source.take() {
             source.place.answered(false);
             quarantine::ended_well(&self.state, &self.call);
-            let headers = &source.head.headers;
-            keep(&self.state, &source.place, source.line, headers);
+            keep(&self.state, &source.place, source.line, &source.said);
         }
         Ok(())
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -278,6 +278,11 @@
 /// Takes as gone what is missing for too long.
 fn expire(state: &State) {
     let now = state.now();
+    for replica in state.table.lock().end_rests(now) {
+        state.log.notable(|| {
+            info!(target: "replica", event = "rested", replica = &*replica, "a replica's rest is over, and so is the return to it");
+        });
+    }
     let news = {
         let mut table = state.table.lock();
         let news = table.view.expire(now);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -17,7 +17,6 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use parking_lot::Mutex;
-use platform::ingress;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
@@ -223,7 +222,7 @@
         Failed::Lost(_) | Failed::Failing(_) => {
             call.route.kind.is_repeatable() && !same && quarantine::may_repeat(state, call)
         }
-        Failed::NotRun(_) | Failed::Unsent(_) => true,
+        Failed::NotRun { .. } | Failed::Unsent(_) => true,
     };
     let free = matches!(last, Failed::Unsent(_));
     allowed && now < call.deadline && (free || state.table.lock().spend(&call.service, now))
@@ -234,13 +233,18 @@
     state.log.notable(|| {
         info!(target: "request", event = "failed", id = &*call.id, print = %call.fingerprint(), replica = &*choice.replica, addr = %choice.addr, entry = choice.revision, candidates = choice.candidates, why = %failed, "a sending brought no answer")
     });
-    if let (Failed::NotRun(ingress::MISDIRECTED), Some(model), Some(adapter)) =
-        (failed, &call.ask.model, &call.ask.adapter)
-    {
+    let misdirected = matches!(
+        failed,
+        Failed::NotRun {
+            misdirected: true,
+            ..
+        }
+    );
+    if let (true, Some(model), Some(adapter)) = (misdirected, &call.ask.model, &call.ask.adapter) {
         let mut table = state.table.lock();
         table.drop_adapter(&choice.replica, model, adapter);
     }
-    if !matches!(failed, Failed::NotRun(_) | Failed::Failing(_)) {
+    if !matches!(failed, Failed::NotRun { .. } | Failed::Failing(_)) {
         state.pool.forget(&choice.replica);
     }
 }
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod pace;
 mod replica;
+mod rests;
 mod share;
 mod sums;
 mod told;
@@ -19,6 +20,7 @@
 pub use choose::{Choice, Nowhere};
 pub use limits::{Change, Met};
 pub use replica::Footprint;
+pub use rests::{Asked, Closed};
 
 use crate::message::Use;
 use crate::routes::Routes;
@@ -32,6 +34,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use replica::State;
+use rests::Rests;
 use route::window::Window;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -60,6 +63,7 @@
     pub knows_hosts: bool,
     hall: Name,
     replicas: HashMap<Name, State>,
+    rests: Rests,
     paces: Paces,
     /// Retry budgets by service.
     windows: HashMap<Name, Window>,
@@ -104,6 +108,7 @@
             knows_hosts: false,
             hall,
             replicas: HashMap::new(),
+            rests: Rests::new(),
             paces: Paces::default(),
             windows: HashMap::new(),
             demand: Demands::default(),
--- /dev/null
+++ b/crates/front/src/table/rests.rs
@@ -0,0 +1,92 @@
+//! Times for which replicas want nothing from this host. They hold whatever becomes of a replica's entry, and end with its
+//! incarnation.
+
+use super::Table;
+use platform::replica::Incarnation;
+use route::rest::Rest;
+use std::collections::HashMap;
+use unit::{Name, Span, Time};
+
+/// Rests by replica, with the incarnation that asked for each.
+pub(super) type Rests = HashMap<Name, (Incarnation, Rest)>;
+
+/// Why a replica gets nothing from this host, by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// It leaves.
+    Leaves,
+    /// It wants nothing for a time, or only little after it; the time until the next request.
+    Rests(Span),
+}
+
+/// What changed when a replica asked for rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// Whether it had asked for none that holds.
+    pub first: bool,
+    /// Time that it rests now.
+    pub left: Span,
+}
+
+impl Table {
+    /// Takes in that a replica wants nothing from this host for a time; nothing where another incarnation of it is known
+    /// by now.
+    pub fn heard_rest(
+        &mut self,
+        id: &Name,
+        incarnation: Incarnation,
+        time: Span,
+        now: Time,
+    ) -> Option<Asked> {
+        if self.view.knows_other(id, incarnation) || time == Span::ZERO {
+            return None;
+        }
+        let known = self.rests.get_mut(id);
+        let known = known.filter(|(of, rest)| *of == incarnation && !rest.is_over(now));
+        let first = known.is_none();
+        let rest = match known {
+            Some((_, rest)) => {
+                rest.ask(time, now);
+                *rest
+            }
+            None => {
+                let rest = Rest::new(time, now);
+                self.rests.insert(id.clone(), (incarnation, rest));
+                rest
+            }
+        };
+        Some(Asked {
+            first,
+            left: rest.left(now),
+        })
+    }
+
+    /// Rest that an incarnation of a replica asked this host for, while it or the return from it lasts.
+    pub(super) fn rest(&self, id: &str, incarnation: Incarnation, now: Time) -> Option<&Rest> {
+        let (of, rest) = self.rests.get(id)?;
+        (*of == incarnation && !rest.is_over(now)).then_some(rest)
+    }
+
+    /// Why a replica gets nothing from this host now, by its own word.
+    pub fn closed(&self, id: &str, now: Time) -> Option<Closed> {
+        let incarnation = self.view.get(id)?.entry.incarnation;
+        if self.view.leaves_by_word(id, incarnation) {
+            return Some(Closed::Leaves);
+        }
+        let rest = self.rest(id, incarnation, now)?;
+        rest.turn(0, now).map(Closed::Rests)
+    }
+
+    /// Replicas that want nothing from this host now, with the time that is left.
+    pub fn resting(&self, now: Time) -> Vec<(Name, Span)> {
+        let rests = self.rests.iter();
+        let left = rests.map(|(id, (_, rest))| (id.clone(), rest.left(now)));
+        left.filter(|(_, left)| *left > Span::ZERO).collect()
+    }
+
+    /// Takes out the replicas whose rest and the return from it are over.
+    pub fn end_rests(&mut self, now: Time) -> Vec<Name> {
+        let over = self.rests.extract_if(|_, (_, rest)| rest.is_over(now));
+        over.map(|(id, _)| id).collect()
+    }
+}
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -5,18 +5,23 @@
 //! the store was away.
 
 use crate::contact::Contact;
-use platform::replica::Entry;
+use platform::replica::{Entry, Incarnation};
 use std::collections::{BTreeMap, VecDeque};
 use unit::{Name, Span, Time};
 
 /// Time for which the revision of a removal is remembered, against older news from elsewhere.
 const REMEMBERED: Span = Span::from_secs(60);
 
+/// Time for which the word of a replica that it leaves is remembered without an entry of it: it is gone minutes after.
+const LEAVING_REMEMBERED: Span = Span::from_secs(24 * 3_600);
+
 /// Replicas by identity.
 #[derive(Debug)]
 pub struct View {
     seen: BTreeMap<Name, Seen>,
     removed: BTreeMap<Name, (u64, Time)>,
+    /// Incarnations that said in answers that they leave, and when that was last of use. Entries come and go meanwhile.
+    departures: BTreeMap<Name, (Incarnation, Time)>,
     /// Whether the store is there, and since when.
     pub contact: Contact,
 }
@@ -126,6 +131,7 @@
         View {
             seen: BTreeMap::new(),
             removed: BTreeMap::new(),
+            departures: BTreeMap::new(),
             contact: Contact::new(heartbeat),
         }
     }
@@ -140,6 +146,27 @@
         self.seen.get(id)
     }
 
+    /// Whether another incarnation of a replica is known than this one.
+    pub fn knows_other(&self, id: &str, incarnation: Incarnation) -> bool {
+        let seen = self.seen.get(id);
+        seen.is_some_and(|seen| seen.entry.incarnation != incarnation)
+    }
+
+    /// Whether an incarnation has said in an answer that it leaves.
+    pub fn leaves_by_word(&self, id: &str, incarnation: Incarnation) -> bool {
+        let said = self.departures.get(id);
+        said.is_some_and(|(of, _)| *of == incarnation)
+    }
+
+    /// Takes in that an incarnation says in an answer that it leaves, which is not taken back; tells whether that was not known.
+    pub fn heard_leaving(&mut self, id: &Name, incarnation: Incarnation, now: Time) -> bool {
+        if self.knows_other(id, incarnation) {
+            return false;
+        }
+        let before = self.departures.insert(id.clone(), (incarnation, now));
+        before.is_none_or(|(of, _)| of != incarnation)
+    }
+
     /// Takes in an entry at its revision; older news changes nothing.
     pub fn put(&mut self, entry: Entry, revision: u64) -> Option<News> {
         let id = entry.id.clone();
@@ -231,6 +258,9 @@
     pub fn expire(&mut self, now: Time) -> Vec<News> {
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMEMBERED);
+        let seen = &self.seen;
+        self.departures
+            .retain(|id, (_, at)| seen.contains_key(id) || now.since(*at) < LEAVING_REMEMBERED);
         if self.contact.may_return(now) {
             return Vec::new();
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod rest;
 pub mod retry;
 pub mod routing;
 pub mod service;
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -4,7 +4,7 @@
 use conn::{Line, Reply};
 use hyper::Request;
 use parking_lot::Mutex;
-use platform::names;
+use platform::{answer, names};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
@@ -185,7 +185,7 @@
         sent,
         connected,
     };
-    let keeps = reply.is_some_and(|r| platform::ingress::keeps_connection(&r.headers));
+    let keeps = reply.is_some_and(|r| answer::read(r.status, &r.headers).keeps_connection);
     book.told.lock().push(told);
     line.filter(|_| keeps).map(|line| (host, line))
 }
@@ -222,7 +222,7 @@
     if !reply.status.is_success() {
         return None;
     }
-    if !platform::ingress::is_signed(&reply.headers) {
+    if !answer::read(reply.status, &reply.headers).signed {
         return Some("a success without a signature".into());
     }
     let text = String::from_utf8_lossy(&reply.body);
