--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -12,7 +12,7 @@
 };
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::{Mode, Store};
-use site::{daemon, engine, store};
+use site::{daemon, engine, hosts, press, store};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -41,17 +41,6 @@
     arrivals.iter().enumerate().map(within).max().unwrap_or(0)
 }
 
-/// Hosts that all know each other.
-async fn hosts(store: &Store, count: usize) -> Vec<Daemon> {
-    let mut hosts = Vec::new();
-    for n in 1..=count {
-        hosts.push(daemon(store, &format!("d{n}")).await);
-    }
-    let all = |d: &Daemon| d.state().table.lock().hosts == count;
-    site::until(|| hosts.iter().all(all)).await;
-    hosts
-}
-
 /// Two replicas of one model, and three hosts before them.
 async fn two_replicas() -> (Store, [Replica; 2], Vec<Daemon>) {
     let store = store().await;
@@ -63,25 +52,6 @@
     (store, replicas, hosts)
 }
 
-/// Statuses of the requests that were sent, a path each 25 ms in turn over hosts and paths, for a time.
-async fn press(hosts: &[Daemon], paths: &[&'static str], time: Duration) -> Vec<u16> {
-    let end = Instant::now() + time;
-    let mut asked = JoinSet::new();
-    for n in 0.. {
-        if Instant::now() >= end {
-            break;
-        }
-        let (host, path) = (&hosts[n % hosts.len()], paths[n % paths.len()]);
-        let model = (!path.starts_with("/once") && !path.starts_with("/again")).then_some("m1");
-        let callers = host.callers();
-        asked.spawn(async move { (n, site::ask_at(callers, path, model).await.1.status()) });
-        sleep(Duration::from_millis(25)).await;
-    }
-    let mut statuses = asked.join_all().await;
-    statuses.sort_unstable();
-    statuses.into_iter().map(|(_, status)| status).collect()
-}
-
 /// Sends requests until a replica has named its limit, then for the bound, and then on; gives the statuses of the last
 /// part and the most that reached the replica in a window of it.
 async fn pressed(
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -18,7 +18,8 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
 use unit::{Span, Time};
 
 /// Longest wait for something that must come.
@@ -287,10 +288,42 @@
     send_to(daemon.callers(), made).await
 }
 
+/// Hosts that all know each other.
+pub async fn hosts(store: &Store, count: usize) -> Vec<Daemon> {
+    let mut hosts = Vec::new();
+    for n in 1..=count {
+        hosts.push(daemon(store, &format!("d{n}")).await);
+    }
+    let all = |d: &Daemon| d.state().table.lock().hosts == count;
+    until(|| hosts.iter().all(all)).await;
+    hosts
+}
+
+/// Statuses of the requests that were sent, a path each 25 ms in turn over hosts and paths, for a time.
+pub async fn press(hosts: &[Daemon], paths: &[&'static str], time: Duration) -> Vec<u16> {
+    let end = Instant::now() + time;
+    let mut asked = JoinSet::new();
+    for n in 0.. {
+        if Instant::now() >= end {
+            break;
+        }
+        let (host, path) = (&hosts[n % hosts.len()], paths[n % paths.len()]);
+        let model = (!path.starts_with("/once") && !path.starts_with("/again")).then_some("m1");
+        let callers = host.callers();
+        asked.spawn(async move { (n, ask_at(callers, path, model).await.1.status()) });
+        sleep(Duration::from_millis(25)).await;
+    }
+    let mut statuses = asked.join_all().await;
+    statuses.sort_unstable();
+    statuses.into_iter().map(|(_, status)| status).collect()
+}
+
 async fn send_to(
     callers: SocketAddr,
-    (id, request): (String, Request<conn::Body>),
+    (id, mut request): (String, Request<conn::Body>),
 ) -> (String, Answer) {
+    let host = callers.to_string().parse().unwrap();
+    request.headers_mut().insert(replica::FROM, host);
     let mut line = Line::open(callers, PATIENCE).await.unwrap();
     let reply = line.exchange(request, PATIENCE, 1 << 20).await;
     (id, Answer(reply))
