A replica that says in an answer that it leaves gets nothing new from the host that heard it

Callers saw: nothing yet; but a replica that leaves while the store is away got requests to its end, which a short notice would have cut. Class: a field of an answer that nobody goes by. A sending and a leader's call need a permit that is given at the last moment, after the connection is open; what is kept back goes elsewhere, without a part of the retry budget.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::quarantine;
 use crate::respond::Fault;
 use crate::state::State;
-use crate::table::Choice;
+use crate::table::{Choice, Closed, Permit};
 use conn::{Body, Error, Line};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -55,6 +55,8 @@
     Late,
     /// Its time had run out before it was handed to a connection.
     Overdue,
+    /// The replica wants none by its own word; nothing was handed to a connection.
+    KeptBack(Closed),
     /// Its key does not let it go on; nothing was handed to a connection.
     Barred(Refusal),
     /// It may end what runs it, and gets this answer; nothing was handed to a connection.
@@ -74,6 +76,7 @@
             Failed::Unsent(_)
                 | Failed::NotRun { .. }
                 | Failed::Overdue
+                | Failed::KeptBack(_)
                 | Failed::Barred(_)
                 | Failed::Held(_)
         )
@@ -89,6 +92,10 @@
             Failed::Failing(status) => write!(f, "the replica failed it with status {status}"),
             Failed::Late => f.write_str("its time ran out"),
             Failed::Overdue => f.write_str("not sent: its time had run out"),
+            Failed::KeptBack(Closed::Leaves) => f.write_str("not sent: the replica leaves"),
+            Failed::KeptBack(Closed::Rests(left)) => {
+                write!(f, "not sent: the replica wants nothing for {left}")
+            }
             Failed::Barred(why) => write!(f, "not let on: {why}"),
             Failed::Held(fault) => write!(f, "not let on: {}", fault.message),
         }
@@ -114,14 +121,14 @@
     let account = accounts::confirm(state, call).map_err(Failed::Barred)?;
     quarantine::confirm(state, call).map_err(Failed::Held)?;
     let account = account.as_ref().map(|a| &*a.name);
-    let mut request = request(state, call, choice, last_event, account);
+    let permit = heard::permit(state, call, &place).map_err(Failed::KeptBack)?;
+    let mut request = request(state, call, choice, permit, last_event, account);
     heard::listen(state, &mut request, place.source(call));
     let left = call.left(state.now());
     if left.is_zero() {
         return Err(Failed::Overdue);
     }
     limits::note_sending(state, call, &choice.replica, last_event);
-    heard::note_sending(state, call, &place);
     let answered = state
         .clock
         .timeout_at(call.deadline, line.send(request, left));
@@ -231,11 +238,12 @@
 /// Time taken off what is left, for the way back of the answer.
 const WAY_BACK: Span = Span::from_ms(5);
 
-/// Request as it goes to the replica.
+/// Request as it goes to the replica, which needs the permit for it.
 fn request(
     state: &State,
     call: &Call,
     choice: &Choice,
+    _: Permit,
     last_event: Option<u64>,
     account: Option<&str>,
 ) -> Request<Body> {
--- a/crates/front/src/heard.rs
+++ b/crates/front/src/heard.rs
@@ -3,7 +3,7 @@
 use crate::attempt::{Call, Place};
 use crate::limits;
 use crate::state::State;
-use crate::table::{Asked, Closed};
+use crate::table::{Asked, Closed, Permit};
 use conn::Body;
 use hyper::Request;
 use platform::answer::{self, Reading, Said};
@@ -58,6 +58,7 @@
             .view
             .heard_leaving(&from.replica, from.incarnation, state.now());
     if is_news {
+        state.changed.notify_waiters();
         state.log.notable(|| {
             info!(target: "replica", event = "leaving", replica = &*from.replica, id = &*from.subject, by = &*state.settings.name, "a replica says in an answer that it leaves")
         });
@@ -84,25 +85,23 @@
     }
 }
 
-/// Tells of a sending to a replica that has said that it leaves or rests.
-pub fn note_sending(state: &State, call: &Call, place: &Place) {
+/// Lets a request be sent to the replica of its place, unless that takes none now by its own word.
+pub fn permit(state: &State, call: &Call, place: &Place) -> Result<Permit, Closed> {
     let now = state.now();
-    let Some(closed) = state.table.lock().closed(&place.replica, now) else {
-        return;
-    };
-    let (word, left_ms) = match closed {
-        Closed::Leaves => ("leaves", None),
-        Closed::Rests(left) => ("rests", Some(left.ms())),
-    };
-    let labels = [("word", word)];
-    let metrics = &state.log.metrics;
-    metrics
-        .counter("coveford_sendings_against_word_total", &labels)
-        .increment(1);
-    let placed_ms = now.since(place.at).ms();
-    state.log.notable(|| {
-        info!(target: "replica", event = "sent", id = &*call.id, replica = &*place.replica, word, left_ms, placed_ms, "a request goes to a replica that wants none")
-    });
+    let permit = state.table.lock().permit(&place.replica, now);
+    if let Err(closed) = &permit {
+        let word = closed.word();
+        let labels = [("why", word)];
+        let metrics = &state.log.metrics;
+        metrics
+            .counter("coveford_kept_back_total", &labels)
+            .increment(1);
+        let placed_ms = now.since(place.at).ms();
+        state.log.notable(|| {
+            info!(target: "replica", event = "kept_back", id = &*call.id, replica = &*place.replica, why = word, placed_ms, "a request was not sent to a replica that wants none")
+        });
+    }
+    permit
 }
 
 /// Takes in the answers that come to a request before the one with the result.
--- a/crates/front/src/planner/give.rs
+++ b/crates/front/src/planner/give.rs
@@ -3,6 +3,7 @@
 use super::{Book, Planner};
 use crate::heard;
 use crate::orders::{Job, Known, Pending};
+use crate::table::Permit;
 use platform::answer::Said;
 use platform::config::Engine;
 use platform::replica::{self, Entry, Operation, Order, Ordered};
@@ -62,6 +63,9 @@
         if doubtful && !(looks && self.look(&entry).await) {
             return false;
         }
+        let Some(permit) = self.permit(id) else {
+            return false;
+        };
         let routes = self.state.table.lock().routes.clone();
         let service = routes.as_ref().and_then(|r| r.service(&entry.service));
         let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
@@ -70,7 +74,7 @@
         let next = self.book.lock().next(id, engine, now);
         match next {
             Next::Give(job, expected) if self.term.holds() => {
-                self.give(&entry, job, expected).await
+                self.give(&entry, job, expected, permit).await
             }
             Next::Give(..) | Next::Stop => false,
             Next::Skip => true,
@@ -84,6 +88,12 @@
         (!seen.entry.leaving).then(|| seen.entry.clone())
     }
 
+    /// Lets the replica be called, unless it takes no calls now.
+    fn permit(&self, id: &str) -> Option<Permit> {
+        let now = self.state.now();
+        self.state.table.lock().permit(id, now).ok()
+    }
+
     /// Whether a replica must be asked before the next order, and whether it may be asked now.
     fn doubt(&self, id: &str, now: Time) -> (bool, bool) {
         let book = self.book.lock();
@@ -94,6 +104,9 @@
 
     /// Asks a replica what it holds; tells whether orders may go on.
     async fn look(&self, entry: &Entry) -> bool {
+        let Some(_permit) = self.permit(&entry.id) else {
+            return false;
+        };
         let told = replica::report(&self.pool, entry.addr, &entry.id, CALL_LIMIT).await;
         self.hear(entry, "report", told.said.as_ref());
         match told.outcome {
@@ -128,7 +141,7 @@
     }
 
     /// Gives one order and notes what came of it; tells whether to go on.
-    async fn give(self: &Arc<Self>, entry: &Entry, job: Job, expected: u64) -> bool {
+    async fn give(self: &Arc<Self>, entry: &Entry, job: Job, expected: u64, _: Permit) -> bool {
         let order = Order {
             operation: job.operation,
             model: job.model.clone(),
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -52,6 +52,9 @@
                 info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %why, outcome, "a broken stream is taken up elsewhere")
             });
             match sent {
+                Err(Failed::KeptBack(_)) => {
+                    self.tried.pop();
+                }
                 Ok(sent) if sent.response.status().is_success() => {
                     self.source = Some(Source::from(sent));
                     return true;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -151,7 +151,10 @@
         {
             grant.give_back(state).await;
         }
-        let was_sent = !matches!(sent, Err(Failed::Unsent(_) | Failed::Overdue));
+        let was_sent = !matches!(
+            sent,
+            Err(Failed::Unsent(_) | Failed::Overdue | Failed::KeptBack(_))
+        );
         if was_sent && !progress.tried.contains(&choice.replica) {
             progress.tried.push(choice.replica.clone());
         }
@@ -222,9 +225,9 @@
         Failed::Lost(_) | Failed::Failing(_) => {
             call.route.kind.is_repeatable() && !same && quarantine::may_repeat(state, call)
         }
-        Failed::NotRun { .. } | Failed::Unsent(_) => true,
+        Failed::NotRun { .. } | Failed::Unsent(_) | Failed::KeptBack(_) => true,
     };
-    let free = matches!(last, Failed::Unsent(_));
+    let free = matches!(last, Failed::Unsent(_) | Failed::KeptBack(_));
     allowed && now < call.deadline && (free || state.table.lock().spend(&call.service, now))
 }
 
@@ -244,7 +247,11 @@
         let mut table = state.table.lock();
         table.drop_adapter(&choice.replica, model, adapter);
     }
-    if !matches!(failed, Failed::NotRun { .. } | Failed::Failing(_)) {
+    let sound = matches!(
+        failed,
+        Failed::NotRun { .. } | Failed::Failing(_) | Failed::KeptBack(_)
+    );
+    if !sound {
         state.pool.forget(&choice.replica);
     }
 }
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod limits;
 mod pace;
+mod permit;
 mod replica;
 mod rests;
 mod share;
@@ -19,8 +20,9 @@
 
 pub use choose::{Choice, Nowhere};
 pub use limits::{Change, Met};
+pub use permit::{Closed, Permit};
 pub use replica::Footprint;
-pub use rests::{Asked, Closed};
+pub use rests::Asked;
 
 use crate::message::Use;
 use crate::routes::Routes;
--- /dev/null
+++ b/crates/front/src/table/permit.rs
@@ -0,0 +1,47 @@
+//! Last look before anything is sent to a replica: whether it still takes it.
+
+use super::Table;
+use unit::{Span, Time};
+
+/// Leave to send one request or call to a replica; nothing can be sent without it.
+#[derive(Debug)]
+pub struct Permit(());
+
+/// Why a replica gets nothing from this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// It leaves, or is gone.
+    Leaves,
+    /// It wants nothing for a time, or only little after it; the time until the next request.
+    Rests(Span),
+}
+
+impl Closed {
+    /// Word for it in logs and metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Closed::Leaves => "leaves",
+            Closed::Rests(_) => "rests",
+        }
+    }
+}
+
+impl Table {
+    /// Lets a request or a call be sent to a replica, unless that takes none now.
+    pub fn permit(&mut self, id: &str, now: Time) -> Result<Permit, Closed> {
+        match self.closed(id, now) {
+            None | Some(Closed::Rests(_)) => Ok(Permit(())),
+            Some(closed) => Err(closed),
+        }
+    }
+
+    /// Why a replica takes nothing from this host now.
+    pub fn closed(&self, id: &str, now: Time) -> Option<Closed> {
+        let seen = self.view.get(id).filter(|seen| !seen.entry.leaving);
+        let Some(seen) = seen else {
+            return Some(Closed::Leaves);
+        };
+        let rest = self.rest(id, seen.entry.incarnation, now)?;
+        rest.turn(0, now).map(Closed::Rests)
+    }
+}
--- a/crates/front/src/table/rests.rs
+++ b/crates/front/src/table/rests.rs
@@ -10,15 +10,6 @@
 /// Rests by replica, with the incarnation that asked for each.
 pub(super) type Rests = HashMap<Name, (Incarnation, Rest)>;
 
-/// Why a replica gets nothing from this host, by its own word.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Closed {
-    /// It leaves.
-    Leaves,
-    /// It wants nothing for a time, or only little after it; the time until the next request.
-    Rests(Span),
-}
-
 /// What changed when a replica asked for rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
@@ -67,16 +58,6 @@
         (*of == incarnation && !rest.is_over(now)).then_some(rest)
     }
 
-    /// Why a replica gets nothing from this host now, by its own word.
-    pub fn closed(&self, id: &str, now: Time) -> Option<Closed> {
-        let incarnation = self.view.get(id)?.entry.incarnation;
-        if self.view.leaves_by_word(id, incarnation) {
-            return Some(Closed::Leaves);
-        }
-        let rest = self.rest(id, incarnation, now)?;
-        rest.turn(0, now).map(Closed::Rests)
-    }
-
     /// Replicas that want nothing from this host now, with the time that is left.
     pub fn resting(&self, now: Time) -> Vec<(Name, Span)> {
         let rests = self.rests.iter();
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -77,10 +77,13 @@
 
 impl Seen {
     /// A replica that was not known.
-    fn new(entry: Entry, revision: u64) -> Seen {
+    fn new(entry: Entry, revision: u64, has_left: bool) -> Seen {
         Seen {
-            has_left: entry.leaving,
-            entry,
+            has_left,
+            entry: Entry {
+                leaving: has_left,
+                ..entry
+            },
             revision,
             missing: None,
             former: VecDeque::new(),
@@ -115,13 +118,16 @@
     }
 
     /// Takes the first writing of another incarnation, of which nothing holds that was known of the one before.
-    fn restart(&mut self, entry: Entry) {
+    fn restart(&mut self, entry: Entry, has_left: bool) {
         self.former.extend(self.entry.incarnation);
         if self.former.len() > MOST_FORMER {
             self.former.pop_front();
         }
-        self.has_left = entry.leaving;
-        self.entry = entry;
+        self.has_left = has_left;
+        self.entry = Entry {
+            leaving: has_left,
+            ..entry
+        };
     }
 }
 
@@ -164,6 +170,10 @@
             return false;
         }
         let before = self.departures.insert(id.clone(), (incarnation, now));
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.has_left = true;
+            seen.entry.leaving = true;
+        }
         before.is_none_or(|(of, _)| of != incarnation)
     }
 
@@ -173,8 +183,10 @@
         if self.removed.get(&id).is_some_and(|(at, _)| *at >= revision) {
             return None;
         }
+        let has_left = entry.leaving || self.leaves_by_word(&id, entry.incarnation);
         let Some(seen) = self.seen.get_mut(&id) else {
-            self.seen.insert(id.clone(), Seen::new(entry, revision));
+            let seen = Seen::new(entry, revision, has_left);
+            self.seen.insert(id.clone(), seen);
             return Some(News::New(id));
         };
         if seen.revision >= revision {
@@ -194,7 +206,7 @@
                 false => News::Changed(id),
             }),
             Writing::Restarted => {
-                seen.restart(entry);
+                seen.restart(entry, has_left);
                 Some(News::Restarted(id))
             }
         }
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -4,10 +4,13 @@
 mod site;
 
 use front::Daemon;
-use platform_standin::replica::{Replica, Word, Words};
+use platform_standin::proxy;
+use platform_standin::replica::{self, Options, Replica, Word, Words};
 use platform_standin::store::{Mode, Store};
-use site::{engine, hosts, press, store, web};
+use site::{ask, behind_a_proxy, daemon, engine, hosts, keep_alone, press, store, until, web};
 use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use unit::Span;
 
 /// Time after such an answer from which nothing new may come.
 const BOUND: Duration = Duration::from_millis(2_000);
@@ -58,7 +61,7 @@
 #[tokio::test]
 async fn a_replica_that_says_it_leaves_gets_nothing_new() {
     let store = store().await;
-    let [engine, _, web, _] = replicas(&store).await;
+    let [engine, _engine, web, _web] = replicas(&store).await;
     let hosts = hosts(&store, 3).await;
     press(&hosts, ALL, Duration::from_millis(500)).await;
     leave_by_word(&engine);
@@ -66,14 +69,17 @@
     let statuses = press(&hosts, ALL, BOUND + AFTER).await;
     assert_eq!(late_from_all(&engine, &hosts), 0, "streams");
     assert_eq!(late_from_all(&web, &hosts), 0, "plain requests");
-    assert!(statuses.iter().all(|s| *s == 200), "the others serve all");
+    assert!(
+        statuses.iter().all(|s| *s == 200),
+        "the others serve all: {statuses:?}"
+    );
 }
 
 /// Guards against the same while the store is away, which is when answers alone tell.
 #[tokio::test]
 async fn a_replica_that_says_it_leaves_gets_nothing_new_with_the_store_away() {
     let store = store().await;
-    let [engine, _, web, _] = replicas(&store).await;
+    let [engine, _engine, web, _web] = replicas(&store).await;
     let hosts = hosts(&store, 3).await;
     press(&hosts, ALL, Duration::from_millis(500)).await;
     store.set_mode(Mode::Silent);
@@ -83,3 +89,102 @@
     assert_eq!(late_from_all(&engine, &hosts), 0, "streams");
     assert_eq!(late_from_all(&web, &hosts), 0, "plain requests");
 }
+
+/// Guards against a word that outlives its replica: another incarnation under the same identity is used at once.
+#[tokio::test]
+async fn a_replica_that_starts_again_after_its_word_is_used() {
+    let store = store().await;
+    let replica = web(&store, "w-1").await;
+    let host = daemon(&store, "d1").await;
+    leave_by_word(&replica);
+    assert_eq!(ask(&host, "/again/x", None).await.1.status(), 200);
+    let (_, refused) = ask(&host, "/again/x", None).await;
+    assert_eq!(refused.status(), 503, "no other replica is there");
+    assert!(refused.header("retry-after").is_some());
+    replica.restart();
+    let starts = Instant::now();
+    while ask(&host, "/again/x", None).await.1.status() != 200 {
+        assert!(starts.elapsed() < Duration::from_secs(2), "it is not used");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a word that is lost with the entry: it is removed, comes back, and is overwritten by another writer.
+#[tokio::test]
+async fn a_word_holds_whatever_becomes_of_the_entry() {
+    let store = store().await;
+    let [engine, _engine, web, _web] = replicas(&store).await;
+    let hosts = hosts(&store, 3).await;
+    press(&hosts, ALL, Duration::from_millis(500)).await;
+    leave_by_word(&engine);
+    leave_by_word(&web);
+    press(&hosts, ALL, Duration::from_millis(800)).await;
+    for replica in [&engine, &web] {
+        store.put_bytes(&replica.key(), b"not an entry");
+        replica.beat();
+    }
+    press(&hosts, ALL, Duration::from_millis(500)).await;
+    engine.vanish();
+    web.vanish();
+    sleep(Duration::from_millis(500)).await;
+    engine.beat();
+    web.beat();
+    press(&hosts, ALL, BOUND + AFTER).await;
+    assert_eq!(late_from_all(&engine, &hosts), 0, "streams");
+    assert_eq!(late_from_all(&web, &hosts), 0, "plain requests");
+}
+
+/// Guards against a host that forgets the word while it is suspended, or behind a cut: it holds without the leader, the
+/// store and the other hosts.
+#[tokio::test]
+async fn a_word_holds_at_a_host_that_was_suspended_and_cut_off() {
+    let store = store().await;
+    let [engine, _engine, web, _web] = replicas(&store).await;
+    let (host, way) = behind_a_proxy(&store, "d1").await;
+    let hosts = [host];
+    press(&hosts, ALL, Duration::from_millis(500)).await;
+    leave_by_word(&engine);
+    leave_by_word(&web);
+    press(&hosts, ALL, Duration::from_millis(300)).await;
+    way.set(proxy::Mode::MuteTarget);
+    keep_alone(&hosts[0]);
+    hosts[0].state().clock.suspend(Span::from_secs(6));
+    press(&hosts, ALL, BOUND + AFTER).await;
+    assert_eq!(late_from_all(&engine, &hosts), 0, "streams");
+    assert_eq!(late_from_all(&web, &hosts), 0, "plain requests");
+}
+
+/// Guards against a run that is cut because its replica has said that it leaves: what runs there ends well.
+#[tokio::test]
+async fn what_runs_at_a_leaving_replica_goes_on() {
+    let store = store().await;
+    let options = Options {
+        pace: Duration::from_millis(200),
+        ..Options::default()
+    };
+    let slow = replica::spawn(&store, options).await.unwrap();
+    let host = daemon(&store, "d1").await;
+    leave_by_word(&slow);
+    let (id, answer) = ask(&host, "/stream/x", Some("m1")).await;
+    assert_eq!(answer.events(), [1, 2, 3, 4, 5]);
+    assert_eq!(slow.seen(&id).ran, 1);
+}
+
+/// Guards against orders that go on to a replica which has told only in its answer to one that it leaves.
+#[tokio::test]
+async fn an_answer_to_an_order_tells_as_well() {
+    let store = store().await;
+    let leaving = engine(&store, "i-1", &[]).await;
+    let host = daemon(&store, "d1").await;
+    leave_by_word(&leaving);
+    let leaves = || {
+        let table = host.state().table.lock();
+        table.view.get("i-1").is_some_and(|s| s.entry.leaving)
+    };
+    // The leader asks each replica for a report before its first order, and loads a model that is on none.
+    let _ = ask(&host, "/stream/x", Some("m1")).await;
+    until(leaves).await;
+    let orders = leaving.orders().len();
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(leaving.orders().len(), orders);
+}
--- a/crates/front/tests/view.rs
+++ b/crates/front/tests/view.rs
@@ -4,6 +4,7 @@
 
 use front::view::{News, View};
 use platform::replica::Entry;
+use proptest::prelude::*;
 use rstest::rstest;
 use site::{HEARTBEAT, at};
 
@@ -141,3 +142,111 @@
     view.put(entry(1, false), 21);
     assert!(view.compare(&[], 20, at(0)).is_empty());
 }
+
+/// Guards against a leaving replica that is used again because its entry changes: the entry lapses and returns, is
+/// overwritten, or goes on saying that it stays.
+#[test]
+fn the_word_of_an_answer_outlives_the_entry() {
+    let mut view = View::new(HEARTBEAT);
+    let id = "i-1".into();
+    view.put(incarnation(7, 1, false), 10);
+    assert!(view.heard_leaving(&id, Some(7), at(0)));
+    assert!(!view.heard_leaving(&id, Some(7), at(1)), "it is no news");
+    let leaves = |view: &View| view.get("i-1").unwrap().entry.leaving;
+    assert!(leaves(&view));
+    view.put(incarnation(7, 2, false), 11);
+    assert!(leaves(&view), "its entry says that it stays");
+    view.overwritten("i-1", 12);
+    view.put(incarnation(7, 3, false), 13);
+    assert!(leaves(&view), "its entry was another writer's for a while");
+    view.remove("i-1", 14, at(2));
+    view.expire(at(60_000));
+    assert!(view.get("i-1").is_none());
+    view.put(incarnation(7, 4, false), 15);
+    assert!(leaves(&view), "its entry was gone for a while");
+    view.put(incarnation(8, 1, false), 16);
+    assert!(!leaves(&view), "another incarnation is there");
+    assert!(!view.heard_leaving(&id, Some(7), at(3)), "a late answer");
+    assert!(!leaves(&view));
+}
+
+/// What may become known of one replica.
+#[derive(Debug, Clone)]
+enum Event {
+    Answer(u64),
+    Entry(u64, bool),
+    Overwritten,
+    Removed,
+    Passed(u64),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        (1..4u64).prop_map(Event::Answer),
+        (1..4u64, proptest::bool::weighted(0.1))
+            .prop_map(|(of, leaving)| Event::Entry(of, leaving)),
+        Just(Event::Overwritten),
+        Just(Event::Removed),
+        (0..20_000u64).prop_map(Event::Passed),
+    ];
+    proptest::collection::vec(event, 0..40)
+}
+
+proptest! {
+    /// Whatever order news come in, an incarnation that said in an answer that it leaves never counts as staying, and
+    /// one that never said so, there or in its entry, is not counted as leaving while its entry can be read.
+    #[test]
+    fn a_word_holds_for_its_incarnation_and_for_no_other(events in events()) {
+        let mut view = View::new(HEARTBEAT);
+        let id = "i-1".into();
+        let mut said: Option<u64> = None;
+        let mut announced: Vec<u64> = Vec::new();
+        let (mut revision, mut now, mut readable) = (1, 0, true);
+        for event in events {
+            revision += 1;
+            match event {
+                Event::Answer(of) => {
+                    let current = view.get("i-1").map(|s| s.entry.incarnation);
+                    let heard = view.heard_leaving(&id, Some(of), at(now));
+                    let is_late = current.is_some_and(|known| known != Some(of));
+                    prop_assert!(!(heard && is_late), "a late answer is news");
+                    if !is_late {
+                        // A replica runs one incarnation at a time: a later word is of a later one.
+                        said = Some(of);
+                    }
+                }
+                Event::Entry(of, leaving) => {
+                    view.put(incarnation(of, revision, leaving), revision);
+                    let seen = view.get("i-1").filter(|s| s.revision == revision);
+                    // A late writing of an earlier incarnation does not replace what cannot be read.
+                    let is_newest = seen.is_some_and(|s| s.entry.incarnation == Some(of));
+                    readable |= is_newest;
+                    if leaving && is_newest {
+                        announced.push(of);
+                    }
+                }
+                Event::Overwritten => {
+                    view.overwritten("i-1", revision);
+                    readable = false;
+                }
+                Event::Removed => {
+                    view.remove("i-1", revision, at(now));
+                }
+                Event::Passed(ms) => {
+                    now += ms;
+                    view.expire(at(now));
+                }
+            }
+            if let Some(seen) = view.get("i-1") {
+                let of = seen.entry.incarnation.unwrap();
+                prop_assert!(
+                    said != Some(of) || seen.entry.leaving,
+                    "{of} said that it leaves and counts as staying"
+                );
+                if said != Some(of) && !announced.contains(&of) && readable {
+                    prop_assert!(!seen.entry.leaving, "{of} never said so");
+                }
+            }
+        }
+    }
+}
