A replica that asks a host for rest gets none of its requests until the end, and few at first after it

Cause: Retry-After beside a 503 was not decoded; a refusal made a choice worse for a moment at most. Change: route::rest holds the longest end that was asked for, by the clock that counts suspension, for one incarnation and for this host alone, whatever becomes of the entry. Such a replica is out of the choice, its places are not free ones, and the permit that each sending and each call of the leader needs is not given. After the end 1, 2 and 4 requests go in three steps of 0.3 s, and a further refusal begins that anew. What no replica takes in time is refused at once (resting) with the soonest turn, spread by the request's identity; limits are told so too.

--- a/crates/front/src/heard.rs
+++ b/crates/front/src/heard.rs
@@ -31,7 +31,8 @@
         leaves(state, from);
     }
     match &said.rest {
-        Reading::Value(rest) => rests(state, from, Span::from(*rest)),
+        Reading::Value(rest) => rests(state, from, Span::from_secs_f64(rest.as_secs_f64())),
+        Reading::Absent if said.is_turned_away() => rests(state, from, Span::ZERO),
         Reading::Unreadable(value) => state.log.notable(|| {
             warn!(target: "replica", event = "unreadable", replica = &*from.replica, id = &*from.subject, value, "what the replica asks for is no time; it counts as not asked")
         }),
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -8,7 +8,7 @@
 use tracing::info;
 use unit::Span;
 
-/// Time for which a broken stream waits for room at a replica in need: clients give a stream up after a gap of two seconds.
+/// Time for which a broken stream waits for room at a replica in need or at rest: clients give a stream up after a gap of two seconds.
 const RESUMES_WITHIN: Span = Span::from_ms(1_500);
 
 impl Relay {
@@ -84,8 +84,8 @@
                         return Some((choice, grant));
                     }
                 }
-                Err(Nowhere::Limited(_, turn)) if now + turn < give_up.min(call.deadline) => {
-                    let _ = tokio::time::timeout(turn.std(), state.changed.notified()).await;
+                Err(Nowhere::Full(full)) if now + full.turn < give_up.min(call.deadline) => {
+                    let _ = tokio::time::timeout(full.turn.std(), state.changed.notified()).await;
                 }
                 Err(_) => return None,
             }
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -1,6 +1,6 @@
 //! Admission: choosing a replica for a request, letting it wait for its turn, or refusing it.
 
-use super::lacking::{absent, limited, want_adapter};
+use super::lacking::{absent, full, want_adapter};
 use super::{Entry, RETURN_RANGE, tell};
 use crate::attempt::{Call, Place};
 use crate::grant::Grant;
@@ -121,9 +121,7 @@
                 }
                 return admit(entry, call, choice).await;
             }
-            Err(Nowhere::Limited(replica, turn)) => {
-                limited(state, call, (&replica, turn), held, now)
-            }
+            Err(Nowhere::Full(at)) => full(state, call, &at, held, now),
             Err(nowhere) => absent(state, call, nowhere, held_until, now),
         };
         // A host that stops has no time for requests that only wait.
--- a/crates/front/src/serve/lacking.rs
+++ b/crates/front/src/serve/lacking.rs
@@ -7,9 +7,9 @@
 use crate::message::{Missing, Want};
 use crate::respond::Fault;
 use crate::state::{State, Wish};
-use crate::table::Nowhere;
+use crate::table::{Full, Nowhere};
 use std::sync::Arc;
-use unit::{Name, Span, Time};
+use unit::{Span, Time};
 
 /// When a client may come back whose adapter had no room yet.
 const RETURN_FOR_ADAPTER: Span = Span::from_ms(300);
@@ -24,36 +24,59 @@
 /// Time from a copy's arrival until all hosts know of it: a round of sums.
 const TOLD_WITHIN: Span = Span::from_ms(300);
 
-/// Part of its target for which a request may wait until a replica in need has room: the rest is for reading its prompt.
-const LIMITED_PART: f64 = 0.5;
+/// Part of its target for which a request may wait until a replica in need or at rest has room: the remainder is for reading
+/// its prompt.
+const FULL_PART: f64 = 0.5;
+
+/// Part of the time after which a client may come back by which the times of clients differ, so that they don't all return in
+/// one moment.
+const SPREAD_PART: f64 = 0.25;
+
+/// Least time by which they differ: a step of the return to a replica that rested.
+const LEAST_SPREAD: Span = Span::from_ms(300);
 
 /// Part of the target within which a model must come for the request to wait for it.
 const COMING_PART: f64 = 0.8;
 
-/// Until when a request may wait for room at replicas in need, and what it is told then. One that would not have its turn in
-/// time does not wait at all.
-pub(super) fn limited(
+/// Until when a request may wait for room at replicas in need or at rest, and what it is told then. One that would not have its
+/// turn in time does not wait at all.
+pub(super) fn full(
     state: &Arc<State>,
     call: &Call,
-    (replica, turn): (&Name, Span),
+    at: &Full,
     held: &mut Option<Held>,
     now: Time,
 ) -> (Time, Fault) {
-    let until = call.arrived + Span::from(call.route.target) * LIMITED_PART;
-    if held.is_none() && now + turn > until {
-        return (now, in_need(turn));
+    let until = call.arrived + Span::from(call.route.target) * FULL_PART;
+    if held.is_none() && now + at.turn > until {
+        return (now, has_no_room(call, at));
     }
     // Its adapter may be on no other replica.
     want_adapter(state, call, true);
-    held.get_or_insert_with(|| limits::hold(state, replica));
-    (until, in_need(turn))
+    held.get_or_insert_with(|| limits::hold(state, &at.replica));
+    (until, has_no_room(call, at))
+}
+
+/// Answer to a request whose replicas have no room by their own word.
+fn has_no_room(call: &Call, at: &Full) -> Fault {
+    let wait = at.turn.max(RETURN_RANGE.0);
+    let spread = (wait * SPREAD_PART).max(LEAST_SPREAD);
+    let wait = wait + spread * fraction(&call.id);
+    match at.rests {
+        true => {
+            let message = "The replicas that could take the request take none from this host now.";
+            Fault::not_run("resting", message, wait)
+        }
+        false => {
+            let message = "The replicas that could take the request are in need, and take no more of them now.";
+            Fault::not_run("limited", message, wait)
+        }
+    }
 }
 
-/// Answer to a request whose replicas are in need and have no room.
-fn in_need(turn: Span) -> Fault {
-    let message =
-        "The replicas that could take the request are in need, and take no more of them now.";
-    Fault::not_run("limited", message, turn.max(RETURN_RANGE.0))
+/// Number from 0 to 1 by an identity.
+fn fraction(id: &str) -> f64 {
+    unit::rendezvous::hash(id.as_bytes()) as f64 / u64::MAX as f64
 }
 
 /// Until when a request may wait for what is on no replica, and what it is told then.
@@ -97,7 +120,7 @@
             let fault = Fault::not_run("unreachable", message, RETURN_UNREACHABLE);
             (held_until, fault)
         }
-        Nowhere::Limited(_, turn) => (now, in_need(turn)),
+        Nowhere::Full(at) => (now, has_no_room(call, &at)),
         Nowhere::NoReplica => {
             let message = "No replica of the service is there.";
             (now, Fault::not_run("no_replica", message, RETURN_LATER))
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -18,7 +18,7 @@
 mod sums;
 mod told;
 
-pub use choose::{Choice, Nowhere};
+pub use choose::{Choice, Full, Nowhere};
 pub use limits::{Change, Met};
 pub use permit::{Closed, Permit};
 pub use replica::Footprint;
@@ -136,6 +136,7 @@
     pub fn apply(&mut self, news: &[News]) {
         for one in news {
             match one {
+                // What it asked this host for holds on: its entry may come back.
                 News::Gone(id) => drop(self.replicas.remove(id)),
                 News::Restarted(id) => self.restarted(id),
                 _ => {}
@@ -148,6 +149,7 @@
         if let Some(state) = self.replicas.get_mut(id) {
             state.restart();
         }
+        self.rests.remove(id);
         self.told.loaded.forget(id);
         self.told.closing.forget(id);
     }
@@ -189,8 +191,9 @@
             let holds = model.is_none_or(|m| self.holds(entry, m, now));
             if entry.service == *want.service && !entry.leaving && holds {
                 let state = self.replicas.get(&entry.id);
-                // The places of a replica in need are not there for the asking.
-                if state.is_some_and(|s| s.limit(now).is_some()) {
+                // The places of a replica in need, or at rest, are not there for the asking.
+                let in_need = state.is_some_and(|s| s.limit(now).is_some());
+                if in_need || self.closed(&entry.id, now).is_some() {
                     continue;
                 }
                 let load = state.map(|s| s.load(now, direct));
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -59,9 +59,19 @@
     NoAdapter,
     /// The replicas that could take it cannot be reached at the moment.
     Unreachable,
-    /// The replicas that could take it are in need, and have no room now: the one where its turn comes first, and the time
-    /// until then.
-    Limited(Name, Span),
+    /// The replicas that could take it have no room now by their own word: the one where its turn comes first.
+    Full(Full),
+}
+
+/// Replica that takes nothing now by its own word.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Full {
+    /// Time until a request has its turn there.
+    pub turn: Span,
+    /// The replica.
+    pub replica: Name,
+    /// Whether it rests, or else names a limit.
+    pub rests: bool,
 }
 
 /// How far a replica fits a request; the better one is the greater.
@@ -75,8 +85,8 @@
     NoAdapter,
     /// It could take it, and is left alone, since it could not be reached.
     Absent,
-    /// It could take it, and is in need: there is no room now.
-    Limited,
+    /// It could take it, and has no room now by its own word.
+    Full,
     /// It can take it.
     Whole,
 }
@@ -102,25 +112,23 @@
         let model = want.ask.model.as_ref().filter(|_| engine.is_some());
         let (mut found, mut beside) = (Vec::new(), Vec::new());
         let mut nearest = Fit::Out;
-        let mut first_turn: Option<(Span, &Name)> = None;
+        let mut first_turn: Option<Full> = None;
         for seen in self.view.all() {
             let fit = self.fit(&seen.entry, want, model, now);
             nearest = nearest.max(fit);
             match fit {
                 Fit::Whole => found.push(seen),
                 Fit::NoAdapter => beside.push(seen),
-                Fit::Limited => {
-                    let state = self.replicas.get(&seen.entry.id);
-                    let turn = state.and_then(|s| s.turn(want, now));
-                    let turn = turn.map(|turn| (turn, &seen.entry.id));
-                    first_turn = first_turn.into_iter().chain(turn).min();
+                Fit::Full => {
+                    let full = self.full(&seen.entry, want, now);
+                    first_turn = first_turn.into_iter().chain(full).min();
                 }
                 _ => {}
             }
         }
         if found.is_empty() {
             return Err(match first_turn {
-                Some((turn, id)) if nearest == Fit::Limited => Nowhere::Limited(id.clone(), turn),
+                Some(full) if nearest == Fit::Full => Nowhere::Full(full),
                 _ => self.nowhere(nearest, model, now),
             });
         }
@@ -192,7 +200,7 @@
             || !reached && self.told.is_absent(&entry.id, now);
         let whole = match absent {
             true => Fit::Absent,
-            false if state.is_some_and(|s| s.turn(want, now).is_some()) => Fit::Limited,
+            false if self.full(entry, want, now).is_some() => Fit::Full,
             false => Fit::Whole,
         };
         let Some(model) = model else {
@@ -208,13 +216,28 @@
         }
     }
 
+    /// Why a replica has no room now by its own word, if it has none: its rest, or else its limit.
+    fn full(&self, entry: &Entry, want: &Want, now: Time) -> Option<Full> {
+        let full = |turn, rests| Full {
+            turn,
+            replica: entry.id.clone(),
+            rests,
+        };
+        let rest = self.rest(&entry.id, entry.incarnation, now);
+        if let Some(turn) = rest.and_then(|rest| rest.turn(now)) {
+            return Some(full(turn, true));
+        }
+        let state = self.replicas.get(&entry.id)?;
+        Some(full(state.turn(want, now)?, false))
+    }
+
     /// Why no replica can take a request, by the one that fits it best.
     fn nowhere(&self, nearest: Fit, model: Option<&Name>, now: Time) -> Nowhere {
         match nearest {
             Fit::Out => Nowhere::NoReplica,
             Fit::NoModel => Nowhere::NoModel(model.and_then(|m| self.told.coming(m, now))),
             Fit::NoAdapter => Nowhere::NoAdapter,
-            Fit::Absent | Fit::Limited | Fit::Whole => Nowhere::Unreachable,
+            Fit::Absent | Fit::Full | Fit::Whole => Nowhere::Unreachable,
         }
     }
 
--- a/crates/front/src/table/permit.rs
+++ b/crates/front/src/table/permit.rs
@@ -29,10 +29,13 @@
 impl Table {
     /// Lets a request or a call be sent to a replica, unless that takes none now.
     pub fn permit(&mut self, id: &str, now: Time) -> Result<Permit, Closed> {
-        match self.closed(id, now) {
-            None | Some(Closed::Rests(_)) => Ok(Permit(())),
-            Some(closed) => Err(closed),
+        if let Some(closed) = self.closed(id, now) {
+            return Err(closed);
         }
+        if let Some((_, rest)) = self.rests.get_mut(id) {
+            rest.sent(now);
+        }
+        Ok(Permit(()))
     }
 
     /// Why a replica takes nothing from this host now.
@@ -42,6 +45,6 @@
             return Some(Closed::Leaves);
         };
         let rest = self.rest(id, seen.entry.incarnation, now)?;
-        rest.turn(0, now).map(Closed::Rests)
+        rest.turn(now).map(Closed::Rests)
     }
 }
--- a/crates/front/src/table/rests.rs
+++ b/crates/front/src/table/rests.rs
@@ -20,8 +20,8 @@
 }
 
 impl Table {
-    /// Takes in that a replica wants nothing from this host for a time; nothing where another incarnation of it is known
-    /// by now.
+    /// Takes in that a replica turned a request away and wants nothing from this host for a time, of no length where it
+    /// asked for none: then only a return that is under way begins anew. Nothing where another incarnation is known by now.
     pub fn heard_rest(
         &mut self,
         id: &Name,
@@ -29,12 +29,15 @@
         time: Span,
         now: Time,
     ) -> Option<Asked> {
-        if self.view.knows_other(id, incarnation) || time == Span::ZERO {
+        if self.view.knows_other(id, incarnation) {
             return None;
         }
         let known = self.rests.get_mut(id);
         let known = known.filter(|(of, rest)| *of == incarnation && !rest.is_over(now));
         let first = known.is_none();
+        if first && time == Span::ZERO {
+            return None;
+        }
         let rest = match known {
             Some((_, rest)) => {
                 rest.ask(time, now);
--- a/crates/route/src/rest.rs
+++ b/crates/route/src/rest.rs
@@ -18,6 +18,8 @@
     until: Time,
     /// Requests that were sent since then.
     sent: u32,
+    /// Requests of the host that wait for their turn.
+    waiting: u32,
 }
 
 impl Rest {
@@ -26,12 +28,16 @@
         Rest {
             until: now + time,
             sent: 0,
+            waiting: 0,
         }
     }
 
-    /// Takes in that the replica asks again. A longer time that was asked for before holds on.
+    /// Takes in that the replica asks again. A longer time that was asked for before holds on, and the return begins anew.
     pub fn ask(&mut self, time: Span, now: Time) {
-        *self = Rest::new(time.max(self.left(now)), now);
+        *self = Rest {
+            waiting: self.waiting,
+            ..Rest::new(time.max(self.left(now)), now)
+        };
     }
 
     /// Time that is left of it.
@@ -44,13 +50,28 @@
         now >= self.until + STEP * f64::from(STEPS)
     }
 
-    /// Time until a request may be sent behind so many that wait; none if it may be sent now.
-    pub fn turn(&self, waiting: u32, now: Time) -> Option<Span> {
-        let place = self.sent.saturating_add(waiting);
+    /// Time until a request would have its turn behind those that wait; none if one may be sent now.
+    pub fn turn(&self, now: Time) -> Option<Span> {
+        let is_closed = now < self.opens(self.sent);
+        is_closed.then(|| {
+            self.opens(self.sent.saturating_add(self.waiting))
+                .since(now)
+        })
+    }
+
+    /// When a request may be sent behind so many since the end.
+    fn opens(&self, before: u32) -> Time {
         // Requests that may be sent by the end of each step: 1, 3, 7.
-        let step = (1..=STEPS).find(|step| place < (1 << step) - 1);
-        let opens = self.until + STEP * f64::from(step.unwrap_or(STEPS + 1) - 1);
-        (now < opens).then(|| opens.since(now))
+        let step = (0..STEPS).find(|step| before < (2 << step) - 1);
+        self.until + STEP * f64::from(step.unwrap_or(STEPS))
+    }
+
+    /// Counts a request in that waits for its turn, or out.
+    pub fn hold(&mut self, waits: bool) {
+        self.waiting = match waits {
+            true => self.waiting.saturating_add(1),
+            false => self.waiting.saturating_sub(1),
+        };
     }
 
     /// Notes that a request is sent.
