A request that was turned away unrun goes to another replica, also where its route allows one

Cause: a route's attempts were counted by the replicas that a request was sent to. What they bound is where it may run. Change: attempts count replicas at which it may have run; one that turned it away is avoided while others are there, and is tried again after a pause else. Each sending but the first needs a part of the retry budget, as before. A request that finds no replica after a refusal is told when there is one, in place of 200 ms.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -2,9 +2,11 @@
 
 mod call;
 mod place;
+mod tried;
 
 pub use call::Call;
 pub use place::Place;
+pub use tried::Tried;
 
 use crate::accounts::{self, Refusal};
 use crate::clock::Elapsed;
--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -66,14 +66,13 @@
     }
 
     /// What it asks of a replica.
-    pub fn want<'a>(&'a self, avoid: &'a [Name], only: Option<&'a Name>) -> Want<'a> {
+    pub fn want<'a>(&'a self, avoid: &'a [Name]) -> Want<'a> {
         Want {
             service: &self.service,
             ask: &self.ask,
             priority: self.priority,
             gap: self.route.gap.map(Span::from),
             avoid,
-            only,
             resumes: false,
         }
     }
--- a/crates/front/src/attempt/place.rs
+++ b/crates/front/src/attempt/place.rs
@@ -36,7 +36,7 @@
         let now = state.now();
         let mut table = state.table.lock();
         let alone = table.alone(&choice.replica, &call.ask, now);
-        let print = table.enter(&choice.replica, &call.want(&[], None), now);
+        let print = table.enter(&choice.replica, &call.want(&[]), now);
         let seen = table.view.get(&choice.replica);
         let incarnation = seen.and_then(|s| s.entry.incarnation);
         drop(table);
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -5,7 +5,7 @@
 
 mod resume;
 
-use crate::attempt::{Call, Failed, Place, Sent};
+use crate::attempt::{Call, Failed, Place, Sent, Tried};
 use crate::events::Splitter;
 use crate::peers::Peers;
 use crate::quarantine;
@@ -23,7 +23,7 @@
 use std::io;
 use std::sync::Arc;
 use tracing::info;
-use unit::{Name, Span, Time};
+use unit::{Span, Time};
 
 /// Longest answer that is not a stream, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
@@ -97,7 +97,7 @@
     source: Option<Source>,
     splitter: Splitter,
     first: Option<Bytes>,
-    tried: Vec<Name>,
+    tried: Tried,
     last_event: Time,
     /// Time to the first event.
     first_after: Span,
@@ -130,7 +130,7 @@
     peers: &Arc<Peers>,
     call: &Arc<Call>,
     sent: Sent,
-    tried: Vec<Name>,
+    tried: Tried,
 ) -> Result<Response<Body>, Failed> {
     let mut answer = Response::new(());
     *answer.status_mut() = sent.response.status();
@@ -326,7 +326,7 @@
         let call = &self.call;
         self.state.log.metrics.ended(&call.route.name, "broken");
         let age = self.state.now().since(call.arrived).ms();
-        let tried = self.tried.join(",");
+        let tried = self.tried.replicas.join(",");
         let last = self.splitter.last();
         self.state.log.notable(|| {
             tracing::warn!(target: "request", event = "broken", id = &*call.id, print = %call.fingerprint(), route = &*call.route.name, tried, last, ms = age, why = %why, "the stream is broken off")
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -11,6 +11,9 @@
 /// Time for which a broken stream waits for room at a replica in need or at rest: clients give a stream up after a gap of two seconds.
 const RESUMES_WITHIN: Span = Span::from_ms(1_500);
 
+/// Sendings of one stream that broke, the refused ones included.
+const MOST_SENDINGS: usize = 5;
+
 impl Relay {
     /// Takes the stream up at another replica; tells whether that was possible.
     pub(super) async fn resume(&mut self, why: &Failed) -> bool {
@@ -25,7 +28,10 @@
         }
         self.splitter.rest();
         let last = self.splitter.last().or(call.ask.last_event);
-        while (self.tried.len() as u32) < call.route.attempts && state.now() < call.deadline {
+        for _ in 0..MOST_SENDINGS {
+            if !self.tried.may_run(&call) || state.now() >= call.deadline {
+                return false;
+            }
             let Some((choice, grant)) = self.next_replica().await else {
                 return false;
             };
@@ -36,7 +42,6 @@
                 }
                 return false;
             }
-            self.tried.push(choice.replica.clone());
             let place = Place::take(&state, &call, &choice);
             let sent = send(&state, &call, &choice, place, last).await;
             if let (Some(grant), Err(failed)) = (grant, &sent)
@@ -44,6 +49,7 @@
             {
                 grant.give_back(&state).await;
             }
+            self.tried.note(&choice.replica, &sent);
             state.log.notable(|| {
                 let outcome = match &sent {
                     Ok(sent) => format!("status {}", sent.response.status()),
@@ -52,9 +58,6 @@
                 info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %why, outcome, "a broken stream is taken up elsewhere")
             });
             match sent {
-                Err(Failed::KeptBack(_)) => {
-                    self.tried.pop();
-                }
                 Ok(sent) if sent.response.status().is_success() => {
                     self.source = Some(Source::from(sent));
                     return true;
@@ -75,7 +78,7 @@
             let now = state.now();
             let want = Want {
                 resumes: true,
-                ..call.want(&self.tried, None)
+                ..call.want(&self.tried.replicas)
             };
             let chosen = state.table.lock().choose(&want, now);
             match chosen {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -5,7 +5,7 @@
 mod read;
 mod tell;
 
-use crate::attempt::{Call, Failed, Sent, send};
+use crate::attempt::{Call, Failed, Sent, Tried, send};
 use crate::peers::Peers;
 use crate::quarantine;
 use crate::quota;
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
-use unit::{Name, Span, Time};
+use unit::{Span, Time};
 
 /// When a client may come back that found no configuration or no replica at all.
 const RETURN_LATER: Span = Span::from_ms(1_000);
@@ -28,7 +28,7 @@
 /// Least and longest time after which a refused client is asked to come back.
 const RETURN_RANGE: (Span, Span) = (Span::from_ms(200), Span::from_ms(3_000));
 
-/// Pause before a request goes once more to the only replica that may have it.
+/// Pause before a request goes once more to a replica that turned it away.
 const AGAIN_PAUSE: Duration = Duration::from_millis(40);
 
 /// Sendings of one request, the refused ones included.
@@ -106,11 +106,13 @@
 /// What was done for a request so far.
 struct Progress {
     /// Replicas that it was sent to.
-    tried: Vec<Name>,
-    /// Whether it may have run at one of them.
-    may_have_run: bool,
+    tried: Tried,
     /// Why the last sending brought no answer.
     last: Failed,
+    /// Whether another replica could have taken it when the last one was chosen.
+    others: bool,
+    /// What it was told when no replica was found for a further sending.
+    refusal: Option<Fault>,
     /// A replica's answer that tells of its own failure; it is passed on if no better one comes.
     answer: Option<Response<Body>>,
 }
@@ -119,45 +121,36 @@
 async fn attempts(entry: &Entry, call: &Arc<Call>) -> Result<Response<Body>, Fault> {
     let state = &entry.state;
     let mut progress = Progress {
-        tried: Vec::new(),
-        may_have_run: false,
+        tried: Tried::default(),
         last: Failed::Unsent("no replica was tried".into()),
+        others: true,
+        refusal: None,
         answer: None,
     };
     for sending in 0..MOST_SENDINGS {
-        let only = progress.only(call);
-        if sending > 0 && !may_go_on(state, call, &progress.last, only.is_some()) {
+        if sending > 0 && !may_go_on(state, call, &progress) {
             break;
         }
-        if only.is_some() {
-            tokio::time::sleep(AGAIN_PAUSE).await;
-        }
-        let avoid: &[Name] = match only {
-            Some(_) => &[],
-            None => &progress.tried,
-        };
         let admit::Placed {
             choice,
             place,
             grant,
-        } = match admit::place(entry, call, avoid, only.as_ref(), sending).await {
+        } = match place(entry, call, &progress.tried, progress.others, sending).await {
             Ok(placed) => placed,
-            Err(_) if sending > 0 => break,
-            Err(fault) => return Err(fault),
+            Err(fault) if sending == 0 => return Err(fault),
+            Err(fault) => {
+                progress.refusal = Some(fault);
+                break;
+            }
         };
+        progress.others = choice.candidates > 1;
         let sent = send(state, call, &choice, place, call.ask.last_event).await;
         if let (Some(grant), Err(failed)) = (grant, &sent)
             && failed.proves_unsent()
         {
             grant.give_back(state).await;
         }
-        let was_sent = !matches!(
-            sent,
-            Err(Failed::Unsent(_) | Failed::Overdue | Failed::KeptBack(_))
-        );
-        if was_sent && !progress.tried.contains(&choice.replica) {
-            progress.tried.push(choice.replica.clone());
-        }
+        progress.tried.note(&choice.replica, &sent);
         let passed = match sent {
             Ok(sent) => pass_on(entry, call, sent, &progress.tried).await,
             Err(failed) => Err(failed),
@@ -171,30 +164,39 @@
             }
             Err(failed) => failed,
         };
-        progress.may_have_run |= !failed.proves_not_run();
         after_failure(state, call, &choice, &failed);
         progress.last = failed;
     }
     match progress.answer {
         Some(answer) => Ok(answer),
-        None => Err(give_up(state, call, &progress.last, progress.may_have_run)),
+        None => Err(give_up(state, call, progress)),
+    }
+}
+
+/// Finds a replica for the next sending of a request: another one, if there are `others`, or else, after a pause, one that
+/// turned it away unrun.
+async fn place(
+    entry: &Entry,
+    call: &Arc<Call>,
+    tried: &Tried,
+    others: bool,
+    sending: usize,
+) -> Result<admit::Placed, Fault> {
+    if others {
+        let placed = admit::place(entry, call, &tried.replicas, sending).await;
+        if placed.is_ok() || sending == 0 {
+            return placed;
+        }
     }
+    tokio::time::sleep(AGAIN_PAUSE).await;
+    admit::place(entry, call, &tried.may_have_run, sending).await
 }
 
 impl Progress {
     /// Whether another replica may give a better answer than this one, which a replica made whole.
     fn may_better(&self, call: &Call, response: &Response<Body>) -> bool {
-        let left = (self.tried.len() as u32) < call.route.attempts;
-        response.status().is_server_error() && call.route.kind.is_repeatable() && left
-    }
-
-    /// The only replica that may have the request, once it has used all attempts.
-    fn only(&self, call: &Call) -> Option<Name> {
-        let used = self.tried.len() as u32;
-        self.tried
-            .last()
-            .filter(|_| used >= call.route.attempts)
-            .cloned()
+        let is_repeatable = call.route.kind.is_repeatable();
+        response.status().is_server_error() && is_repeatable && self.tried.may_run(call)
     }
 }
 
@@ -203,11 +205,11 @@
     entry: &Entry,
     call: &Arc<Call>,
     sent: Sent,
-    tried: &[Name],
+    tried: &Tried,
 ) -> Result<Response<Body>, Failed> {
     let state = &entry.state;
     match is_events(call, &sent.response) {
-        true => relay::open_stream(state, &entry.peers, call, sent, tried.to_vec()).await,
+        true => relay::open_stream(state, &entry.peers, call, sent, tried.clone()).await,
         false => relay::read_whole(state, call, sent).await,
     }
 }
@@ -218,12 +220,15 @@
 }
 
 /// Whether a request may be sent once more after a failure.
-fn may_go_on(state: &State, call: &Call, last: &Failed, same: bool) -> bool {
+fn may_go_on(state: &State, call: &Call, progress: &Progress) -> bool {
     let now = state.now();
+    let last = &progress.last;
     let allowed = match last {
         Failed::Late | Failed::Overdue | Failed::Barred(_) | Failed::Held(_) => false,
         Failed::Lost(_) | Failed::Failing(_) => {
-            call.route.kind.is_repeatable() && !same && quarantine::may_repeat(state, call)
+            call.route.kind.is_repeatable()
+                && progress.tried.may_run(call)
+                && quarantine::may_repeat(state, call)
         }
         Failed::NotRun { .. } | Failed::Unsent(_) | Failed::KeptBack(_) => true,
     };
@@ -257,19 +262,18 @@
 }
 
 /// Answer to a request that is given up.
-fn give_up(state: &State, call: &Call, last: &Failed, may_have_run: bool) -> Fault {
+fn give_up(state: &State, call: &Call, progress: Progress) -> Fault {
+    let may_have_run = !progress.tried.may_have_run.is_empty();
+    let last = &progress.last;
     match last {
         Failed::Barred(refusal) if !may_have_run => return refusal.fault(),
         Failed::Held(fault) if !may_have_run => return fault.clone(),
         _ => {}
     }
     if !may_have_run {
-        let wait = RETURN_RANGE.0;
-        return Fault::not_run(
-            "refused_by_replicas",
-            format!("No replica took the request ({last})."),
-            wait,
-        );
+        let message = format!("No replica took the request ({last}).");
+        let refused = Fault::not_run("refused_by_replicas", message, RETURN_RANGE.0);
+        return progress.refusal.unwrap_or(refused);
     }
     match state.now() >= call.deadline || *last == Failed::Late {
         true => Fault::late("The replica did not answer in time."),
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -68,14 +68,13 @@
     entry: &Entry,
     call: &Arc<Call>,
     avoid: &[Name],
-    only: Option<&Name>,
     sending: usize,
 ) -> Result<Placed, Fault> {
     let state = &entry.state;
     let mut held = None;
     loop {
-        let found = find(entry, call, avoid, only, sending, &mut held).await?;
-        let want = call.want(avoid, only);
+        let found = find(entry, call, avoid, sending, &mut held).await?;
+        let want = call.want(avoid);
         let Ok(grant) = limits::admit(state, &entry.peers, &want, &found.choice).await else {
             // Not even this host's own word may keep others from their turn.
             tokio::task::yield_now().await;
@@ -103,7 +102,6 @@
     entry: &Entry,
     call: &Arc<Call>,
     avoid: &[Name],
-    only: Option<&Name>,
     sending: usize,
     held: &mut Option<Held>,
 ) -> Result<Found, Fault> {
@@ -111,7 +109,7 @@
     let held_until = call.arrived + Span::from(call.route.target) * HELD_PART;
     loop {
         let now = state.now();
-        let want = call.want(avoid, only);
+        let want = call.want(avoid);
         let chosen = state.table.lock().choose(&want, now);
         let (until, fault) = match chosen {
             Ok(choice) if sending > 0 => return Ok(Found::at_once(choice)),
@@ -148,7 +146,7 @@
         let table = state.table.lock();
         let model = call.ask.model.as_ref();
         let coming = model.and_then(|m| table.coming(m, now));
-        (table.taken(&call.want(&[], None), now), coming)
+        (table.taken(&call.want(&[]), now), coming)
     };
     if expected > target * REFUSED_BEYOND && (taken >= PLACES_FREE || !choice.free) {
         return Err(overloaded(expected, target, coming));
@@ -163,7 +161,7 @@
     }
     // Much may have changed in the wait: the first choice may have left.
     let now = state.now();
-    let again = state.table.lock().choose(&call.want(&[], None), now);
+    let again = state.table.lock().choose(&call.want(&[]), now);
     match again {
         Ok(choice) if choice.held_up && call.priority >= GIVES_WAY => {
             let expected = now.since(call.arrived) + choice.first_token;
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -93,8 +93,6 @@
     pub gap: Option<Span>,
     /// Replicas it must not go to.
     pub avoid: &'a [Name],
-    /// The only replica it may go to, when it has used all attempts elsewhere.
-    pub only: Option<&'a Name>,
     /// Whether it takes up a stream that has broken, which goes before what has not begun.
     pub resumes: bool,
 }
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -190,8 +190,7 @@
     /// How far a replica fits a request.
     fn fit(&self, entry: &Entry, want: &Want, model: Option<&Name>, now: Time) -> Fit {
         let out = entry.leaving || entry.service != *want.service;
-        let only = want.only.is_some_and(|only| *only != entry.id);
-        if out || only || want.avoid.contains(&entry.id) {
+        if out || want.avoid.contains(&entry.id) {
             return Fit::Out;
         }
         let state = self.replicas.get(&entry.id);
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -88,7 +88,7 @@
             drop(queue.expire(now, |waiter| waiter.turn.is_closed()));
             while let Some(ticket) = queue.peek(now) {
                 let call = ticket.payload.call.clone();
-                let chosen = state.table.lock().choose(&call.want(&[], None), now);
+                let chosen = state.table.lock().choose(&call.want(&[]), now);
                 let Some(choice) = chosen.ok().filter(|c| c.paced) else {
                     break;
                 };
--- a/crates/front/tests/sums.rs
+++ b/crates/front/tests/sums.rs
@@ -20,7 +20,6 @@
         priority: 0,
         gap: None,
         avoid: &[],
-        only: None,
         resumes: false,
     };
     for _ in 0..2 {
