On-call sees who leaves by its word and who rests: gauges, status, why and losses name both

Change: gauges of replicas that leave by their word and that rest here, the rest by replica; status has a column and a sentence for each; why tells the word, the rest and what was kept back from whom; a request whose service's replicas all leave is refused as such (leaving), one whose replicas rest as such (resting), which losses count.

--- a/crates/cli/src/gauges.rs
+++ b/crates/cli/src/gauges.rs
@@ -51,6 +51,10 @@
     pub kept_out: u64,
     /// Replicas in need by identity, with the requests a second that each takes from all hosts together.
     pub limits: BTreeMap<String, f64>,
+    /// Replicas that have said in answers that they leave.
+    pub leaving: u64,
+    /// Replicas that want nothing from this host, with the seconds that are left.
+    pub rests: BTreeMap<String, f64>,
 }
 
 /// Asks all daemons at once; one that does not answer says why in [`Daemon::unreachable`].
@@ -98,16 +102,22 @@
         accounts: whole("coveford_accounts "),
         keys_age_ms: gauge("coveford_keys_age_seconds ").map(|s| (s * 1e3) as u64),
         kept_out: whole("coveford_requests_kept_out ").unwrap_or_default(),
-        limits: text.lines().filter_map(limit).collect(),
+        // A limit that is over is told as endless, and a rest as nothing.
+        limits: by_replica(text, "coveford_replica_limit", f64::is_finite),
+        leaving: whole("coveford_leaving_replicas ").unwrap_or_default(),
+        rests: by_replica(text, "coveford_replica_rest_seconds", |left| left > 0.0),
     }
 }
 
-/// Replica in need and what it takes, by the line of its gauge; one that is over is told as endless.
-fn limit(line: &str) -> Option<(String, f64)> {
-    let line = line.strip_prefix("coveford_replica_limit{replica=\"")?;
-    let (replica, rate) = line.split_once("\"} ")?;
-    let rate: f64 = rate.trim().parse().ok()?;
-    rate.is_finite().then(|| (replica.to_owned(), rate))
+/// Values of a gauge by replica, without those that do not hold any more.
+fn by_replica(text: &str, gauge: &str, holds: impl Fn(f64) -> bool) -> BTreeMap<String, f64> {
+    let value = |line: &str| {
+        let line = line.strip_prefix(gauge)?.strip_prefix("{replica=\"")?;
+        let (replica, value) = line.split_once("\"} ")?;
+        let value: f64 = value.trim().parse().ok()?;
+        holds(value).then(|| (replica.to_owned(), value))
+    };
+    text.lines().filter_map(value).collect()
 }
 
 /// The daemons as a table.
@@ -124,16 +134,18 @@
         "KEYS AGE",
         "KEPT OUT",
         "IN NEED",
+        "LEAVING",
+        "RESTING",
     ];
     let rows = daemons.iter().map(row);
     render::table(header, rows.collect())
 }
 
 /// A daemon's address, and its figures or why it gave none.
-fn row(daemon: &Daemon) -> [String; 11] {
+fn row(daemon: &Daemon) -> [String; 13] {
     let addr = daemon.addr.to_string();
     if let Some(why) = &daemon.unreachable {
-        let mut row = [const { String::new() }; 11];
+        let mut row = [const { String::new() }; 13];
         row[0] = addr;
         row[1] = why.clone();
         return row;
@@ -152,6 +164,8 @@
             .map_or(String::new(), |ms| format!("{ms} ms")),
         daemon.kept_out.to_string(),
         daemon.limits.len().to_string(),
+        daemon.leaving.to_string(),
+        daemon.rests.len().to_string(),
     ]
 }
 
@@ -190,6 +204,18 @@
             "Replica {replica} is in need: it takes {rate} requests a second from all hosts together; the lines of part 'limit' tell since when."
         ));
     }
+    let leaving = answered.iter().map(|d| d.leaving).max().unwrap_or(0);
+    if leaving > 0 {
+        found.push(format!(
+            "{leaving} replicas have said in answers that they leave; the lines 'leaving' of part 'replica' tell which and since when."
+        ));
+    }
+    for (replica, (hosts, longest)) in at_rest(&answered) {
+        found.push(format!(
+            "Replica {replica} wants nothing from {hosts} of {} daemons, for {longest:.1} s at the most; the lines 'rests' of part 'replica' tell what it asked for.",
+            answered.len()
+        ));
+    }
     let old = |d: &&&Daemon| d.keys_age_ms.is_some_and(|ms| ms > OLD_KEYS_MS);
     let unsure = answered.iter().filter(old).count();
     if unsure > 0 {
@@ -211,6 +237,17 @@
     limits
 }
 
+/// Replicas that rest, with the daemons that each wants nothing from and the longest time of any, in seconds.
+fn at_rest(daemons: &[&Daemon]) -> BTreeMap<String, (usize, f64)> {
+    let mut rests: BTreeMap<String, (usize, f64)> = BTreeMap::new();
+    for (replica, left) in daemons.iter().flat_map(|d| &d.rests) {
+        let (hosts, longest) = rests.entry(replica.clone()).or_default();
+        *hosts += 1;
+        *longest = longest.max(*left);
+    }
+    rests
+}
+
 /// Fails if no daemon answered.
 pub fn check(daemons: &[Daemon]) -> Result<(), Error> {
     match daemons.iter().all(|d| d.unreachable.is_some()) {
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -10,8 +10,9 @@
 use std::path::{Path, PathBuf};
 
 /// Parts of a daemon whose lines say what it believed when it decided.
-const BELIEFS: [&str; 7] = [
+const BELIEFS: [&str; 8] = [
     "view",
+    "replica",
     "config",
     "store",
     "leader",
@@ -103,7 +104,12 @@
     }
 
     fn is_about(&self, id: &str) -> bool {
-        ["request", "limit"].contains(&self.text("target")) && self.text("id") == id
+        let is_of_request = match self.text("target") {
+            "request" | "limit" => true,
+            "replica" => self.text("event") == "kept_back",
+            _ => false,
+        };
+        is_of_request && self.text("id") == id
     }
 
     /// The line as a sentence.
@@ -151,6 +157,21 @@
                 self.text("by"),
                 self.number("rate")
             ),
+            ("replica", "kept_back") => format!(
+                "It was not sent to {replica}, which {}, {:.0} ms after it had been chosen.",
+                self.text("why"),
+                self.number("placed_ms")
+            ),
+            ("replica", "leaving") => {
+                format!("{replica} leaves, by its own word to {}.", self.text("by"))
+            }
+            ("replica", "rests") => format!(
+                "{replica} turned request {} away and wants nothing from {} for {:.0} ms.",
+                self.text("id"),
+                self.text("by"),
+                self.number("left_ms")
+            ),
+            ("replica", "rested") => format!("The rest of {replica} is over."),
             ("limit", "over") => format!(
                 "{replica} is no longer in need, by the word of {}.",
                 self.text("by")
@@ -233,11 +254,11 @@
     let believed = |line: &&Line| {
         let near = line.at_ms >= start - AROUND_MS && line.at_ms <= end + AROUND_MS;
         let part = BELIEFS.contains(&line.text("target")) && hosts.contains(line.text("host"));
-        let of_replica = ["view", "limit"].contains(&line.text("target"));
+        let of_replica = ["view", "limit", "replica"].contains(&line.text("target"));
         // What became known of all replicas that were out of the choice matters where no replica took it.
-        let is_limit = line.text("target") == "limit";
-        let is_sending = is_limit && line.text("event") == "sent";
-        let matters = replicas.contains(line.text("replica")) || is_limit && replicas.is_empty();
+        let is_word = ["limit", "replica"].contains(&line.text("target"));
+        let is_sending = is_word && ["sent", "kept_back"].contains(&line.text("event"));
+        let matters = replicas.contains(line.text("replica")) || is_word && replicas.is_empty();
         let other = is_sending || of_replica && !matters;
         near && part && !other
     };
--- a/crates/cli/tests/gauges.rs
+++ b/crates/cli/tests/gauges.rs
@@ -84,6 +84,22 @@
     );
 }
 
+#[test]
+fn replicas_that_leave_or_rest_are_said() {
+    let text = "coveford_configuration_version 38\ncoveford_leads 1\ncoveford_leaving_replicas 1\ncoveford_replica_rest_seconds{replica=\"i-1\"} 2.5\ncoveford_replica_rest_seconds{replica=\"i-2\"} 0\n";
+    let daemon = read(ADDR.parse().unwrap(), text);
+    assert_eq!(daemon.rests.len(), 1, "one that is over is no rest");
+    let found = findings(&[daemon]);
+    assert!(
+        found[0].contains("1 replicas have said in answers that they leave"),
+        "{found:?}"
+    );
+    assert!(
+        found[1].contains("Replica i-1 wants nothing from 1 of 1 daemons, for 2.5 s at the most"),
+        "{found:?}"
+    );
+}
+
 #[tokio::test]
 async fn daemons_that_do_not_answer_are_told() {
     // A port that was free a moment ago.
--- a/crates/cli/tests/story.rs
+++ b/crates/cli/tests/story.rs
@@ -15,6 +15,10 @@
 {"host":"b1","timestamp":"2026-08-12T10:32:20.100000Z","level":"INFO","message":"a replica in need takes so many requests a second from all hosts together","event":"named","replica":"i-55","rate":1.3,"by":"b2","target":"limit"}
 {"host":"b1","timestamp":"2026-08-12T10:32:20.700000Z","level":"INFO","message":"a request goes to a replica in need","event":"sent","id":"n0","replica":"i-55","rate":1.3,"priority":2,"target":"limit"}
 {"host":"b1","timestamp":"2026-08-12T10:32:21.000000Z","level":"WARN","message":"the request is given up","event":"refused","id":"n1","route":"r-1","status":503,"reason":"limited","retry_after_ms":900.0,"ms":1.1,"why":"The replicas that could take the request are in need, and take no more of them now.","target":"request"}
+{"host":"c3","timestamp":"2026-08-12T10:33:20.000000Z","level":"INFO","message":"a replica says in an answer that it leaves","event":"leaving","replica":"i-66","id":"m0","by":"c3","target":"replica"}
+{"host":"c3","timestamp":"2026-08-12T10:33:20.100000Z","level":"INFO","message":"a replica turned a request away and wants nothing from this host for a time","event":"rests","replica":"i-67","id":"m0","by":"c3","asked_ms":3000.0,"left_ms":3000.0,"first":true,"target":"replica"}
+{"host":"c3","timestamp":"2026-08-12T10:33:20.200000Z","level":"INFO","message":"a request was not sent to a replica that wants none","event":"kept_back","id":"m1","replica":"i-67","why":"rests","placed_ms":41.0,"target":"replica"}
+{"host":"c3","timestamp":"2026-08-12T10:33:21.000000Z","level":"WARN","message":"the request is given up","event":"refused","id":"m2","route":"r-1","status":503,"reason":"resting","retry_after_ms":2300.0,"ms":1.1,"why":"The replicas that could take the request take none from this host now.","target":"request"}
 not a line of a log
 "#;
 
@@ -77,6 +81,22 @@
     );
 }
 
+#[test]
+fn a_refusal_leads_to_the_replicas_that_leave_or_rest() {
+    let story = tell("m2", &read(DAY));
+    assert_eq!(story.len(), 3, "{story:#?}");
+    assert!(story[0].contains("i-66 leaves, by its own word to c3"));
+    assert!(story[1].contains("i-67 turned request m0 away and wants nothing from c3 for 3000 ms"));
+    assert!(story[2].contains("resting") && story[2].contains("come back in 2300 ms"));
+}
+
+#[test]
+fn a_request_that_was_kept_back_says_from_what() {
+    let story = tell("m1", &read(DAY));
+    let kept = "It was not sent to i-67, which rests, 41 ms after it had been chosen.";
+    assert!(story.iter().any(|line| line.contains(kept)), "{story:#?}");
+}
+
 #[test]
 fn an_unknown_request_has_no_story() {
     assert!(tell("nobody", &read(DAY)).is_empty());
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -278,7 +278,13 @@
 /// Takes as gone what is missing for too long.
 fn expire(state: &State) {
     let now = state.now();
-    for replica in state.table.lock().end_rests(now) {
+    let rested = state.table.lock().end_rests(now);
+    for replica in rested {
+        let labels = [("replica", &*replica)];
+        let metrics = &state.log.metrics;
+        metrics
+            .gauge("coveford_replica_rest_seconds", &labels)
+            .set(0.0);
         state.log.notable(|| {
             info!(target: "replica", event = "rested", replica = &*replica, "a replica's rest is over, and so is the return to it");
         });
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -3,11 +3,13 @@
 use crate::accounts;
 use crate::peers::Peers;
 use crate::state::State;
+use unit::Span;
 
 /// Brings all gauges up to date.
 pub(super) fn update(state: &State, peers: &Peers) {
     own(state);
     limit_gauges(state);
+    word_gauges(state);
     account_gauges(state, peers);
 }
 
@@ -74,8 +76,8 @@
     set("coveford_store_away", &[], away);
 }
 
-/// Replicas whose limits are told each by itself; the rest are counted only.
-const MOST_LIMITS: usize = 100;
+/// Replicas whose limits or rests are told each by itself; the others are counted only.
+const MOST_REPLICAS: usize = 100;
 
 /// Tells which replicas have named limits; one that is over is told as endless, since a gauge cannot be taken back.
 fn limit_gauges(state: &State) {
@@ -86,9 +88,28 @@
         .gauge("coveford_limited_replicas", &[])
         .set(in_need as f64);
     limited.sort_by_key(|(_, rate)| rate.is_none());
-    for (replica, rate) in limited.iter().take(MOST_LIMITS) {
+    for (replica, rate) in limited.iter().take(MOST_REPLICAS) {
         let labels = [("replica", &**replica)];
         let rate = rate.unwrap_or(f64::INFINITY);
         metrics.gauge("coveford_replica_limit", &labels).set(rate);
     }
 }
+
+/// Tells which replicas leave by their word, and which want nothing from this host and for how long.
+fn word_gauges(state: &State) {
+    let (leaving, resting) = {
+        let table = state.table.lock();
+        (table.view.leaving_by_word(), table.rest_times(state.now()))
+    };
+    let metrics = &state.log.metrics;
+    let count = |name, count: usize| metrics.gauge(name, &[]).set(count as f64);
+    count("coveford_leaving_replicas", leaving);
+    let resting_now = resting.iter().filter(|(_, left)| *left > Span::ZERO);
+    count("coveford_resting_replicas", resting_now.count());
+    for (replica, left) in resting.iter().take(MOST_REPLICAS) {
+        let labels = [("replica", &**replica)];
+        metrics
+            .gauge("coveford_replica_rest_seconds", &labels)
+            .set(left.secs());
+    }
+}
--- a/crates/front/src/serve/lacking.rs
+++ b/crates/front/src/serve/lacking.rs
@@ -121,6 +121,10 @@
             (held_until, fault)
         }
         Nowhere::Full(at) => (now, has_no_room(call, &at)),
+        Nowhere::Leaving => {
+            let message = "All replicas of the service leave, or cannot be used.";
+            (now, Fault::not_run("leaving", message, RETURN_LATER))
+        }
         Nowhere::NoReplica => {
             let message = "No replica of the service is there.";
             (now, Fault::not_run("no_replica", message, RETURN_LATER))
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -147,7 +147,6 @@
         if let Some(state) = self.replicas.get_mut(id) {
             state.restart();
         }
-        self.rests.remove(id);
         self.told.loaded.forget(id);
         self.told.closing.forget(id);
     }
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -53,6 +53,8 @@
 pub enum Nowhere {
     /// No replica of the service is there.
     NoReplica,
+    /// All replicas of the service that it may go to leave.
+    Leaving,
     /// No replica holds the model; it comes in this time, if that is known.
     NoModel(Option<Span>),
     /// The model is there, its adapter is not.
@@ -79,6 +81,8 @@
 enum Fit {
     /// It may not have it at all.
     Out,
+    /// It is of the service, and leaves.
+    Leaving,
     /// It does not hold its model.
     NoModel,
     /// It holds the model without the adapter.
@@ -189,10 +193,12 @@
 
     /// How far a replica fits a request.
     fn fit(&self, entry: &Entry, want: &Want, model: Option<&Name>, now: Time) -> Fit {
-        let out = entry.leaving || entry.service != *want.service;
-        if out || want.avoid.contains(&entry.id) {
+        if entry.service != *want.service || want.avoid.contains(&entry.id) {
             return Fit::Out;
         }
+        if entry.leaving {
+            return Fit::Leaving;
+        }
         let state = self.replicas.get(&entry.id);
         let reached = state.is_some_and(|s| s.absence.was_reached(now));
         let absent = state.is_some_and(|s| s.absence.holds(now))
@@ -234,6 +240,7 @@
     fn nowhere(&self, nearest: Fit, model: Option<&Name>, now: Time) -> Nowhere {
         match nearest {
             Fit::Out => Nowhere::NoReplica,
+            Fit::Leaving => Nowhere::Leaving,
             Fit::NoModel => Nowhere::NoModel(model.and_then(|m| self.told.coming(m, now))),
             Fit::NoAdapter => Nowhere::NoAdapter,
             Fit::Absent | Fit::Full | Fit::Whole => Nowhere::Unreachable,
--- a/crates/front/src/table/rests.rs
+++ b/crates/front/src/table/rests.rs
@@ -61,16 +61,32 @@
         (*of == incarnation && !rest.is_over(now)).then_some(rest)
     }
 
-    /// Replicas that want nothing from this host now, with the time that is left.
-    pub fn resting(&self, now: Time) -> Vec<(Name, Span)> {
-        let rests = self.rests.iter();
+    /// Replicas that want nothing from this host now.
+    pub fn resting(&self, now: Time) -> Vec<Name> {
+        let times = self.rest_times(now).into_iter();
+        let resting = times.filter(|(_, left)| *left > Span::ZERO);
+        resting.map(|(id, _)| id).collect()
+    }
+
+    /// Replicas that rest, or rested a moment ago, with the time that is left; the longest first.
+    pub fn rest_times(&self, now: Time) -> Vec<(Name, Span)> {
+        let holds = |id: &Name, of: &Incarnation| !self.view.knows_other(id, *of);
+        let rests = self.rests.iter().filter(|(id, (of, _))| holds(id, of));
         let left = rests.map(|(id, (_, rest))| (id.clone(), rest.left(now)));
-        left.filter(|(_, left)| *left > Span::ZERO).collect()
+        let mut left: Vec<(Name, Span)> = left.collect();
+        left.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+        left
     }
 
-    /// Takes out the replicas whose rest and the return from it are over.
+    /// Takes out the replicas whose rest and the return from it are over, or that have started again.
     pub fn end_rests(&mut self, now: Time) -> Vec<Name> {
-        let over = self.rests.extract_if(|_, (_, rest)| rest.is_over(now));
+        let view = &self.view;
+        let is_over = |id: &Name, of: &Incarnation, rest: &Rest| {
+            rest.is_over(now) || view.knows_other(id, *of)
+        };
+        let over = self
+            .rests
+            .extract_if(|id, (of, rest)| is_over(id, of, rest));
         over.map(|(id, _)| id).collect()
     }
 }
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -164,6 +164,12 @@
         said.is_some_and(|(of, _)| *of == incarnation)
     }
 
+    /// Number of the replicas that are there and have said in an answer that they leave.
+    pub fn leaving_by_word(&self) -> usize {
+        let leaves = |seen: &&Seen| self.leaves_by_word(&seen.entry.id, seen.entry.incarnation);
+        self.all().filter(leaves).count()
+    }
+
     /// Takes in that an incarnation says in an answer that it leaves, which is not taken back; tells whether that was not known.
     pub fn heard_leaving(&mut self, id: &Name, incarnation: Incarnation, now: Time) -> bool {
         if self.knows_other(id, incarnation) {
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -98,7 +98,6 @@
         priority: 1,
         gap: Some(Span::from_ms(300)),
         avoid: &[],
-        only: None,
         resumes: false,
     };
     let took = each(|| {
