The word of one host that a replica leaves goes to all, and the planner counts one that rests for most hosts as what it serves

Cause: each host learned of a departure by a request of its own; while the store is away a fleet of some hundreds would send a leaving replica its whole share until it ends, and streams begun there late are cut with it. Change: a host that hears the word tells the leader, or all where hosts are few; the leader tells all at once, and what is there again in whole rounds, so that hosts that begin later and the next leader know. Whole identities with incarnations: a collision of short names would leave a sound replica out until its next start. What rests is told with the sums; where it is most hosts, a plan counts the copy as the places that it keeps busy. Tests: leaving.rs (4: store there and away, a late host after the leader's death, sizes), parts.rs (1).

--- a/crates/front/src/heard.rs
+++ b/crates/front/src/heard.rs
@@ -4,6 +4,7 @@
 use crate::limits;
 use crate::state::State;
 use crate::table::{Asked, Closed, Permit};
+use crate::view::Origin;
 use conn::Body;
 use hyper::Request;
 use platform::answer::{self, Reading, Said};
@@ -50,22 +51,43 @@
     }
 }
 
-/// Takes in that a replica leaves.
+/// Takes in that a replica leaves, and has it told to other hosts.
 fn leaves(state: &State, from: &Source) {
-    let is_news =
-        state
-            .table
-            .lock()
-            .view
-            .heard_leaving(&from.replica, from.incarnation, state.now());
+    let now = state.now();
+    let is_news = {
+        let view = &mut state.table.lock().view;
+        view.heard_leaving(&from.replica, from.incarnation, Origin::Answer, now)
+    };
     if is_news {
-        state.changed.notify_waiters();
-        state.log.notable(|| {
-            info!(target: "replica", event = "leaving", replica = &*from.replica, id = &*from.subject, by = &*state.settings.name, "a replica says in an answer that it leaves")
-        });
+        let by = &state.settings.name;
+        tell_leaving(state, &from.replica, Some(&from.subject), by);
+    }
+}
+
+/// Takes in that a replica has told another host that it leaves.
+pub fn told_leaving(state: &State, replica: &Name, incarnation: Incarnation, by: &Name) {
+    let now = state.now();
+    let origin = match state.leads() {
+        true => Origin::Host,
+        false => Origin::Leader,
+    };
+    let is_news = {
+        let view = &mut state.table.lock().view;
+        view.heard_leaving(replica, incarnation, origin, now)
+    };
+    if is_news {
+        tell_leaving(state, replica, None, by);
     }
 }
 
+fn tell_leaving(state: &State, replica: &Name, id: Option<&str>, by: &Name) {
+    state.leaving.notify_one();
+    state.changed.notify_waiters();
+    state.log.notable(|| {
+        info!(target: "replica", event = "leaving", replica = &**replica, id, by = &**by, "a replica says in an answer that it leaves")
+    });
+}
+
 /// Takes in that a replica wants nothing from this host for a time.
 fn rests(state: &State, from: &Source, rest: Span) {
     let now = state.now();
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -1,9 +1,11 @@
 //! What daemons tell each other in datagrams.
 
+pub mod leaving;
 pub mod limit;
 mod quarantine;
 mod quota;
 
+pub use leaving::Leaving;
 pub use limit::{Heard, Limited, Limits};
 pub use quarantine::{Fallen, Listed, Listing, Permit};
 pub use quota::{Question, Refund, Subject, Verdict};
@@ -51,6 +53,8 @@
     Heard(Heard),
     /// Limits that replicas name, from the leader.
     Limits(Limits),
+    /// Replicas that leave by their own word: to the leader, and from it to all; where hosts are few, to all.
+    Leaving(Leaving),
     /// A host saw a replica fall, to the leader; where hosts are few, to all.
     Fallen(Fallen),
     /// A run of a request that is listed has ended well, to the leader.
@@ -85,6 +89,7 @@
             Message::Refund(_) => "refund",
             Message::Heard(_) => "heard",
             Message::Limits(_) => "limits",
+            Message::Leaving(_) => "leaving",
             Message::Fallen(_) => "fallen",
             Message::Sound(_) => "sound",
             Message::Tried(..) => "tried",
@@ -115,6 +120,8 @@
     pub used: Vec<Use>,
     /// Short names of replicas that this host leaves alone, since it could not reach them.
     pub absent: Vec<u32>,
+    /// Short names of replicas that want nothing from this host now.
+    pub resting: Vec<u32>,
     /// Whether the store failed this host a moment ago.
     pub cut: bool,
     /// Time through which this host heard from the store, if it ever did.
@@ -131,8 +138,9 @@
 impl Sums {
     /// Cuts them into parts that fit a datagram each.
     pub fn parts(self) -> Vec<Sums> {
-        // Words of absent replicas are in each part, so they take their room first.
-        let rows = ROWS.saturating_sub(self.absent.len()).max(LEAST_ROWS);
+        // Words of absent and resting replicas are in each part, so they take their room first.
+        let named = self.absent.len() + self.resting.len();
+        let rows = ROWS.saturating_sub(named).max(LEAST_ROWS);
         if self.demand.len() + self.loads.len() + self.used.len() <= rows {
             return vec![self];
         }
@@ -143,6 +151,7 @@
             host: self.host.clone(),
             hall: self.hall.clone(),
             absent: self.absent.clone(),
+            resting: self.resting.clone(),
             cores: self.cores,
             round: self.round,
             cut: self.cut,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,11 +5,12 @@
 //! sooner. A lost datagram only makes a sum older; sums past their
 //! age are not used.
 //!
-//! Its parts: `inbox` is what hosts told the leader, `quota` what is asked for and given of limits over all hosts, `limits` which of these replicas name, `sums` when this host tells what it has in
+//! Its parts: `inbox` is what hosts told the leader, `quota` what is asked for and given of limits over all hosts, `limits` which of these replicas name, `leaving` which replicas leave, `sums` when this host tells what it has in
 //! flight, `parts` which hosts pass on what the leader tells all, `quarantine` which requests end replicas, `questions`
 //! what waits for an answer. The datagrams themselves are in [`message`].
 
 mod inbox;
+mod leaving;
 mod limits;
 pub mod parts;
 mod quarantine;
@@ -159,6 +160,7 @@
             Message::Heard(heard) => self.join_limits(&heard.limits, &heard.host),
             Message::Limits(limits) if self.is_of_former_term(limits.term) => {}
             Message::Limits(limits) => self.join_limits(&limits.limits, &limits.host),
+            Message::Leaving(told) => self.join_leaving(&told),
             Message::Fallen(fallen) => self.take_fall(&fallen),
             Message::Sound(print) => self.state.quarantine.sound(print),
             Message::Tried(print, broke) => self.state.quarantine.tried(print, broke, now),
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -4,7 +4,7 @@
 use crate::message::{Load, Missing, Row, Sums, Use, Want};
 use crate::readers::Candidate;
 use parking_lot::Mutex;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use tokio::sync::Notify;
 use unit::{Name, Span, Time};
@@ -171,6 +171,19 @@
         down.map(|(replica, _)| replica).collect()
     }
 
+    /// Short names of replicas that want nothing from most hosts now.
+    pub fn resting(&self, now: Time) -> HashSet<u32> {
+        let sums = self.sums(now);
+        let mut votes: HashMap<u32, usize> = HashMap::new();
+        for replica in sums.iter().flat_map(|sums| &sums.resting) {
+            *votes.entry(*replica).or_default() += 1;
+        }
+        let most = votes
+            .into_iter()
+            .filter(|(_, count)| *count * 2 > sums.len());
+        most.map(|(replica, _)| replica).collect()
+    }
+
     /// Time through which hosts heard from the store, where replicas write each `heartbeat`.
     pub fn store(&self, heartbeat: Span, now: Time) -> Option<Word> {
         let silence = contact::silence_between_hosts(heartbeat);
--- a/crates/front/src/peers/quarantine.rs
+++ b/crates/front/src/peers/quarantine.rs
@@ -61,7 +61,7 @@
     }
 
     /// Tells the leader something; this host takes it in directly if it leads.
-    async fn tell_leader_of(&self, message: Message) {
+    pub(super) async fn tell_leader_of(&self, message: Message) {
         let Some(leader) = self.state.leader.lock().clone() else {
             return;
         };
--- a/crates/front/src/peers/sums.rs
+++ b/crates/front/src/peers/sums.rs
@@ -2,7 +2,7 @@
 //! soon as a request is counted in or a prompt is read.
 
 use super::{MOST_DIRECT, Peers};
-use crate::message::{Demand, Message, Row, Sums};
+use crate::message::{Demand, Message, Row, Sums, short};
 use crate::readers;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -35,6 +35,7 @@
             round += 1;
             self.tell_round(round).await;
             self.tell_heard_limits().await;
+            self.repeat_leaving().await;
             self.repeat_falls().await;
         }
     }
@@ -94,14 +95,16 @@
             return;
         };
         let now = self.state.now();
-        let (demand, loads, used, absent) = {
+        let (demand, loads, used, absent, resting) = {
             let mut table = self.state.table.lock();
             let (demand, loads) = (table.demand(now), table.tell(now));
-            (demand, loads, table.take_used(), table.absent(now))
+            let resting = table.resting(now).iter().map(|id| short(id)).collect();
+            (demand, loads, table.take_used(), table.absent(now), resting)
         };
         let sums = Sums {
             used,
             absent,
+            resting,
             ..self.sums(round, demand, loads)
         };
         if leader.peers == self.state.settings.peers {
@@ -127,6 +130,7 @@
             loads,
             used: Vec::new(),
             absent: Vec::new(),
+            resting: Vec::new(),
             cut: readers::is_cut(&self.state),
             store,
         }
--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -1,7 +1,7 @@
 //! Planning of one service: which replicas load and unload which models.
 
 use super::{Book, Demand, Planner, demand, entries, taken};
-use crate::message::Load;
+use crate::message::{Load, short};
 use crate::orders::{Bucket, Job, Known};
 use crate::table::Table;
 use place::copies::{self, Step};
@@ -56,10 +56,12 @@
     pub(super) fn plan_service(&self, service: &Name, engine: &Engine) -> bool {
         let now = self.state.now();
         let loads = self.peers.inbox.loads(now);
+        let resting = self.peers.inbox.resting(now);
         let (entries, needs) = {
             let table = self.state.table.lock();
             let entries = entries(&table, service);
-            let needs = needs(&table, service, &entries, now);
+            let mut needs = needs(&table, service, &entries, now);
+            needs.extend(rests(&entries, &resting, &loads));
             (entries, needs)
         };
         let (replicas, models, available) = {
@@ -324,6 +326,17 @@
     }
 }
 
+/// Part of their places that replicas serve which want nothing from most hosts.
+fn rests(
+    entries: &[Entry],
+    resting: &HashSet<u32>,
+    loads: &HashMap<u32, Load>,
+) -> HashMap<Name, f64> {
+    let resting = entries.iter().filter(|e| resting.contains(&short(&e.id)));
+    let busy = resting.map(|entry| (entry.id.clone(), taken(entry, loads).min(1.0)));
+    busy.collect()
+}
+
 /// Part of their places that replicas in need can keep busy with the requests a second that they take.
 fn needs(table: &Table, service: &Name, entries: &[Entry], now: Time) -> HashMap<Name, f64> {
     let part = |entry: &Entry| {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -183,6 +183,7 @@
     tasks.spawn(peers.clone().ask(wanted));
     tasks.spawn(peers.clone().report(reports));
     tasks.spawn(peers.clone().tell_limit_changes());
+    tasks.spawn(peers.clone().tell_leaving());
     tasks.spawn(upkeep(state.clone()));
     tasks.spawn(settle(state.clone()));
     let (state, peers) = (state.clone(), peers.clone());
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -34,6 +34,8 @@
     pub missed: Notify,
     /// Notified when what is known of a replica's limit has changed, so that other hosts are told.
     pub limited: Notify,
+    /// Notified when a replica has said that it leaves.
+    pub leaving: Notify,
     /// Notified when the prompt of a request was read or the request ended.
     pub eased: Notify,
     /// The platform's store.
@@ -104,6 +106,7 @@
         entered: Notify::new(),
         missed: Notify::new(),
         limited: Notify::new(),
+        leaving: Notify::new(),
         eased: Notify::new(),
         store: platform::store::open(settings.store, store_limit),
         readers: Readers::default(),
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -20,12 +20,35 @@
 pub struct View {
     seen: BTreeMap<Name, Seen>,
     removed: BTreeMap<Name, (u64, Time)>,
-    /// Incarnations that said in answers that they leave, and when that was last of use. Entries come and go meanwhile.
-    departures: BTreeMap<Name, (Incarnation, Time)>,
+    /// Replicas that said in answers that they leave. Entries come and go meanwhile.
+    departures: BTreeMap<Name, Departure>,
     /// Whether the store is there, and since when.
     pub contact: Contact,
 }
 
+/// Word of a replica that it leaves.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    incarnation: Incarnation,
+    /// When it was heard first.
+    at: Time,
+    /// How it came here.
+    origin: Origin,
+    /// Whether this host need not tell it any more.
+    told: bool,
+}
+
+/// How the word of a replica came to this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// In an answer.
+    Answer,
+    /// From a host that tells this one, which tells all.
+    Host,
+    /// From the host that tells all.
+    Leader,
+}
+
 /// Replica with the news of it.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -161,26 +184,56 @@
     /// Whether an incarnation has said in an answer that it leaves.
     pub fn leaves_by_word(&self, id: &str, incarnation: Incarnation) -> bool {
         let said = self.departures.get(id);
-        said.is_some_and(|(of, _)| *of == incarnation)
-    }
-
-    /// Number of the replicas that are there and have said in an answer that they leave.
-    pub fn leaving_by_word(&self) -> usize {
-        let leaves = |seen: &&Seen| self.leaves_by_word(&seen.entry.id, seen.entry.incarnation);
-        self.all().filter(leaves).count()
+        said.is_some_and(|said| said.incarnation == incarnation)
     }
 
     /// Takes in that an incarnation says in an answer that it leaves, which is not taken back; tells whether that was not known.
-    pub fn heard_leaving(&mut self, id: &Name, incarnation: Incarnation, now: Time) -> bool {
-        if self.knows_other(id, incarnation) {
+    pub fn heard_leaving(
+        &mut self,
+        id: &Name,
+        incarnation: Incarnation,
+        origin: Origin,
+        now: Time,
+    ) -> bool {
+        if self.knows_other(id, incarnation) || self.leaves_by_word(id, incarnation) {
             return false;
         }
-        let before = self.departures.insert(id.clone(), (incarnation, now));
+        let departure = Departure {
+            incarnation,
+            at: now,
+            origin,
+            told: origin == Origin::Leader,
+        };
+        self.departures.insert(id.clone(), departure);
         if let Some(seen) = self.seen.get_mut(id) {
             seen.has_left = true;
             seen.entry.leaving = true;
         }
-        before.is_none_or(|(of, _)| of != incarnation)
+        true
+    }
+
+    /// Departures that this host has to tell; they count as told.
+    pub fn untold_departures(&mut self) -> Vec<(Name, Incarnation)> {
+        let untold = self.departures.iter_mut().filter(|(_, d)| !d.told);
+        let told = untold.map(|(id, departure)| {
+            departure.told = true;
+            (id.clone(), departure.incarnation)
+        });
+        told.collect()
+    }
+
+    /// Departures that this host has heard itself within the last `time`.
+    pub fn heard_lately(&self, time: Span, now: Time) -> Vec<(Name, Incarnation)> {
+        let is_own = |d: &Departure| d.origin == Origin::Answer && now.since(d.at) < time;
+        let own = self.departures.iter().filter(|(_, d)| is_own(d));
+        own.map(|(id, d)| (id.clone(), d.incarnation)).collect()
+    }
+
+    /// Departures of replicas that are there.
+    pub fn departing(&self) -> Vec<(Name, Incarnation)> {
+        let leaves = |seen: &&Seen| self.leaves_by_word(&seen.entry.id, seen.entry.incarnation);
+        let entries = self.all().filter(leaves).map(|seen| &seen.entry);
+        entries.map(|e| (e.id.clone(), e.incarnation)).collect()
     }
 
     /// Takes in an entry at its revision; older news changes nothing.
@@ -277,8 +330,9 @@
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMEMBERED);
         let seen = &self.seen;
-        self.departures
-            .retain(|id, (_, at)| seen.contains_key(id) || now.since(*at) < LEAVING_REMEMBERED);
+        self.departures.retain(|id, departure| {
+            seen.contains_key(id) || now.since(departure.at) < LEAVING_REMEMBERED
+        });
         if self.contact.may_return(now) {
             return Vec::new();
         }
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -4,9 +4,11 @@
 mod site;
 
 use front::Daemon;
+use front::message::{Leaving, MOST_DATAGRAM, Message, encode, leaving};
 use platform_standin::proxy;
 use platform_standin::replica::{self, Options, Replica, Word, Words};
 use platform_standin::store::{Mode, Store};
+use rstest::rstest;
 use site::{ask, behind_a_proxy, daemon, engine, hosts, keep_alone, press, store, until, web};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -188,3 +190,61 @@
     sleep(Duration::from_secs(1)).await;
     assert_eq!(leaving.orders().len(), orders);
 }
+
+/// Guards against hosts that learn of a departure each by a request of its own: a fleet of some hundreds would send a leaving
+/// replica its whole share until it ends.
+#[rstest]
+#[case::store_there(None)]
+#[case::store_away(Some(Mode::Silent))]
+#[tokio::test]
+async fn the_word_to_one_host_goes_to_all(#[case] away: Option<Mode>) {
+    let store = store().await;
+    let leaving = web(&store, "w-1").await;
+    let hosts = hosts(&store, 3).await;
+    let knows = |host: &Daemon| {
+        let table = host.state().table.lock();
+        table.view.get("w-1").is_some_and(|s| s.entry.leaving)
+    };
+    if let Some(mode) = away {
+        store.set_mode(mode);
+    }
+    leave_by_word(&leaving);
+    assert_eq!(ask(&hosts[2], "/again/x", None).await.1.status(), 200);
+    let told = Instant::now();
+    while !hosts.iter().all(knows) {
+        assert!(told.elapsed() < Duration::from_millis(500), "not all know");
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(leaving.arrivals(), 1);
+}
+
+/// Guards against a host that begins later and a leader that begins later, which heard nothing of the departure.
+#[tokio::test]
+async fn a_host_that_begins_later_is_told_also_after_the_leader_s_death() {
+    let store = store().await;
+    let leaving = web(&store, "w-1").await;
+    let mut hosts = hosts(&store, 3).await;
+    leave_by_word(&leaving);
+    assert_eq!(ask(&hosts[0], "/again/x", None).await.1.status(), 200);
+    let knows = |host: &Daemon| {
+        let table = host.state().table.lock();
+        table.view.get("w-1").is_some_and(|s| s.entry.leaving)
+    };
+    until(|| hosts.iter().all(knows)).await;
+    let leads = |host: &Daemon| host.state().leads();
+    let leader = hosts.iter().position(leads).unwrap();
+    drop(hosts.remove(leader));
+    hosts.push(daemon(&store, "late").await);
+    until(|| hosts.iter().all(knows)).await;
+    assert_eq!(leaving.arrivals(), 1);
+}
+
+#[test]
+fn what_is_told_of_departures_fits_a_datagram() {
+    let row = ("i-0123456789abcdef0123456789abcdef".into(), Some(u64::MAX));
+    let message = Message::Leaving(Leaving {
+        host: "a-host-with-a-name-of-some-sixty-signs-as-platforms-give-them".into(),
+        replicas: vec![row; leaving::ROWS],
+    });
+    assert!(encode(&message).len() <= MOST_DATAGRAM);
+}
--- a/crates/front/tests/parts.rs
+++ b/crates/front/tests/parts.rs
@@ -3,7 +3,7 @@
 mod site;
 
 use front::Daemon;
-use front::message::{Demand, Row, Sums};
+use front::message::{Demand, Row, Sums, short};
 use front::peers::Inbox;
 use front::peers::parts::{self, Part};
 use front::readers::Candidate;
@@ -156,3 +156,24 @@
     table.knows_hosts = true;
     assert!(table.spend(&service, at(2)));
 }
+
+/// A replica that wants nothing from most hosts counts in plans as what it serves; one that rests for a few does not.
+#[test]
+fn rests_count_where_most_hosts_tell_them() {
+    let inbox = Inbox::default();
+    for host in 0..3u16 {
+        let resting = match host {
+            0 => vec![short("i-1"), short("i-2")],
+            1 => vec![short("i-1")],
+            _ => Vec::new(),
+        };
+        let sums = Sums {
+            host: format!("h{host}").into(),
+            resting,
+            ..sums(1, 1, 0)
+        };
+        inbox.put(sums, addr(host), at(0));
+    }
+    assert_eq!(inbox.resting(at(10)), HashSet::from([short("i-1")]));
+    assert!(inbox.resting(at(5_000)).is_empty(), "nobody tells any more");
+}
