The soak's replicas leave by their word alone and ask for rest, checked from what they recorded

Each step of three changes what a replica says: a departure that the store does not tell, with another replica in its place, a rest of 0.3 to 4 s, a value that is no time. Counted at the replica for each host: nothing later than 2 s after the first word, two requests at the most in a rest; a start, a stop or a pause of that host ends the count.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,10 +1,12 @@
 //! Clients that keep their connections, and what each was told.
 
 use crate::accounts::Caller;
+use crate::words;
 use conn::{Line, Reply};
 use hyper::Request;
 use parking_lot::Mutex;
 use platform::{answer, names};
+use platform_standin::replica;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
@@ -161,7 +163,9 @@
 ) -> Option<(usize, Line)> {
     let id = format!("s-{}", book.next.fetch_add(1, Ordering::Relaxed));
     let sent = Instant::now();
-    let request = request(kind, caller, model, &id);
+    let mut request = request(kind, caller, model, &id);
+    let from = words::field(book.hosts[host]);
+    request.headers_mut().insert(replica::FROM, from);
     let opened = match kept {
         Some(line) => Ok(line),
         None => Line::open(book.hosts[host], Duration::from_secs(1)).await,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,6 +2,7 @@
 
 use crate::error::Error;
 use crate::site::{Pause, Site};
+use crate::words;
 use nix::sys::signal::Signal;
 use platform_standin::proxy::Mode as Way;
 use platform_standin::replica::{Fault, Replica};
@@ -49,6 +50,7 @@
     // Restarts have numbers of their own, so that a seed does all else as it did without them.
     let mut restarts = SmallRng::seed_from_u64(!seed);
     let mut needs = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut words = SmallRng::seed_from_u64(seed.rotate_left(16));
     let end = Instant::now() + length;
     let mut undos: Vec<Undo> = Vec::new();
     let mut faults = 0;
@@ -63,6 +65,9 @@
         }
         restart(site, &mut restarts);
         change_need(site, &mut needs);
+        if let Some(replica) = words::change(site, &mut words) {
+            replace(site, replica).await?;
+        }
         faults += 1;
     }
     undo_due(site, &mut undos, true).await?;
@@ -79,6 +84,7 @@
         }
         sleep(Duration::from_millis(200)).await;
     }
+    words::end_rests(site);
     last_needs(site).await;
     Ok(faults)
 }
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use tokio::time::Instant;
 
 /// Daemon that the soak has started.
 pub struct Host {
@@ -24,6 +25,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// When its process was started or sent a signal.
+    pub disturbed: Vec<Instant>,
 }
 
 /// Starts a daemon with its settings and log in a folder.
@@ -61,6 +64,7 @@
         log: folder.join(format!("{name}.log")),
         settings,
         child: None,
+        disturbed: Vec::new(),
     };
     host.start()?;
     Ok(host)
@@ -88,6 +92,7 @@
             .spawn()
             .context(StartSnafu { program })?;
         self.child = Some(child);
+        self.disturbed.push(Instant::now());
         Ok(())
     }
 
@@ -106,6 +111,7 @@
         }
         if let Some(child) = &self.child {
             let _ = kill(Pid::from_raw(child.id() as i32), signal);
+            self.disturbed.push(Instant::now());
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod options;
 pub mod site;
+pub mod words;
 
 pub use error::Error;
 
