A report that says its replica leaves is gone by, as an answer's head is

Cause: the report's state was decoded and read by nobody; the leader gave orders to a replica that had said there that it leaves. Found by reading what else replicas say of themselves.

--- a/crates/front/src/heard.rs
+++ b/crates/front/src/heard.rs
@@ -52,7 +52,7 @@
 }
 
 /// Takes in that a replica leaves, and has it told to other hosts.
-fn leaves(state: &State, from: &Source) {
+pub fn leaves(state: &State, from: &Source) {
     let now = state.now();
     let is_news = {
         let view = &mut state.table.lock().view;
--- a/crates/front/src/planner/give.rs
+++ b/crates/front/src/planner/give.rs
@@ -111,6 +111,13 @@
         self.hear(entry, "report", told.said.as_ref());
         match told.outcome {
             Ok(report) => {
+                let is_of_entry = report
+                    .incarnation
+                    .is_none_or(|_| report.incarnation == entry.incarnation);
+                if report.leaving && is_of_entry {
+                    heard::leaves(&self.state, &from(entry, "report"));
+                    return false;
+                }
                 let mut book = self.book.lock();
                 let Some(known) = book.known.get_mut(&entry.id) else {
                     return false;
@@ -130,14 +137,9 @@
 
     /// Takes in what an answer to a call says of its replica, if one came.
     fn hear(&self, entry: &Entry, call: &str, said: Option<&Said>) {
-        let Some(said) = said else { return };
-        let from = heard::Source {
-            replica: entry.id.clone(),
-            incarnation: entry.incarnation,
-            subject: call.into(),
-            whole: true,
-        };
-        heard::take_in(&self.state, &from, said);
+        if let Some(said) = said {
+            heard::take_in(&self.state, &from(entry, call), said);
+        }
     }
 
     /// Gives one order and notes what came of it; tells whether to go on.
@@ -267,6 +269,16 @@
     }
 }
 
+/// Where an answer to a call comes from.
+fn from(entry: &Entry, call: &str) -> heard::Source {
+    heard::Source {
+        replica: entry.id.clone(),
+        incarnation: entry.incarnation,
+        subject: call.into(),
+        whole: true,
+    }
+}
+
 /// Notes that an order about a model was accepted and is under way.
 fn begin(known: &mut Known, job: Job, now: Time) {
     if job.operation == Operation::Unload {
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -239,6 +239,21 @@
     assert_eq!(leaving.arrivals(), 1);
 }
 
+/// Guards against orders that go on to a replica whose report says that it leaves, while its entry does not.
+#[tokio::test]
+async fn a_report_tells_as_well() {
+    let store = store().await;
+    let leaving = engine(&store, "i-1", &["m1"]).await;
+    leaving.leave_untold();
+    let host = daemon(&store, "d1").await;
+    let leaves = || {
+        let table = host.state().table.lock();
+        table.view.get("i-1").is_some_and(|s| s.entry.leaving)
+    };
+    until(leaves).await;
+    assert_eq!(leaving.orders().len(), 0);
+}
+
 #[test]
 fn what_is_told_of_departures_fits_a_datagram() {
     let row = ("i-0123456789abcdef0123456789abcdef".into(), Some(u64::MAX));
