Plan copies with bounds on each replica and sums kept by difference

Cause: each step of a plan recounted all copies and demand, and evaluated evictions for all ranked models on every replica that takes orders. Change: counts, demand and least losses are refreshed for the replicas that hold a changed model; bounds by utilization, demand and the least eviction loss skip models that cannot exceed the best step.

--- a/crates/place/src/copies.rs
+++ b/crates/place/src/copies.rs
@@ -95,6 +95,23 @@
     },
 }
 
+/// How the next step is searched for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Search {
+    /// Skips the models that cannot exceed the best step found, by bounds on each replica.
+    Pruned,
+    /// Skips only the models that could not exceed it on an empty replica; a reference for the other.
+    Exhaustive,
+}
+
+/// Steps of a plan, and the work that they took.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    pub steps: Vec<Step>,
+    /// Pairs of replica and model that were evaluated.
+    pub evaluations: usize,
+}
+
 /// Plans at most `max_steps` steps, of which at most `store_loads` load from the weight store.
 pub fn plan(
     replicas: &[Replica],
@@ -102,14 +119,26 @@
     store_loads: usize,
     max_steps: usize,
 ) -> Vec<Step> {
+    plan_by(Search::Pruned, replicas, models, store_loads, max_steps).steps
+}
+
+/// Plans like [`plan`], with a given search.
+pub fn plan_by(
+    search: Search,
+    replicas: &[Replica],
+    models: &[Model],
+    store_loads: usize,
+    max_steps: usize,
+) -> Plan {
     let mut state = State::new(replicas, models);
     let mut budget = step::Budget {
         store_loads,
         unloads: available_unloads(replicas),
     };
+    let mut evaluations = 0;
     let mut steps = step::load_reserved(&mut state, &mut budget);
     while steps.len() < max_steps {
-        let Some(step) = step::best_step(&state, &budget) else {
+        let Some(step) = step::best_step(&state, &budget, search, &mut evaluations) else {
             break;
         };
         match step {
@@ -119,7 +148,7 @@
         state.apply(&step);
         steps.push(step);
     }
-    steps
+    Plan { steps, evaluations }
 }
 
 /// Unloads that may start now within [`MAX_UNLOADING_SHARE`].
--- a/crates/place/src/copies/state.rs
+++ b/crates/place/src/copies/state.rs
@@ -2,6 +2,7 @@
 //! a further copy.
 
 use super::{ACTIVE_DEMAND, Model, Replica, Step};
+use std::collections::BTreeSet;
 
 /// Capacity, in copies, that is assumed for a model without any, so that the value of its first copy is
 /// finite.
@@ -38,43 +39,66 @@
     pub(super) oversubscribed: bool,
     /// Demand on each replica when that for a model is divided among its copies by capacity.
     demand: Vec<f64>,
+    /// Replicas with a loaded or incoming copy of each model, in ascending order.
+    holders: Vec<BTreeSet<usize>>,
+    /// Smallest loss of value when a replica evicts one of its copies; infinite if it holds none.
+    min_loss: Vec<f64>,
+    /// Size of the smallest model in MB.
+    min_memory_mb: f64,
 }
 
 impl<'a> State<'a> {
     pub(super) fn new(replicas: &[Replica], models: &'a [Model]) -> State<'a> {
+        let mut holders = vec![BTreeSet::new(); models.len()];
+        for (r, replica) in replicas.iter().enumerate() {
+            for model in models_on(replica) {
+                holders[*model].insert(r);
+            }
+        }
+        let sizes = models.iter().map(|m| m.memory_mb);
         let mut state = State {
             replicas: replicas.to_vec(),
             models,
-            counts: Vec::new(),
+            counts: vec![CopyCount::default(); models.len()],
             oversubscribed: slots(replicas, models) < models.len(),
-            demand: Vec::new(),
+            demand: vec![0.0; replicas.len()],
+            holders,
+            min_loss: vec![0.0; replicas.len()],
+            min_memory_mb: sizes.fold(f64::INFINITY, f64::min),
         };
-        state.refresh();
+        for model in 0..models.len() {
+            state.counts[model] = state.count_copies(model);
+        }
+        state.refresh_replicas(0..replicas.len());
         state
     }
 
     /// Applies a step. Its replica takes no further order in this plan.
     pub(super) fn apply(&mut self, step: &Step) {
         match step {
-            Step::Load { replica, model, .. } => {
-                let replica = &mut self.replicas[*replica];
+            Step::Load {
+                replica: r, model, ..
+            } => {
+                let replica = &mut self.replicas[*r];
                 replica.incoming.push(*model);
                 replica.free_mb -= self.models[*model].memory_mb;
                 replica.accepts_orders = false;
+                self.refresh(*r, &[*model]);
             }
             Step::Unload {
-                replica,
+                replica: r,
                 models,
                 replacement,
             } => {
-                let replica = &mut self.replicas[*replica];
+                let replica = &mut self.replicas[*r];
                 replica.held.retain(|m| !models.contains(m));
                 // Counts as a copy, so that no other replica loads the model as well.
                 replica.incoming.push(*replacement);
                 replica.accepts_orders = false;
+                let changed: Vec<usize> = models.iter().copied().chain([*replacement]).collect();
+                self.refresh(*r, &changed);
             }
         }
-        self.refresh();
     }
 
     /// Keeps a replica's reservation, in which case it takes no order in this plan, or drops the
@@ -84,14 +108,59 @@
         replica.accepts_orders &= !keep;
         if !keep && let Some(model) = replica.reserved_for.take() {
             replica.incoming.retain(|m| *m != model);
+            self.refresh(r, &[model]);
         }
-        self.refresh();
     }
 
-    /// Recomputes copy counts and demand.
-    fn refresh(&mut self) {
-        self.counts = count_copies(&self.replicas, self.models.len());
-        self.demand = self.replicas.iter().map(|r| self.demand_on(r)).collect();
+    /// Updates copy counts, demand and losses after the copies of some models on a replica have changed. Only the
+    /// replicas that hold one of these models are affected.
+    fn refresh(&mut self, r: usize, changed: &[usize]) {
+        let mut affected = BTreeSet::from([r]);
+        for model in changed {
+            match self.has_copy(*model, r) {
+                true => self.holders[*model].insert(r),
+                false => self.holders[*model].remove(&r),
+            };
+            self.counts[*model] = self.count_copies(*model);
+            affected.extend(&self.holders[*model]);
+        }
+        self.refresh_replicas(affected.iter().copied());
+    }
+
+    /// Recomputes demand and losses of replicas from the copy counts.
+    fn refresh_replicas(&mut self, replicas: impl Iterator<Item = usize> + Clone) {
+        for r in replicas.clone() {
+            self.demand[r] = self.demand_on(&self.replicas[r]);
+        }
+        for r in replicas {
+            let held = self.replicas[r].held.iter();
+            let losses = held.map(|m| self.loss(*m, r));
+            self.min_loss[r] = losses.fold(f64::INFINITY, f64::min);
+        }
+    }
+
+    /// Counts the copies of a model on replicas in service.
+    fn count_copies(&self, model: usize) -> CopyCount {
+        let mut count = CopyCount::default();
+        let replicas = self.holders[model].iter().map(|r| &self.replicas[*r]);
+        for replica in replicas.filter(|r| r.in_service) {
+            let held = replica.held.iter().filter(|m| **m == model).count();
+            let copies = models_on(replica).filter(|m| **m == model).count();
+            count.held += held;
+            count.total += copies;
+            for _ in 0..copies {
+                count.capacity += replica.capacity();
+            }
+        }
+        count
+    }
+
+    /// Lower bound on the loss of freeing memory for any model on a replica; zero if a model may fit without.
+    pub(super) fn min_eviction_loss(&self, r: usize) -> f64 {
+        match self.replicas[r].free_mb >= self.min_memory_mb {
+            true => 0.0,
+            false => self.min_loss[r],
+        }
     }
 
     fn demand_on(&self, replica: &Replica) -> f64 {
@@ -181,20 +250,3 @@
 fn models_on(replica: &Replica) -> impl Iterator<Item = &usize> {
     replica.held.iter().chain(&replica.incoming)
 }
-
-/// Counts the copies of each model on replicas in service.
-fn count_copies(replicas: &[Replica], models: usize) -> Vec<CopyCount> {
-    let mut counts = vec![CopyCount::default(); models];
-    for replica in replicas.iter().filter(|r| r.in_service) {
-        for model in &replica.held {
-            counts[*model].held += 1;
-            counts[*model].total += 1;
-            counts[*model].capacity += replica.capacity();
-        }
-        for model in &replica.incoming {
-            counts[*model].total += 1;
-            counts[*model].capacity += replica.capacity();
-        }
-    }
-    counts
-}
--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -1,7 +1,7 @@
 //! Selects the next step of a plan.
 
-use super::Step;
 use super::state::State;
+use super::{Search, Step};
 
 /// Part of a copy's value that is lost on a replica whose request slots are all in use.
 const UTILIZATION_PENALTY: f64 = 0.3;
@@ -12,6 +12,9 @@
 /// Cost of evicting one copy: two orders, and the cached prompts.
 const EVICTION_COST: f64 = 0.05;
 
+/// Factor on a bound that covers the rounding of the value that it bounds.
+const ROUNDING: f64 = 1.0 + 1e-9;
+
 /// Steps that may still be planned.
 pub(super) struct Budget {
     /// Loads from the weight store.
@@ -78,18 +81,86 @@
 }
 
 /// Returns the step with the highest score over all available replicas and models.
-pub(super) fn best_step(state: &State, budget: &Budget) -> Option<Step> {
+pub(super) fn best_step(
+    state: &State,
+    budget: &Budget,
+    search: Search,
+    evaluations: &mut usize,
+) -> Option<Step> {
     let ranked = rank_models(state);
     let mut best: Option<(Step, Score)> = None;
     for (r, replica) in state.replicas.iter().enumerate() {
         if replica.accepts_orders && replica.in_service {
             let lower_bound = best.as_ref().map(|(_, score)| *score);
-            best = best_step_on(state, r, &ranked, budget, lower_bound).or(best);
+            let limit = Limit::new(state, r, search);
+            best = best_step_on(state, &limit, &ranked, budget, lower_bound, evaluations).or(best);
         }
     }
     best.map(|(step, _)| step)
 }
 
+/// Upper bounds on the score of copies on one replica.
+struct Limit {
+    /// Replica.
+    r: usize,
+    search: Search,
+    /// Part of a copy's value that is left by the capacity and the utilization of the replica.
+    factor: f64,
+    /// Least loss of the evictions that any copy needs.
+    loss: f64,
+    /// Least cost of these evictions.
+    eviction_cost: f64,
+}
+
+impl Limit {
+    fn new(state: &State, r: usize, search: Search) -> Limit {
+        let loss = state.min_eviction_loss(r);
+        Limit {
+            r,
+            search,
+            factor: state.replicas[r].capacity() * utilization_factor(state, r) * ROUNDING,
+            loss: loss * HYSTERESIS,
+            eviction_cost: if loss > 0.0 { EVICTION_COST } else { 0.0 },
+        }
+    }
+
+    /// Bound for all models ranked no higher than this score.
+    fn of_rank(&self, score: Score) -> Score {
+        match self.search {
+            Search::Exhaustive => score,
+            Search::Pruned => Score {
+                gain: score.gain * self.factor - self.loss - self.eviction_cost,
+                ..score
+            },
+        }
+    }
+
+    /// Bound for one model of this rank. It rounds like the value that it bounds, so that equal steps are skipped.
+    fn of_model(&self, state: &State, m: usize, score: Score) -> Score {
+        if self.search == Search::Exhaustive {
+            return score;
+        }
+        Score {
+            gain: load_gain(state, self.r, m) - self.loss - self.eviction_cost,
+            ..score
+        }
+    }
+}
+
+/// Gain of loading a copy on a replica, before the loss of evictions.
+fn load_gain(state: &State, r: usize, m: usize) -> f64 {
+    let source_factor = match state.replicas[r].cached.contains(&m) {
+        true => 1.0,
+        false => state.models[m].store_factor,
+    };
+    state.gain(m, r) * source_factor * utilization_factor(state, r)
+}
+
+/// Part of a copy's value that is left on a replica with its utilization.
+fn utilization_factor(state: &State, r: usize) -> f64 {
+    1.0 - UTILIZATION_PENALTY * state.replicas[r].utilization.min(1.0)
+}
+
 /// Ranks the models by an upper bound on the score of a further copy, the highest first.
 fn rank_models(state: &State) -> Vec<(usize, Score)> {
     let score = |m: usize| Score {
@@ -107,19 +178,25 @@
 /// a load with a higher score waits for the weight store: another step would take its memory.
 fn best_step_on(
     state: &State,
-    r: usize,
+    limit: &Limit,
     ranked: &[(usize, Score)],
     budget: &Budget,
     lower_bound: Option<Score>,
+    evaluations: &mut usize,
 ) -> Option<(Step, Score)> {
     let mut best_score = lower_bound;
     let mut best = None;
     for (m, score) in ranked {
         // The models after this one cannot score higher.
-        if best_score.is_some_and(|best_score| *score <= best_score) {
+        if best_score.is_some_and(|best_score| limit.of_rank(*score) <= best_score) {
             break;
         }
-        let Some((candidate, gain, evicts_last)) = evaluate(state, r, *m, budget) else {
+        let bound = || limit.of_model(state, *m, *score);
+        if best_score.is_some_and(|best_score| bound() <= best_score) {
+            continue;
+        }
+        *evaluations += 1;
+        let Some((candidate, gain, evicts_last)) = evaluate(state, limit.r, *m, budget) else {
             continue;
         };
         let urgent = score.urgent && !evicts_last;
@@ -150,13 +227,7 @@
     }
     let replica = &state.replicas[r];
     let from_store = !replica.cached.contains(&m);
-    let source_factor = match from_store {
-        true => state.models[m].store_factor,
-        false => 1.0,
-    };
-    let gain = state.gain(m, r)
-        * source_factor
-        * (1.0 - UTILIZATION_PENALTY * replica.utilization.min(1.0));
+    let gain = load_gain(state, r, m);
     if state.models[m].memory_mb <= replica.free_mb {
         let load = Step::Load {
             replica: r,
