--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -103,6 +103,8 @@
     pub last_unloaded: Option<(Name, Time)>,
     last_used: HashMap<(Name, Name), Time>,
     last_ordered: Time,
+    /// When its adapters last changed.
+    pub adapters_changed: Time,
 }
 
 impl Default for Record {
@@ -125,6 +127,7 @@
             last_unloaded: None,
             last_used: HashMap::new(),
             last_ordered: Time(0),
+            adapters_changed: Time(0),
         }
     }
 }
@@ -299,12 +302,9 @@
 
     /// Whether an entry lists other models than the record.
     fn differs(&self, entry: &Entry) -> bool {
-        let names = |resident: &[Resident]| {
-            let mut names: Vec<Name> = resident.iter().map(|h| h.model.clone()).collect();
-            names.sort();
-            names
-        };
-        names(&self.resident) != names(&entry.resident)
+        let holds = |model: &Name| self.resident.iter().any(|h| h.model == *model);
+        self.resident.len() != entry.resident.len()
+            || !entry.resident.iter().all(|h| holds(&h.model))
     }
 
     /// Applies a report, which counts as the newest state unless it is from an incarnation whose
@@ -316,6 +316,7 @@
         }
         self.last_ordered = now;
         self.orders_accepted = report.orders_accepted;
+        let adapters = self.adapters();
         self.resident.clone_from(&report.resident);
         for (model, adapter) in &report.loading_adapters {
             if let Some(resident) = self.resident.iter_mut().find(|h| h.model == *model)
@@ -324,6 +325,9 @@
                 resident.adapters.push(adapter.clone());
             }
         }
+        if self.adapters() != adapters {
+            self.adapters_changed = now;
+        }
         self.report_due = report.busy.then(|| now + BUSY_REPORT_INTERVAL);
         if !report.busy {
             self.pending = None;
@@ -347,10 +351,12 @@
                 if !adapters.contains(adapter) {
                     adapters.push(adapter.clone());
                 }
+                self.adapters_changed = now;
                 self.touch_adapter(&job.model, adapter, now);
             }
             (Operation::Unload, Some(adapter), Some(at)) => {
                 self.resident[at].adapters.retain(|a| a != adapter);
+                self.adapters_changed = now;
             }
             _ => {}
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod readers;
 pub mod relay;
 pub mod respond;
+pub mod rounds;
 pub mod routes;
 pub mod run;
 pub mod serve;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,14 +4,15 @@
 pub mod limit;
 mod quarantine;
 mod quota;
+pub mod status;
 
 pub use departures::Departures;
 pub use limit::{LimitDigest, LimitReport, ReplicaLimit};
 pub use quarantine::{CrashReport, QuarantineEntry, QuarantineList, TrialResponse};
 pub use quota::{QuotaRequest, QuotaResponse, Refund, Subject};
+pub use status::PlannerStatus;
 
 use crate::contact::Ages;
-use crate::readers::Reader;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -221,14 +222,14 @@
 
 impl PackedLoad {
     pub fn new(replica: &str, load: &Load) -> PackedLoad {
+        PackedLoad::of_hash(replica_hash(replica), load)
+    }
+
+    /// Load of the replica whose id has this hash.
+    pub fn of_hash(replica: u32, load: &Load) -> PackedLoad {
         let reserved = (load.reserved_tokens / TOKENS_PER_UNIT).round() as u16;
         let prefill = load.prefill_ms.map(|ms| ms.ceil() as u16);
-        PackedLoad(
-            replica_hash(replica),
-            load.requests as u16,
-            reserved,
-            prefill,
-        )
+        PackedLoad(replica, load.requests as u16, reserved, prefill)
     }
 
     /// Hash of the replica's id.
@@ -299,29 +300,10 @@
     pub loads: Vec<PackedLoad>,
     /// Adapters that the leader had loaded, by replica.
     pub adapters: Vec<(Name, Vec<(Name, Name)>)>,
-    /// Planner's status, sent in one datagram of each round.
+    /// Planner's status, or a part of it, sent each round.
     pub planner: Option<PlannerStatus>,
 }
 
-/// Status of the planner.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct PlannerStatus {
-    /// Models being loaded, with the expected remaining time in milliseconds.
-    pub loading: Vec<(Name, u32)>,
-    /// Models just loaded, by replica; the replica's entry may not list them yet.
-    pub loaded: Vec<(Name, Name)>,
-    /// Models about to be unloaded, by replica; they get no new requests.
-    pub unloading: Vec<(Name, Name)>,
-    /// Hashes of replicas that several hosts could not reach and too few others did.
-    pub unreachable: Vec<u32>,
-    /// Hosts that read the store for their halls.
-    pub readers: Vec<Reader>,
-    /// Addresses of all hosts while the fleet is small enough for direct exchange.
-    pub direct_hosts: Vec<SocketAddr>,
-    /// Period for which the hosts have been in contact with the store.
-    pub store_uptime: Option<Ages>,
-}
-
 /// Request to load an adapter.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct AdapterRequest {
@@ -355,6 +337,13 @@
     rmp_serde::from_slice(bytes)
 }
 
+/// Encoded size of a part of a datagram, in bytes.
+pub fn encoded_size(part: &impl Serialize) -> usize {
+    rmp_serde::to_vec(part)
+        .expect("a message is serializable")
+        .len()
+}
+
 /// Encodes a datagram.
 pub fn encode(message: &Message) -> Vec<u8> {
     rmp_serde::to_vec(message).expect("a message is serializable")
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -4,7 +4,7 @@
 //! number of hosts; in a large fleet one relay per fan-out group forwards the digests. Hosts of a small fleet also
 //! exchange loads directly, which is faster. A lost datagram only delays an update, and reports expire.
 //!
-//! `inbox` holds the reports that the leader received, `quota` requests and grants units of fleet-wide quotas,
+//! `inbox` holds the reports that the leader received and `totals` their sums, `quota` requests and grants units of fleet-wide quotas,
 //! `limits` exchanges rate limits of replicas, `departures` replicas that are leaving, `load_reports` sends the loads
 //! of this host, `fanout` chooses relays, `quarantine` reports crashes and requests trials, and `pending` matches
 //! responses to requests. The datagrams are defined in [`message`].
@@ -17,11 +17,13 @@
 mod pending;
 mod quarantine;
 pub mod quota;
+mod totals;
 
 pub use inbox::Inbox;
 
-use crate::message::{self, AdapterPlacement, Digest, Message, TrialResponse};
+use crate::message::{self, AdapterPlacement, Digest, Message, PackedLoad, TrialResponse, status};
 use crate::readers::Candidate;
+use crate::rounds::{self, MAX_DIRECT_HOSTS};
 use crate::state::{PlacementRequest, PlacementRequests, State};
 use bytes::Bytes;
 use fanout::Group;
@@ -38,15 +40,9 @@
 /// Time within which a repeated request for the same adapter or model is dropped.
 const REQUEST_DEDUP: Span = Span::from_ms(60);
 
-/// Age after which a fan-out group is no longer used; the leader renews it several times within this time.
-const FANOUT_MAX_AGE: Span = Span::from_ms(3_000);
-
 /// Longest datagram that is received, in bytes.
 const BUFFER_SIZE: usize = 8 * 1_024;
 
-/// Maximum number of hosts that exchange loads directly; larger fleets rely on the leader's digests.
-const MAX_DIRECT_HOSTS: usize = 16;
-
 /// Datagram exchange with other daemons.
 pub struct Peers {
     state: Arc<State>,
@@ -57,6 +53,8 @@
     direct_hosts: Mutex<Vec<SocketAddr>>,
     /// Sequence number of load messages between two rounds.
     load_sequence: AtomicU32,
+    /// Loads last sent between two rounds, and the term of the leader that they were sent to.
+    sent_loads: Mutex<(u64, Vec<PackedLoad>)>,
     /// Fan-out groups, while this host is the leader.
     fanout_groups: Mutex<Vec<Group>>,
     /// Fleet-wide quotas.
@@ -65,6 +63,8 @@
     new_hosts: Mutex<Vec<SocketAddr>>,
     /// Trial requests that wait for a response.
     trials: PendingRequests<TrialResponse>,
+    /// Parts of the planner's status that have arrived.
+    assembly: Mutex<status::Assembly>,
     /// Hosts that this one forwards digests to, and when the leader assigned them.
     fanout_members: Mutex<(Vec<SocketAddr>, Time)>,
 }
@@ -76,10 +76,12 @@
         inbox: Inbox::default(),
         direct_hosts: Mutex::default(),
         load_sequence: AtomicU32::new(0),
+        sent_loads: Mutex::default(),
         fanout_groups: Mutex::default(),
         quota: QuotaState::default(),
         new_hosts: Mutex::default(),
         trials: PendingRequests::default(),
+        assembly: Mutex::default(),
         fanout_members: Mutex::default(),
     })
 }
@@ -149,7 +151,7 @@
                 drop(table);
                 self.state.changed.notify_waiters();
             }
-            Message::AdapterRequest(request) => self.inbox.push_adapter_request(request),
+            Message::AdapterRequest(request) => self.inbox.push_adapter_request(request, from),
             Message::ModelRequest(request) => self.inbox.push_model_request(request),
             Message::Digest(digest) => self.apply_digest(digest, now),
             Message::AdapterPlacement(placement) => self.apply_placement(placement),
@@ -183,7 +185,8 @@
         let kind = message.kind();
         self.handle(message, from);
         let (hosts, assigned_at) = self.fanout_members.lock().clone();
-        if self.state.now().since(assigned_at) < FANOUT_MAX_AGE {
+        let host_count = self.state.table.lock().host_count;
+        if self.state.now().since(assigned_at) < rounds::max_age(host_count) {
             for host in hosts {
                 self.send_bytes(&bytes, kind, host).await;
             }
@@ -208,7 +211,9 @@
         for (replica, adapters) in digest.adapters {
             table.set_adapters(&replica, adapters, now);
         }
-        if let Some(status) = digest.planner {
+        let part = digest.planner;
+        let status = part.and_then(|part| self.assembly.lock().add(digest.term, part));
+        if let Some(status) = status {
             let own = self.state.settings.peers;
             let others = status.direct_hosts.into_iter().filter(|p| *p != own);
             *self.direct_hosts.lock() = others.collect();
@@ -245,6 +250,14 @@
         self.inbox.host_count() <= MAX_DIRECT_HOSTS
     }
 
+    /// Sends one datagram to a host; this host handles it directly.
+    pub async fn answer(&self, message: Message, to: SocketAddr) {
+        match to == self.state.settings.peers {
+            true => self.handle(message, to),
+            false => self.send(&message, to).await,
+        }
+    }
+
     /// Sends one datagram; send errors are logged and treated as loss.
     pub async fn send(&self, message: &Message, to: SocketAddr) {
         let bytes = message::encode(message);
@@ -328,10 +341,7 @@
                 PlacementRequest::Adapter(request) => Message::AdapterRequest(request),
                 PlacementRequest::Model(request) => Message::ModelRequest(request),
             };
-            match leader.peers == self.state.settings.peers {
-                true => self.handle(message, leader.peers),
-                false => self.send(&message, leader.peers).await,
-            }
+            self.answer(message, leader.peers).await;
         }
     }
 }
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -1,19 +1,23 @@
 //! Reports that the leader has received from the hosts.
 
+use super::totals::Totals;
 use crate::contact::{self, Ages};
-use crate::message::{AdapterRequest, AdapterUse, Load, LoadReport, ModelRequest, PackedLoad};
+use crate::message::{
+    AdapterRequest, AdapterUse, Demand, Load, LoadReport, ModelRequest, PackedLoad,
+};
 use crate::readers::Candidate;
+use crate::rounds;
 use parking_lot::Mutex;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use tokio::sync::Notify;
 use unit::{Name, Span, Time};
 
-/// Age after which a host's report expires.
-const REPORT_MAX_AGE: Span = Span::from_ms(3_000);
+/// Least time without a report after which a host counts as silent.
+const MIN_SILENT_AFTER: Span = Span::from_ms(1_000);
 
-/// Time without a report after which a host counts as silent; hosts send at least three times a second.
-const SILENT_AFTER: Span = Span::from_ms(1_000);
+/// Rounds without a report after which a host counts as silent.
+const SILENT_ROUNDS: f64 = 2.5;
 
 /// Time for which a host whose store calls failed is not chosen to read the store for others.
 const STORE_FAILURE_MAX_AGE: Span = Span::from_secs(5);
@@ -23,10 +27,9 @@
 
 #[derive(Default)]
 pub struct Inbox {
-    /// Last report of each host, by name.
-    hosts: Mutex<HashMap<Name, HostState>>,
-    /// Adapters requested since the last call of [`Inbox::take_adapter_requests`].
-    adapter_requests: Mutex<Vec<AdapterRequest>>,
+    hosts: Mutex<Hosts>,
+    /// Adapters requested since the last call of [`Inbox::take_adapter_requests`], each with the host to answer.
+    adapter_requests: Mutex<Vec<(AdapterRequest, SocketAddr)>>,
     /// Models requested since the last call of [`Inbox::take_model_requests`].
     model_requests: Mutex<Vec<ModelRequest>>,
     /// Adapters used since the last call of [`Inbox::take_adapter_uses`].
@@ -35,6 +38,15 @@
     pub request_received: Notify,
 }
 
+/// Reports of the hosts.
+#[derive(Default)]
+struct Hosts {
+    /// Last report of each host, by name.
+    by_name: HashMap<Name, HostState>,
+    /// Sum of the loads in the reports.
+    totals: Totals,
+}
+
 struct HostState {
     report: LoadReport,
     /// Sequence number of the load message that the loads are from; none if they are from the report.
@@ -47,40 +59,64 @@
     store_failed_at: Option<Time>,
 }
 
-impl Inbox {
+impl Hosts {
+    /// Drops reports that have expired, with their loads.
+    fn expire(&mut self, now: Time) {
+        let max_age = rounds::max_age(self.by_name.len());
+        let totals = &mut self.totals;
+        self.by_name.retain(|_, host| {
+            let is_current = now.since(host.reported_at) < max_age;
+            if !is_current {
+                totals.subtract(&host.report.loads);
+            }
+            is_current
+        });
+    }
+
     /// Reports that have not expired.
-    pub fn reports(&self, now: Time) -> Vec<LoadReport> {
+    fn current(&mut self, now: Time) -> impl Iterator<Item = &LoadReport> {
+        self.expire(now);
+        self.by_name.values().map(|host| &host.report)
+    }
+}
+
+impl Inbox {
+    /// Calls `visit` with the demand of each host.
+    pub fn for_each_demand(&self, now: Time, visit: impl FnMut(&Demand)) {
         let mut hosts = self.hosts.lock();
-        hosts.retain(|_, host| now.since(host.reported_at) < REPORT_MAX_AGE);
-        hosts.values().map(|host| host.report.clone()).collect()
+        hosts.current(now).flat_map(|r| &r.demand).for_each(visit);
     }
 
     /// Addresses of the hosts' datagram sockets.
     pub fn hosts(&self) -> Vec<SocketAddr> {
-        self.hosts.lock().values().map(|host| host.from).collect()
+        let hosts = self.hosts.lock();
+        hosts.by_name.values().map(|host| host.from).collect()
     }
 
     /// Number of hosts with a report that has not been removed.
     pub fn host_count(&self) -> usize {
-        self.hosts.lock().len()
+        self.hosts.lock().by_name.len()
     }
 
     /// Candidates for reading the store and for relaying.
     pub fn candidates(&self, now: Time) -> Vec<Candidate> {
         let hosts = self.hosts.lock();
-        let candidates = hosts.values().map(|host| Candidate {
+        let silent_after =
+            rounds::at_least_rounds(MIN_SILENT_AFTER, SILENT_ROUNDS, hosts.by_name.len());
+        let candidates = hosts.by_name.values().map(|host| Candidate {
             hall: host.report.hall.clone(),
             addr: host.from,
             cores: host.report.cores,
             store_failed: host
                 .store_failed_at
                 .is_some_and(|at| now.since(at) < STORE_FAILURE_MAX_AGE),
-            silent: now.since(host.reported_at) > SILENT_AFTER,
+            silent: now.since(host.reported_at) > silent_after,
         });
         candidates.collect()
     }
 
-    pub fn take_adapter_requests(&self) -> Vec<AdapterRequest> {
+    /// Adapters requested since the last call, each with the host to answer.
+    pub fn take_adapter_requests(&self) -> Vec<(AdapterRequest, SocketAddr)> {
         std::mem::take(&mut *self.adapter_requests.lock())
     }
 
@@ -95,53 +131,56 @@
     /// Records one datagram of a report; datagrams of the same round are merged. Returns whether the host is new.
     pub fn record_report(&self, mut report: LoadReport, from: SocketAddr, now: Time) -> bool {
         self.adapter_uses.lock().append(&mut report.adapter_uses);
-        let mut hosts = self.hosts.lock();
-        let state = hosts.get_mut(&report.host);
-        let is_new = state.is_none();
-        let store_failed_at = state.as_ref().and_then(|state| state.store_failed_at);
-        let store_failed_at = if report.store_failed {
-            Some(now)
-        } else {
-            store_failed_at
+        let hosts = &mut *self.hosts.lock();
+        hosts.totals.add(&report.loads);
+        let Some(state) = hosts.by_name.get_mut(&report.host) else {
+            let state = HostState {
+                sequence: None,
+                from,
+                reported_at: now,
+                store_failed_at: report.store_failed.then_some(now),
+                report,
+            };
+            hosts.by_name.insert(state.report.host.clone(), state);
+            return true;
         };
-        match state {
-            Some(state) if state.report.round == report.round => {
-                state.report.demand.extend(report.demand);
-                state.report.loads.extend(report.loads);
-                state.reported_at = now;
-                state.store_failed_at = store_failed_at;
-            }
-            _ => {
-                let host = report.host.clone();
-                let state = HostState {
-                    report,
-                    sequence: None,
-                    from,
-                    reported_at: now,
-                    store_failed_at,
-                };
-                hosts.insert(host, state);
-            }
+        state.from = from;
+        state.reported_at = now;
+        if report.store_failed {
+            state.store_failed_at = Some(now);
         }
-        is_new
+        if state.report.round == report.round {
+            state.report.demand.extend(report.demand);
+            state.report.loads.extend(report.loads);
+        } else {
+            hosts.totals.subtract(&state.report.loads);
+            state.sequence = None;
+            state.report = report;
+        }
+        false
     }
 
     /// Records one datagram of a host's loads between two rounds; datagrams with the same sequence number are merged.
     /// The rest of the host's last report is kept.
     pub fn record_loads(&self, report: LoadReport, now: Time) {
-        if let Some(state) = self.hosts.lock().get_mut(&report.host) {
-            match state.sequence == Some(report.round) {
-                true => state.report.loads.extend(report.loads),
-                false => state.report.loads = report.loads,
-            }
-            state.report.store_uptime = report.store_uptime;
-            state.sequence = Some(report.round);
-            state.reported_at = now;
+        let hosts = &mut *self.hosts.lock();
+        let Some(state) = hosts.by_name.get_mut(&report.host) else {
+            return;
+        };
+        hosts.totals.add(&report.loads);
+        if state.sequence == Some(report.round) {
+            state.report.loads.extend(report.loads);
+        } else {
+            hosts.totals.subtract(&state.report.loads);
+            state.report.loads = report.loads;
         }
+        state.report.store_uptime = report.store_uptime;
+        state.sequence = Some(report.round);
+        state.reported_at = now;
     }
 
-    pub(super) fn push_adapter_request(&self, request: AdapterRequest) {
-        self.adapter_requests.lock().push(request);
+    pub(super) fn push_adapter_request(&self, request: AdapterRequest, from: SocketAddr) {
+        self.adapter_requests.lock().push((request, from));
         self.request_received.notify_one();
     }
 
@@ -154,35 +193,40 @@
     ///
     /// The second condition distinguishes a replica that is down from a network fault of some hosts.
     pub fn unreachable(&self, now: Time) -> Vec<u32> {
-        // By replica: hosts that could not reach it, and other hosts that have requests on it.
-        let mut votes: HashMap<u32, (usize, usize)> = HashMap::new();
-        for report in self.reports(now) {
-            for replica in &report.unreachable {
-                votes.entry(*replica).or_default().0 += 1;
-            }
-            let reached = report.loads.iter().map(PackedLoad::replica);
-            for replica in reached.filter(|r| !report.unreachable.contains(r)) {
-                votes.entry(replica).or_default().1 += 1;
+        let mut hosts = self.hosts.lock();
+        let mut votes: HashMap<u32, usize> = HashMap::new();
+        for replica in hosts.current(now).flat_map(|report| &report.unreachable) {
+            *votes.entry(*replica).or_default() += 1;
+        }
+        votes.retain(|_, unreachable| *unreachable >= MIN_UNREACHABLE_VOTES);
+        if votes.is_empty() {
+            return Vec::new();
+        }
+        let mut reached: HashMap<u32, usize> = HashMap::new();
+        for report in hosts.current(now) {
+            let voted = report.loads.iter().map(PackedLoad::replica);
+            for replica in
+                voted.filter(|r| votes.contains_key(r) && !report.unreachable.contains(r))
+            {
+                *reached.entry(replica).or_default() += 1;
             }
         }
-        let down = |(unreachable, reached): &(usize, usize)| {
-            *unreachable >= MIN_UNREACHABLE_VOTES && unreachable > reached
-        };
-        let down = votes.into_iter().filter(|(_, votes)| down(votes));
-        down.map(|(replica, _)| replica).collect()
+        votes.retain(|replica, unreachable| {
+            *unreachable > reached.get(replica).copied().unwrap_or_default()
+        });
+        votes.into_keys().collect()
     }
 
     /// Hashes of replicas that asked most hosts to back off.
     pub fn backing_off(&self, now: Time) -> HashSet<u32> {
-        let reports = self.reports(now);
+        let mut hosts = self.hosts.lock();
         let mut votes: HashMap<u32, usize> = HashMap::new();
-        for replica in reports.iter().flat_map(|report| &report.backing_off) {
+        for replica in hosts.current(now).flat_map(|report| &report.backing_off) {
             *votes.entry(*replica).or_default() += 1;
         }
-        let majority = votes
-            .into_iter()
-            .filter(|(_, count)| *count * 2 > reports.len());
-        majority.map(|(replica, _)| replica).collect()
+        let reports = hosts.by_name.len();
+        votes.retain(|_, count| *count * 2 > reports);
+        votes.into_keys().collect()
     }
 
     /// Period for which the hosts have been in contact with the store, if replicas write to it each `heartbeat`.
@@ -190,7 +234,7 @@
         let max_gap = contact::max_gap_between_hosts(heartbeat);
         let hosts = self.hosts.lock();
         let uptime = |host: &HostState| Some(host.report.store_uptime?.uptime(host.reported_at));
-        let uptimes = hosts.values().filter_map(uptime);
+        let uptimes = hosts.by_name.values().filter_map(uptime);
         uptimes
             .reduce(|a, b| a.join(b, max_gap))
             .map(|r| r.ages(now))
@@ -198,12 +242,15 @@
 
     /// Total load of all hosts by replica hash.
     pub fn loads(&self, now: Time) -> HashMap<u32, Load> {
-        let mut loads: HashMap<u32, Load> = HashMap::new();
         let mut hosts = self.hosts.lock();
-        hosts.retain(|_, host| now.since(host.reported_at) < REPORT_MAX_AGE);
-        for load in hosts.values().flat_map(|host| &host.report.loads) {
-            loads.entry(load.replica()).or_default().add(&load.load());
-        }
-        loads
+        hosts.expire(now);
+        hosts.totals.all().clone()
+    }
+
+    /// Total load of the replicas for which it may have changed since the last call.
+    pub fn take_changed_loads(&self, now: Time) -> Vec<PackedLoad> {
+        let mut hosts = self.hosts.lock();
+        hosts.expire(now);
+        hosts.totals.take_changed()
     }
 }
--- a/crates/front/src/peers/load_reports.rs
+++ b/crates/front/src/peers/load_reports.rs
@@ -1,29 +1,22 @@
 //! Reports this host's load: to the leader each round, and between rounds as soon as a request is added or a prompt
 //! is prefilled.
 
-use super::{MAX_DIRECT_HOSTS, Peers};
+use super::Peers;
 use crate::message::{Demand, LoadReport, Message, PackedLoad, replica_hash};
 use crate::readers;
+use crate::rounds;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Interval of rounds in a fleet with direct exchange.
-const DIRECT_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Minimum interval of rounds in larger fleets.
-const MIN_LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Increase of the interval per host, which keeps the leader's work constant.
-const INTERVAL_PER_HOST: Duration = Duration::from_micros(1_500);
-
 /// Delay in which added requests are batched.
 const LOAD_BATCH_DELAY: Duration = Duration::from_millis(5);
 
 /// Maximum delay of a report that load was reduced, after a report of added load.
 const LOAD_REDUCED_WAIT: Duration = Duration::from_millis(50);
 
-/// Interval of load messages while no request is added.
+/// Interval at which ended requests are reported while none is added. Hosts that hold a share of a quota send a
+/// heartbeat as often.
 const LOAD_IDLE_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Peers {
@@ -42,11 +35,7 @@
 
     /// Interval of rounds.
     pub fn report_interval(&self) -> Duration {
-        let hosts = self.state.table.lock().host_count;
-        match hosts <= MAX_DIRECT_HOSTS {
-            true => DIRECT_INTERVAL,
-            false => MIN_LARGE_FLEET_INTERVAL.max(INTERVAL_PER_HOST * hosts as u32),
-        }
+        rounds::interval(self.state.table.lock().host_count)
     }
 
     /// Sends loads as soon as a request is added: to all other hosts in a small fleet, otherwise to the leader.
@@ -71,13 +60,16 @@
         }
     }
 
-    /// Sends loads to the leader, between two rounds.
+    /// Sends loads to the leader, between two rounds, if they differ from those that it was last sent.
     async fn send_loads_to_leader(&self) {
         let Some(leader) = self.state.leader.lock().clone() else {
             return;
         };
         let now = self.state.now();
         let loads = self.state.table.lock().report_own_loads(now);
+        if !self.take_as_sent(leader.term, &loads) && !self.state.shares.is_any_held() {
+            return;
+        }
         let sequence = self.load_sequence.fetch_add(1, Ordering::Relaxed);
         let report = self.new_report(sequence, Vec::new(), loads);
         if leader.peers == self.state.settings.peers {
@@ -89,6 +81,16 @@
         }
     }
 
+    /// Records loads as sent to the leader of a term; returns whether they differ from those recorded before.
+    fn take_as_sent(&self, term: u64, loads: &[PackedLoad]) -> bool {
+        let mut sent = self.sent_loads.lock();
+        let is_new = sent.0 != term || sent.1 != loads;
+        if is_new {
+            *sent = (term, loads.to_vec());
+        }
+        is_new
+    }
+
     /// Sends this round's report to the leader.
     async fn send_report(&self, round: u32) {
         let Some(leader) = self.state.leader.lock().clone() else {
@@ -111,6 +113,7 @@
                 backing_off,
             )
         };
+        self.take_as_sent(leader.term, &loads);
         let report = LoadReport {
             adapter_uses,
             unreachable,
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -17,7 +17,7 @@
 
 use crate::fleet::{Bucket, Record};
 use crate::leader::Term;
-use crate::message::{AdapterUse, Load, ModelRequest, PackedLoad, replica_hash};
+use crate::message::{Load, ModelRequest, replica_hash};
 use crate::peers::Peers;
 use crate::shares;
 use crate::state::State;
@@ -26,7 +26,7 @@
 use demand::Demand;
 use parking_lot::Mutex;
 use platform::replica::Entry;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -56,8 +56,8 @@
     term: Term,
     pool: Pool,
     fleet: Mutex<Fleet>,
-    /// Load that hosts were last sent, by replica hash.
-    last_sent: Mutex<HashMap<u32, PackedLoad>>,
+    /// Load that hosts were last sent.
+    last_sent: Mutex<digest::SentRows>,
     /// Whether a write of the quarantine list is in progress.
     storing: AtomicBool,
 }
@@ -74,6 +74,8 @@
     last_spread: HashMap<(Name, Name), Time>,
     /// Last measurement of the demand.
     measured: Time,
+    /// Last update of the records.
+    synced: Time,
 }
 
 /// Plans until another host leads. Orders are sent only while the term is valid. Load is broadcast
@@ -112,7 +114,7 @@
             }
             _ = planner.peers.inbox.request_received.notified() => {
                 if may_order {
-                    planner.sync();
+                    planner.sync_if_due();
                     planner.place_adapters();
                     if planner.note_missing() && planning.is_none() {
                         plan_started = tokio::time::Instant::now();
@@ -157,6 +159,7 @@
             demand: HashMap::new(),
             last_spread: HashMap::new(),
             measured: state.now(),
+            synced: Time(0),
         }),
         last_sent: Mutex::default(),
         storing: AtomicBool::new(false),
@@ -187,9 +190,10 @@
     /// Updates the records from store entries and from the hosts' reports of adapter uses.
     fn sync(&self) {
         let now = self.state.now();
-        let unreachable = self.peers.inbox.unreachable(now);
+        let unreachable: HashSet<u32> = self.peers.inbox.unreachable(now).into_iter().collect();
         let table = self.state.table.lock();
         let mut fleet = self.fleet.lock();
+        fleet.synced = now;
         fleet.records.retain(|id, _| table.view.get(id).is_some());
         let routes = table.routes.as_ref();
         let runs_models = |service: &Name| {
@@ -202,10 +206,26 @@
                 log_found(&replica.entry);
                 Record::default()
             });
-            record.note_unreachable(unreachable.contains(&replica_hash(&replica.entry.id)), now);
+            let is_unreachable =
+                !unreachable.is_empty() && unreachable.contains(&replica_hash(&replica.entry.id));
+            record.note_unreachable(is_unreachable, now);
             record.sync(&replica.entry, now);
         }
-        fleet.note_uses(self.peers.inbox.take_adapter_uses(), now);
+        for adapter_use in self.peers.inbox.take_adapter_uses() {
+            let id = table.view.id_of_hash(adapter_use.replica);
+            if let Some(record) = id.and_then(|id| fleet.records.get_mut(id)) {
+                record.touch_adapter(&adapter_use.model, &adapter_use.adapter, now);
+            }
+        }
+    }
+
+    /// Updates the records unless they were updated within a plan's interval: requests for adapters come far more
+    /// often than entries change.
+    fn sync_if_due(&self) {
+        let synced = self.fleet.lock().synced;
+        if self.state.now().since(synced) >= Span::from(PLAN_INTERVAL) {
+            self.sync();
+        }
     }
 
     /// Starts a plan concurrently: on a blocking thread with many replicas, where it takes a
@@ -264,23 +284,6 @@
     }
 }
 
-impl Fleet {
-    /// Records which adapters hosts have sent requests to.
-    fn note_uses(&mut self, mut uses: Vec<AdapterUse>, now: Time) {
-        uses.sort_by_key(|adapter_use| adapter_use.replica);
-        for (id, record) in &mut self.records {
-            let hash = replica_hash(id);
-            let first = uses.partition_point(|adapter_use| adapter_use.replica < hash);
-            let own = uses[first..]
-                .iter()
-                .take_while(|adapter_use| adapter_use.replica == hash);
-            for adapter_use in own {
-                record.touch_adapter(&adapter_use.model, &adapter_use.adapter, now);
-            }
-        }
-    }
-}
-
 /// Logs what a newly discovered replica holds.
 fn log_found(entry: &Entry) {
     let held: Vec<&str> = entry.resident.iter().map(|h| &*h.model).collect();
--- a/crates/front/src/planner/adapters.rs
+++ b/crates/front/src/planner/adapters.rs
@@ -2,10 +2,11 @@
 
 use super::{Fleet, Planner, entries, utilization};
 use crate::fleet::{Job, Record};
-use crate::message::{AdapterPlacement, AdapterRequest, Load, Message};
+use crate::message::{AdapterPlacement, AdapterRequest, Message};
 use platform::config::Engine;
 use platform::replica::{Entry, Operation};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
@@ -31,48 +32,112 @@
     Queued,
 }
 
+/// Replica that holds a model.
+struct Holder {
+    id: Name,
+    /// Fraction of its slots in use.
+    utilization: f64,
+}
+
 impl Planner {
     /// Places the adapters that hosts request.
     pub(super) fn place_adapters(self: &Arc<Self>) {
         let now = self.state.now();
-        let loads = self.peers.inbox.loads(now);
-        for request in self.peers.inbox.take_adapter_requests() {
-            if let Some(id) = self.place_adapter(&request, &loads, now) {
-                self.dispatch(id);
+        let mut by_model: HashMap<(Name, Name), Vec<(AdapterRequest, SocketAddr)>> = HashMap::new();
+        for (request, from) in self.peers.inbox.take_adapter_requests() {
+            let key = (request.service.clone(), request.model.clone());
+            by_model.entry(key).or_default().push((request, from));
+        }
+        if by_model.is_empty() {
+            return;
+        }
+        let routes = self.state.table.lock().routes.clone();
+        let mut holders = self.holders(by_model.keys());
+        for ((service, model), requests) in by_model {
+            let holders = holders
+                .remove(&(service.clone(), model))
+                .unwrap_or_default();
+            let service = routes.as_ref().and_then(|r| r.service(&service));
+            let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
+                continue;
+            };
+            for (request, from) in requests {
+                if let Some(id) = self.place_adapter(&request, from, &holders, engine, now) {
+                    self.dispatch(id);
+                }
             }
         }
     }
 
+    /// Replicas that hold each of these models, by service and model, and are not leaving. One pass over all replicas
+    /// serves all requests that arrived together.
+    fn holders<'a>(
+        &self,
+        models: impl Iterator<Item = &'a (Name, Name)>,
+    ) -> HashMap<(Name, Name), Vec<Holder>> {
+        let mut holders: HashMap<(Name, Name), Vec<Holder>> =
+            models.map(|key| (key.clone(), Vec::new())).collect();
+        let loads = self.peers.inbox.loads(self.state.now());
+        let table = self.state.table.lock();
+        let fleet = self.fleet.lock();
+        for replica in table.view.all().filter(|r| !r.entry.leaving) {
+            let Some(record) = fleet.records.get(&replica.entry.id) else {
+                continue;
+            };
+            for resident in &record.resident {
+                let key = (replica.entry.service.clone(), resident.model.clone());
+                if let Some(holders) = holders.get_mut(&key) {
+                    holders.push(Holder {
+                        id: replica.entry.id.clone(),
+                        utilization: utilization(&replica.entry, &loads),
+                    });
+                }
+            }
+        }
+        holders
+    }
+
     /// Queues the orders for one adapter, and returns the replica that they are for.
     fn place_adapter(
         self: &Arc<Self>,
         request: &AdapterRequest,
-        loads: &HashMap<u32, Load>,
+        from: SocketAddr,
+        holders: &[Holder],
+        engine: &Engine,
         now: Time,
     ) -> Option<Name> {
-        let (engine, entries) = self.active_replicas(&request.service)?;
         let mut fleet = self.fleet.lock();
         if request.additional {
-            let id = fleet.additional_replica(&entries, request, &engine, loads, now)?;
-            fleet.queue_adapter(&id, request, &engine);
+            let id = fleet.additional_replica(holders, request, engine, now)?;
+            fleet.queue_adapter(&id, request, engine);
             return Some(id);
         }
-        match fleet.locate(&entries, &request.model, &request.adapter) {
+        match fleet.locate(holders, &request.model, &request.adapter) {
             Some(Location::Held(id)) => {
                 let record = fleet.records.get_mut(&id)?;
                 record.touch_adapter(&request.model, &request.adapter, now);
-                let (model, adapter) = (request.model.clone(), request.adapter.clone());
-                self.announce_placed(model, adapter, id, Duration::ZERO);
+                self.answer_placed(request, id, from);
                 return None;
             }
             Some(Location::Queued) => return None,
             None => {}
         }
-        let (id, _) = fleet.cheapest(&entries, &request.model, &engine, loads, now)?;
-        fleet.queue_adapter(&id, request, &engine);
+        let (id, _) = fleet.cheapest(holders.iter(), &request.model, engine, now)?;
+        fleet.queue_adapter(&id, request, engine);
         Some(id)
     }
 
+    /// Tells the host that requested an adapter which replica holds it.
+    fn answer_placed(self: &Arc<Self>, request: &AdapterRequest, replica: Name, to: SocketAddr) {
+        let placement = Message::AdapterPlacement(AdapterPlacement {
+            model: request.model.clone(),
+            adapter: request.adapter.clone(),
+            replica: Some(replica),
+        });
+        let planner = self.clone();
+        tokio::spawn(async move { planner.peers.answer(placement, to).await });
+    }
+
     /// Engine of a service, and the entries of its replicas that are not leaving.
     pub(super) fn active_replicas(&self, service: &Name) -> Option<(Engine, Vec<Entry>)> {
         let table = self.state.table.lock();
@@ -110,11 +175,11 @@
 
 impl Fleet {
     /// First replica that holds an adapter or has it queued.
-    fn locate(&self, entries: &[Entry], model: &Name, adapter: &Name) -> Option<Location> {
-        entries.iter().find_map(|entry| {
-            let record = self.records.get(&entry.id)?;
+    fn locate(&self, holders: &[Holder], model: &Name, adapter: &Name) -> Option<Location> {
+        holders.iter().find_map(|holder| {
+            let record = self.records.get(&holder.id)?;
             if record.holds_adapter(model, adapter) {
-                return Some(Location::Held(entry.id.clone()));
+                return Some(Location::Held(holder.id.clone()));
             }
             let is_queued = record.has_queued_adapter(model, adapter);
             is_queued.then_some(Location::Queued)
@@ -143,10 +208,9 @@
     /// holders.
     fn additional_replica(
         &mut self,
-        entries: &[Entry],
+        replicas: &[Holder],
         request: &AdapterRequest,
         engine: &Engine,
-        loads: &HashMap<u32, Load>,
         now: Time,
     ) -> Option<Name> {
         let key = (request.model.clone(), request.adapter.clone());
@@ -155,13 +219,12 @@
         if self.last_spread.contains_key(&key) {
             return None;
         }
-        let (holders, others): (Vec<Entry>, Vec<Entry>) = entries
+        let (holders, others): (Vec<&Holder>, Vec<&Holder>) = replicas
             .iter()
-            .cloned()
-            .partition(|e| self.holds_or_queues(&e.id, &request.model, &request.adapter));
-        let utilizations = holders.iter().map(|e| utilization(e, loads));
+            .partition(|r| self.holds_or_queues(&r.id, &request.model, &request.adapter));
+        let utilizations = holders.iter().map(|h| h.utilization);
         let lowest = utilizations.fold(f64::INFINITY, f64::min);
-        let (id, cost) = self.cheapest(&others, &request.model, engine, loads, now)?;
+        let (id, cost) = self.cheapest(others.into_iter(), &request.model, engine, now)?;
         if cost > lowest - MIN_UTILIZATION_GAP {
             return None;
         }
@@ -177,19 +240,18 @@
     }
 
     /// Replica with the lowest cost for another adapter of a model, and that cost.
-    fn cheapest(
+    fn cheapest<'a>(
         &self,
-        entries: &[Entry],
+        replicas: impl Iterator<Item = &'a Holder>,
         model: &Name,
         engine: &Engine,
-        loads: &HashMap<u32, Load>,
         now: Time,
     ) -> Option<(Name, f64)> {
         let mut best: Option<(f64, &Name)> = None;
-        for entry in entries {
+        for replica in replicas {
             let Some(record) = self
                 .records
-                .get(&entry.id)
+                .get(&replica.id)
                 .filter(|r| can_load_adapter(r, model))
             else {
                 continue;
@@ -198,9 +260,9 @@
             if is_full && !can_evict(record, now) {
                 continue;
             }
-            let cost = utilization(entry, loads) + f64::from(u8::from(is_full)) * EVICTION_COST;
+            let cost = replica.utilization + f64::from(u8::from(is_full)) * EVICTION_COST;
             if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, &entry.id));
+                best = Some((cost, &replica.id));
             }
         }
         best.map(|(cost, id)| (id.clone(), cost))
--- a/crates/front/src/planner/demand.rs
+++ b/crates/front/src/planner/demand.rs
@@ -135,17 +135,12 @@
     /// Arrivals by service and model, summed over hosts.
     fn arrivals(&self, now: Time) -> HashMap<(Name, Name), Arrivals> {
         let mut totals: HashMap<(Name, Name), Arrivals> = HashMap::new();
-        for demand in self
-            .peers
-            .inbox
-            .reports(now)
-            .into_iter()
-            .flat_map(|h| h.demand)
-        {
-            let total = totals.entry((demand.service, demand.model)).or_default();
+        self.peers.inbox.for_each_demand(now, |demand| {
+            let key = (demand.service.clone(), demand.model.clone());
+            let total = totals.entry(key).or_default();
             total.rate += f64::from(demand.rate);
             total.tokens += f64::from(demand.tokens);
-        }
+        });
         totals
     }
 }
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -3,14 +3,18 @@
 use super::{Fleet, Planner};
 use crate::fleet::Record;
 use crate::message::{
-    Digest, Load, MAX_DATAGRAM, Message, PackedLoad, PlannerStatus, replica_hash,
+    self, Digest, Load, MAX_DATAGRAM, Message, PackedLoad, PlannerStatus, replica_hash, status,
 };
 use crate::readers::{self, Candidate, Reader};
+use crate::rounds;
 use std::collections::HashMap;
 use unit::{Name, Span, Time};
 
-/// Time for which a completed load is announced, until all hosts have read the entry.
-const ANNOUNCED_FOR: Span = Span::from_ms(3_000);
+/// Least time for which a completed load is announced, until all hosts have read the entry.
+const MIN_ANNOUNCED_FOR: Span = Span::from_ms(3_000);
+
+/// Rounds in which a completed load is announced at least; one datagram may be lost.
+const ANNOUNCED_ROUNDS: f64 = 2.5;
 
 /// Upper bound on the encoded size of a row, in bytes.
 const ROW_SIZE: usize = 32;
@@ -22,40 +26,45 @@
 /// ones: datagrams may be lost.
 pub(super) const FULL_DIGEST_ROUNDS: usize = 5;
 
-/// Rounds over which the adapters of all replicas are sent once.
-const ADAPTER_ROUNDS: usize = 8;
+/// Rounds that list the adapters of a replica after a change; its entry in the store lists them later.
+const ADAPTER_ROUNDS: f64 = 3.0;
 
 impl Planner {
     /// Sends the load and the plans to all hosts.
     pub(super) async fn send_digest(&self, round: usize) {
         let now = self.state.now();
-        let loads = self.peers.inbox.loads(now);
         let unreachable = self.peers.inbox.unreachable(now);
         let hosts = self.peers.inbox.candidates(now);
         let heartbeat = self.state.settings.bounds.heartbeat.into();
         let store_uptime = self.peers.inbox.store_uptime(heartbeat, now);
         self.peers.assign_fanout_groups(hosts.clone()).await;
         let readers = self.readers(hosts);
+        let adapters_within = Span::from(self.peers.report_interval()) * ADAPTER_ROUNDS;
         let (status, adapters) = {
             let fleet = self.fleet.lock();
+            let announced_for = rounds::at_least_rounds(
+                MIN_ANNOUNCED_FOR,
+                ANNOUNCED_ROUNDS,
+                self.peers.inbox.host_count(),
+            );
             let status = PlannerStatus {
+                round: round as u32,
                 unreachable,
                 readers,
                 direct_hosts: self.peers.direct_hosts(),
                 store_uptime,
-                ..status(&fleet, now)
+                ..planner_status(&fleet, announced_for, now)
             };
-            (status, adapters(&fleet, round))
+            (status, changed_adapters(&fleet, adapters_within, now))
         };
-        let hosts = self.peers.inbox.hosts().len() as u32;
-        let first = Digest {
+        let hosts = self.peers.inbox.host_count() as u32;
+        let header = Digest {
             term: self.term.token,
             hosts,
-            planner: Some(status),
             ..Digest::default()
         };
-        let mut parts = Parts::new(first);
-        for row in self.rows(&loads, round.is_multiple_of(FULL_DIGEST_ROUNDS)) {
+        let mut parts = Parts::new(header, status);
+        for row in self.digest_rows(round) {
             parts.with_room(ROW_SIZE).loads.push(row);
         }
         for (id, adapters) in adapters {
@@ -80,9 +89,8 @@
 
     /// Sends the load that has changed since the last round to all hosts.
     pub(super) async fn send_changes(&self) {
-        let loads = self.peers.inbox.loads(self.state.now());
-        let rows = self.rows(&loads, false);
-        let hosts = self.peers.inbox.hosts().len() as u32;
+        let rows = self.changed_rows();
+        let hosts = self.peers.inbox.host_count() as u32;
         for rows in rows.chunks(MAX_DATAGRAM / ROW_SIZE) {
             let digest = Digest {
                 term: self.term.token,
@@ -94,19 +102,28 @@
         }
     }
 
-    /// Rows of all replicas, or of those whose load has changed since they were last sent.
-    fn rows(&self, loads: &HashMap<u32, Load>, all: bool) -> Vec<PackedLoad> {
-        let mut sent = self.last_sent.lock();
-        if all {
-            sent.clear();
+    /// Rows of a round: those that have changed, and in a full round also all others that hosts may know otherwise.
+    /// At the start of a term these are twice the rows of all replicas, since hosts know those of another leader.
+    fn digest_rows(&self, round: usize) -> Vec<PackedLoad> {
+        let changed = self.changed_rows();
+        if round == 1 || round == FULL_DIGEST_ROUNDS {
+            let loads = self.peers.inbox.loads(self.state.now());
+            let replicas = self.replicas().into_iter();
+            let load = |hash| loads.get(&hash).copied().unwrap_or_default();
+            return replicas
+                .map(|id| PackedLoad::of_hash(replica_hash(&id), &load(replica_hash(&id))))
+                .collect();
         }
-        let rows = self.replicas().into_iter().filter_map(|id| {
-            let load = loads.get(&replica_hash(&id)).copied().unwrap_or_default();
-            let row = PackedLoad::new(&id, &load);
-            let previous = sent.insert(row.replica(), row);
-            (all || previous != Some(row)).then_some(row)
-        });
-        rows.collect()
+        match round.is_multiple_of(FULL_DIGEST_ROUNDS) {
+            true => self.last_sent.lock().full_rows(),
+            false => changed,
+        }
+    }
+
+    /// Rows that have changed since they were last sent.
+    fn changed_rows(&self) -> Vec<PackedLoad> {
+        let candidates = self.peers.inbox.take_changed_loads(self.state.now());
+        self.last_sent.lock().changed_rows(candidates)
     }
 
     /// All replicas, including those of services without models.
@@ -116,56 +133,73 @@
     }
 }
 
+/// Rows that hosts were last sent.
+#[derive(Default)]
+pub(super) struct SentRows {
+    /// Last row of each replica that had a load since the last full round.
+    rows: HashMap<u32, PackedLoad>,
+}
+
+impl SentRows {
+    /// Rows that differ from those sent last, which they replace.
+    fn changed_rows(&mut self, candidates: Vec<PackedLoad>) -> Vec<PackedLoad> {
+        let mut changed = candidates;
+        changed.retain(|row| {
+            let previous = self.rows.insert(row.replica(), *row);
+            previous.unwrap_or(PackedLoad::of_hash(row.replica(), &Load::default())) != *row
+        });
+        changed
+    }
+
+    /// All rows with a load, and those whose load ended since the last full round: a datagram that told of it may
+    /// be lost.
+    fn full_rows(&mut self) -> Vec<PackedLoad> {
+        let rows = self.rows.values().copied().collect();
+        self.rows.retain(|_, row| row.load() != Load::default());
+        rows
+    }
+}
+
 /// Parts of a digest, each of which fits in a datagram.
 struct Parts {
+    header: Digest,
     all: Vec<Digest>,
-    /// Size of the last part, in bytes.
+    /// Upper bound on the size of the last part, in bytes.
     size: usize,
 }
 
 impl Parts {
-    fn new(first: Digest) -> Parts {
-        let status_rows = first.planner.as_ref().map_or(0, |p| {
-            p.loading.len()
-                + p.loaded.len()
-                + p.unloading.len()
-                + p.unreachable.len()
-                + p.readers.len()
-                + p.direct_hosts.len()
-        });
-        Parts {
-            all: vec![first],
-            size: ROW_SIZE * (status_rows + 1),
-        }
+    fn new(header: Digest, status: PlannerStatus) -> Parts {
+        let with_status = |part| Digest {
+            planner: Some(part),
+            ..header.clone()
+        };
+        let all: Vec<Digest> = status.split().into_iter().map(with_status).collect();
+        let size = all.last().map_or(0, message::encoded_size);
+        Parts { header, all, size }
     }
 
     /// Part with room for `size` more bytes.
     fn with_room(&mut self, size: usize) -> &mut Digest {
         self.size += size;
         if self.size > MAX_DATAGRAM {
-            self.size = ROW_SIZE + size;
-            let first = &self.all[0];
-            let next = Digest {
-                term: first.term,
-                hosts: first.hosts,
-                ..Digest::default()
-            };
-            self.all.push(next);
+            self.size = status::HEADER_SIZE + size;
+            self.all.push(self.header.clone());
         }
         self.all.last_mut().expect("there is always one")
     }
 }
 
 /// What hosts are told of the plans.
-fn status(fleet: &Fleet, now: Time) -> PlannerStatus {
+fn planner_status(fleet: &Fleet, announced_for: Span, now: Time) -> PlannerStatus {
     let loading = fleet.records.values().filter_map(|r| loading(r, now));
     let unloading = fleet.records.iter().flat_map(|(id, r)| {
-        let models = unloading(r, now).into_iter();
+        let models = unloading(r, announced_for, now).into_iter();
         models.map(|model| (id.clone(), model))
     });
     let loaded = fleet.records.iter().filter_map(|(id, r)| {
         let (model, at) = r.last_loaded.as_ref()?;
-        (now.since(*at) < ANNOUNCED_FOR).then(|| (id.clone(), model.clone()))
+        (now.since(*at) < announced_for).then(|| (id.clone(), model.clone()))
     });
     PlannerStatus {
         loaded: loaded.collect(),
@@ -182,9 +216,9 @@
 }
 
 /// Models that a replica is about to unload, is unloading, or has just unloaded.
-fn unloading(record: &Record, now: Time) -> Vec<Name> {
+fn unloading(record: &Record, announced_for: Span, now: Time) -> Vec<Name> {
     let unloaded = record.last_unloaded.iter();
-    let unloaded = unloaded.filter(|(_, at)| now.since(*at) < ANNOUNCED_FOR);
+    let unloaded = unloaded.filter(|(_, at)| now.since(*at) < announced_for);
     let unloaded = unloaded.filter(|(model, _)| !record.resident.iter().any(|h| h.model == *model));
     let unloading = record.unloading().into_iter();
     unloading
@@ -193,13 +227,12 @@
         .collect()
 }
 
-/// Adapters of the replicas whose turn it is in a round; changes are announced separately.
-fn adapters(fleet: &Fleet, round: usize) -> Vec<(Name, Vec<(Name, Name)>)> {
-    let is_due = |id: &Name| replica_hash(id) as usize % ADAPTER_ROUNDS == round % ADAPTER_ROUNDS;
-    fleet
-        .records
-        .iter()
-        .filter(|(id, r)| is_due(id) && r.report_due.is_none())
+/// Adapters of the replicas that loaded or unloaded one within a time.
+fn changed_adapters(fleet: &Fleet, within: Span, now: Time) -> Vec<(Name, Vec<(Name, Name)>)> {
+    let is_recent = |r: &Record| now.since(r.adapters_changed) < within;
+    let changed = fleet.records.iter();
+    changed
+        .filter(|(_, r)| is_recent(r) && r.report_due.is_none())
         .map(|(id, r)| (id.clone(), r.adapters()))
         .collect()
 }
--- a/crates/front/src/shares.rs
+++ b/crates/front/src/shares.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Whether this host holds a share of any limit, which the limiter counts as used once the host is silent.
+    pub fn is_any_held(&self) -> bool {
+        !self.accounts.lock().shares.is_empty() || !self.replicas.lock().shares.is_empty()
+    }
+
     /// Whether the limiter may be asked now.
     pub fn may_ask(&self, now: Time) -> bool {
         now >= *self.backoff_until.lock()
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -28,6 +28,7 @@
 pub use replica::Footprint;
 
 use crate::message::AdapterUse;
+use crate::rounds;
 use crate::routes::Routes;
 use crate::settings::Bounds;
 use crate::view::{Update, View};
@@ -49,9 +50,6 @@
 /// Age beyond which the loads that another host sent directly are ignored.
 const MAX_DIRECT_AGE: Span = Span::from_ms(1_500);
 
-/// Age beyond which the leader's digest is ignored.
-const MAX_DIGEST_AGE: Span = Span::from_ms(3_000);
-
 /// Duration of one decode step of a batch without prefill, including the way of the answer.
 const DECODE_STEP: Span = Span::from_ms(12);
 
@@ -79,6 +77,8 @@
     adapter_uses: HashSet<AdapterUse>,
     /// When loads last came directly from another host.
     direct_at: Time,
+    /// When the leader's last digest came.
+    digest_at: Time,
     rng: SmallRng,
 }
 
@@ -118,6 +118,7 @@
             rotated_at: Time(0),
             adapter_uses: HashSet::new(),
             direct_at: Time(0),
+            digest_at: Time(0),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -169,10 +170,19 @@
         now.since(self.direct_at) < MAX_DIRECT_AGE
     }
 
+    /// Age beyond which what the leader's digests say is ignored.
+    fn max_digest_age(&self) -> Span {
+        rounds::max_age(self.host_count)
+    }
+
     /// Whether a replica holds a model, by its entry or by the leader's digest.
     fn holds_model(&self, entry: &Entry, model: &Name, now: Time) -> bool {
         let in_entry = entry.resident.iter().any(|h| h.model == *model);
-        in_entry || self.planner_status.loaded.contains(&entry.id, model, now)
+        let status = &self.planner_status;
+        in_entry
+            || status
+                .loaded
+                .contains(&entry.id, model, self.max_digest_age(), now)
     }
 
     /// Prefill speed of a model in tokens per millisecond, and its decode time.
@@ -185,7 +195,7 @@
     /// none.
     pub fn utilization(&self, criteria: &Criteria, now: Time) -> f64 {
         let model = criteria.ask.model.as_ref();
-        let direct = self.has_direct_loads(now);
+        let source = self.load_source(now);
         let (mut in_flight, mut slots) = (0.0, 0.0);
         for replica in self.view.all() {
             let entry = &replica.entry;
@@ -197,7 +207,7 @@
                 if is_limited || self.unavailable(&entry.id, now).is_some() {
                     continue;
                 }
-                let load = state.map(|s| s.total_load(now, direct));
+                let load = state.map(|s| s.total_load(now, source));
                 in_flight += f64::from(load.unwrap_or_default().requests);
                 slots += f64::from(entry.slots);
             }
@@ -209,7 +219,7 @@
     pub fn load(&self, replica: &str, now: Time) -> (f64, Span) {
         let state = self.replicas.get(replica);
         let load = state
-            .map(|s| s.total_load(now, self.has_direct_loads(now)))
+            .map(|s| s.total_load(now, self.load_source(now)))
             .unwrap_or_default();
         let prefill_ms: f32 = load.prefill_ms.iter().sum();
         (
@@ -293,7 +303,7 @@
     pub fn unqueued_tokens(&self, replica: &str, metadata: &Metadata, now: Time) -> Option<f64> {
         let model = metadata.model.as_ref()?;
         let state = self.replicas.get(replica);
-        let load = state.map(|s| s.total_load(now, self.has_direct_loads(now)));
+        let load = state.map(|s| s.total_load(now, self.load_source(now)));
         let prefill_ms: f32 = load.unwrap_or_default().prefill_ms.iter().sum();
         let cached = state.map_or(0, |s| s.cached_tokens(model, metadata));
         (prefill_ms <= 0.0).then(|| metadata.prompt_tokens.saturating_sub(cached) as f64)
--- a/crates/front/src/table/adapters.rs
+++ b/crates/front/src/table/adapters.rs
@@ -1,7 +1,7 @@
 //! Adapters: which replica holds which, and which are used by requests of this host.
 
 use super::replica::State;
-use super::{Criteria, MAX_DIGEST_AGE, Table};
+use super::{Criteria, Table};
 use crate::message::{AdapterUse, replica_hash};
 use platform::replica::Entry;
 use unit::{Name, Time};
@@ -55,24 +55,24 @@
             state.adapters.retain(|(m, a)| m != model || a != adapter);
         }
     }
-}
 
-/// Whether a replica holds an adapter: by the leader's digest while that is recent, else by its
-/// entry.
-pub(super) fn holds_adapter(
-    entry: &Entry,
-    state: Option<&State>,
-    model: &Name,
-    adapter: &Name,
-    now: Time,
-) -> bool {
-    let is_reported = |s: &State| s.adapters.iter().any(|(m, a)| m == model && a == adapter);
-    if let Some(state) = state.filter(|s| now.since(s.adapters_at) < MAX_DIGEST_AGE) {
-        return is_reported(state);
+    /// Whether a replica holds an adapter: by the leader's digest while that is recent, else by its entry.
+    pub(super) fn holds_adapter(
+        &self,
+        entry: &Entry,
+        model: &Name,
+        adapter: &Name,
+        now: Time,
+    ) -> bool {
+        let state = self.replicas.get(&entry.id);
+        let is_reported = |s: &State| s.adapters.iter().any(|(m, a)| m == model && a == adapter);
+        if let Some(state) = state.filter(|s| now.since(s.adapters_at) < self.max_digest_age()) {
+            return is_reported(state);
+        }
+        let in_entry = entry
+            .resident
+            .iter()
+            .any(|h| h.model == *model && h.adapters.contains(adapter));
+        in_entry || state.is_some_and(is_reported)
     }
-    let in_entry = entry
-        .resident
-        .iter()
-        .any(|h| h.model == *model && h.adapters.contains(adapter));
-    in_entry || state.is_some_and(is_reported)
 }
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -1,6 +1,6 @@
 //! Choice of a replica for a request.
 
-use super::adapters::holds_adapter;
+use super::loads::LoadSource;
 use super::pace::Pace;
 use super::replica::State;
 use super::{Criteria, DECODE_STEP, Table};
@@ -105,8 +105,8 @@
     pace: Pace,
     /// Tokens that a replica's KV cache holds; 0 when it is not limited.
     token_capacity: f64,
-    /// Whether loads that other hosts sent directly are used.
-    uses_direct_loads: bool,
+    /// What the loads of other hosts are taken from.
+    load_source: LoadSource,
     now: Time,
 }
 
@@ -190,7 +190,7 @@
             model,
             pace: self.paces.get(criteria.service, model),
             token_capacity: engine.map_or(0.0, |e| e.token_capacity as f64),
-            uses_direct_loads: self.has_direct_loads(now),
+            load_source: self.load_source(now),
             now,
         }
     }
@@ -215,7 +215,7 @@
         let state = self.replicas.get(&entry.id);
         let was_reached = state.is_some_and(|s| s.reachability.was_reached(now));
         let is_unreachable = state.is_some_and(|s| s.reachability.is_avoided(now))
-            || !was_reached && self.planner_status.is_unreachable(&entry.id, now);
+            || !was_reached && self.is_reported_unreachable(&entry.id, now);
         let fit = match is_unreachable {
             true => Fit::Unreachable,
             false if self.saturation(entry, criteria, now).is_some() => Fit::Saturated,
@@ -224,15 +224,10 @@
         let Some(model) = model else {
             return fit;
         };
-        if !self.holds_model(entry, model, now)
-            || self
-                .planner_status
-                .unloading
-                .contains(&entry.id, model, now)
-        {
+        if !self.holds_model(entry, model, now) || self.is_unloading(&entry.id, model, now) {
             return Fit::NoModel;
         }
-        let holds = |adapter| holds_adapter(entry, state, model, adapter, now);
+        let holds = |adapter| self.holds_adapter(entry, model, adapter, now);
         match criteria.ask.adapter.as_ref().is_none_or(holds) {
             true => fit,
             false => Fit::NoAdapter,
@@ -271,7 +266,7 @@
     fn candidate(&self, entry: &Entry, inputs: &Inputs) -> Candidate {
         let default = State::default();
         let state = self.replicas.get(&entry.id).unwrap_or(&default);
-        let load = state.total_load(inputs.now, inputs.uses_direct_loads);
+        let load = state.total_load(inputs.now, inputs.load_source);
         let (model, metadata) = (inputs.model, inputs.criteria.ask);
         let cached = model.map_or(0, |m| state.cached_tokens(m, metadata));
         let level = priority_level(inputs.criteria.priority);
--- a/crates/front/src/table/loads.rs
+++ b/crates/front/src/table/loads.rs
@@ -2,23 +2,35 @@
 
 use super::Table;
 use crate::message::{Demand, Load, PackedLoad, replica_hash};
-use std::collections::HashMap;
 use unit::{Name, Span, Time};
 
 /// Time within which a report of this host is included in the leader's digest: the way there, the
 /// leader's interval and the way back.
 const REPORT_LATENCY: Span = Span::from_ms(60);
 
+/// What the load of a replica is taken from, besides the requests of this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LoadSource {
+    /// Loads that other hosts sent directly.
+    Direct,
+    /// The leader's digest.
+    Digest,
+    /// Nothing: neither is recent.
+    Own,
+}
+
 impl Table {
     /// Demand at this host.
     pub fn demand(&mut self, now: Time) -> Vec<Demand> {
         self.demand.rows(now)
     }
 
-    /// Requests that this host has in flight, by replica.
+    /// Requests that this host has in flight, sorted by replica.
     pub fn own_loads(&self) -> Vec<PackedLoad> {
         let busy = self.replicas.iter().filter(|(_, s)| s.own.requests > 0.0);
-        busy.map(|(id, s)| PackedLoad::new(id, &s.own)).collect()
+        let mut rows: Vec<PackedLoad> = busy.map(|(id, s)| PackedLoad::new(id, &s.own)).collect();
+        rows.sort_unstable_by_key(PackedLoad::replica);
+        rows
     }
 
     /// Hashes of replicas that this host recently found unreachable.
@@ -45,8 +57,10 @@
         self.own_loads()
     }
 
-    /// Sets the load of other hosts from the digest, which includes that of this one.
+    /// Sets the load of other hosts from the digest, which includes that of this one. Loads that it does not list
+    /// have not changed.
     pub fn set_fleet_loads(&mut self, rows: &[PackedLoad], now: Time) {
+        self.digest_at = now;
         for (id, load) in self.resolve(rows) {
             let state = self.replicas.entry(id).or_default();
             // The digest may include either of the last two reports: subtracting the smaller one
@@ -54,7 +68,6 @@
             // them.
             let own = state.reported.min(&state.reported_before);
             state.fleet = load.saturating_sub(&own);
-            state.fleet_at = now;
         }
     }
 
@@ -72,12 +85,19 @@
 
     /// Loads of the replicas known here, by identity.
     fn resolve(&self, rows: &[PackedLoad]) -> Vec<(Name, Load)> {
-        let rows: HashMap<u32, &PackedLoad> = rows.iter().map(|r| (r.replica(), r)).collect();
-        let ids = self.view.all().map(|s| &s.entry.id);
-        ids.filter_map(|id| {
-            rows.get(&replica_hash(id))
-                .map(|row| (id.clone(), row.load()))
-        })
-        .collect()
+        let known = |row: &PackedLoad| {
+            let id = self.view.id_of_hash(row.replica())?;
+            Some((id.clone(), row.load()))
+        };
+        rows.iter().filter_map(known).collect()
+    }
+
+    /// What is known of the loads of other hosts. Loads that they send directly are newer than the leader's digest.
+    pub(super) fn load_source(&self, now: Time) -> LoadSource {
+        match () {
+            () if self.has_direct_loads(now) => LoadSource::Direct,
+            () if now.since(self.digest_at) < self.max_digest_age() => LoadSource::Digest,
+            () => LoadSource::Own,
+        }
     }
 }
--- a/crates/front/src/table/planner_status.rs
+++ b/crates/front/src/table/planner_status.rs
@@ -1,13 +1,17 @@
 //! Planner status from the leader: models that are being loaded, were just loaded or are about to
 //! be unloaded, and replicas that several hosts could not reach.
 
-use super::{MAX_DIGEST_AGE, Table};
+use super::Table;
 use crate::message::replica_hash;
+use crate::rounds;
 use std::collections::{HashMap, HashSet};
 use unit::{Name, Span, Time};
 
-/// Age beyond which the leader's list of unreachable replicas is ignored: a few digests.
-const MAX_UNREACHABLE_AGE: Span = Span::from_ms(600);
+/// Least age beyond which the leader's list of unreachable replicas is ignored.
+const MIN_UNREACHABLE_AGE: Span = Span::from_ms(600);
+
+/// Rounds after which the list is ignored: a replica that returns must not be avoided for long.
+const UNREACHABLE_ROUNDS: f64 = 1.5;
 
 /// The last planner status.
 #[derive(Default)]
@@ -35,11 +39,11 @@
         self.unreachable = (unreachable.into_iter().collect(), now);
     }
 
-    /// Whether several hosts could not reach a replica.
-    pub(super) fn is_unreachable(&self, replica: &str, now: Time) -> bool {
+    /// Whether several hosts could not reach a replica, by a list of at most `max_age`.
+    fn is_unreachable(&self, replica: &str, max_age: Span, now: Time) -> bool {
         let (unreachable, received_at) = &self.unreachable;
         !unreachable.is_empty()
-            && now.since(*received_at) < MAX_UNREACHABLE_AGE
+            && now.since(*received_at) < max_age
             && unreachable.contains(&replica_hash(replica))
     }
 
@@ -54,31 +58,47 @@
 /// Pairs of replica and model, and when they were received.
 #[derive(Default)]
 pub(super) struct Assignments {
-    pairs: Vec<(Name, Name)>,
+    /// Models by replica.
+    models: HashMap<Name, Vec<Name>>,
     received_at: Time,
 }
 
 impl Assignments {
     /// Replaces all pairs.
     pub(super) fn set(&mut self, pairs: Vec<(Name, Name)>, now: Time) {
-        self.pairs = pairs;
+        self.models.clear();
+        for (replica, model) in pairs {
+            self.models.entry(replica).or_default().push(model);
+        }
         self.received_at = now;
     }
 
     /// Removes the pairs of a replica.
     pub(super) fn forget(&mut self, replica: &Name) {
-        self.pairs.retain(|(r, _)| r != replica);
+        self.models.remove(replica);
     }
 
-    /// Whether a recent digest paired a replica with a model.
-    pub(super) fn contains(&self, replica: &Name, model: &Name, now: Time) -> bool {
-        let mut pairs = self.pairs.iter();
-        now.since(self.received_at) < MAX_DIGEST_AGE
-            && pairs.any(|(r, m)| r == replica && m == model)
+    /// Whether a digest of at most `max_age` paired a replica with a model.
+    pub(super) fn contains(&self, replica: &Name, model: &Name, max_age: Span, now: Time) -> bool {
+        let models = self.models.get(replica);
+        now.since(self.received_at) < max_age && models.is_some_and(|m| m.contains(model))
     }
 }
 
 impl Table {
+    /// Whether the leader's last list says that several hosts could not reach a replica.
+    pub(super) fn is_reported_unreachable(&self, replica: &str, now: Time) -> bool {
+        let max_age =
+            rounds::at_least_rounds(MIN_UNREACHABLE_AGE, UNREACHABLE_ROUNDS, self.host_count);
+        self.planner_status.is_unreachable(replica, max_age, now)
+    }
+
+    /// Whether a replica is about to unload a model.
+    pub(super) fn is_unloading(&self, replica: &Name, model: &Name, now: Time) -> bool {
+        let unloading = &self.planner_status.unloading;
+        unloading.contains(replica, model, self.max_digest_age(), now)
+    }
+
     /// Time since the last planner status.
     pub fn planner_status_age(&self, now: Time) -> Span {
         now.since(self.planner_status.loaded.received_at)
--- a/crates/front/src/table/replica.rs
+++ b/crates/front/src/table/replica.rs
@@ -2,10 +2,11 @@
 
 use super::average::Average;
 use super::choose::{max_tokens, priority_level};
+use super::loads::LoadSource;
 use super::pace::Pace;
 use super::rate_limit::LimitState;
 use super::reachability::Reachability;
-use super::{Criteria, MAX_DIGEST_AGE, MAX_DIRECT_AGE};
+use super::{Criteria, MAX_DIRECT_AGE};
 use crate::message::Load;
 use platform::ingress::Metadata;
 use std::collections::{BTreeMap, VecDeque};
@@ -34,9 +35,8 @@
     pub(super) reported: Load,
     /// Part of it that was reported one latency earlier (see `REPORT_LATENCY`).
     pub(super) reported_before: Load,
-    /// Load of the other hosts by the leader's digest, and when that came.
+    /// Load of the other hosts by the leader's digest.
     pub(super) fleet: Load,
-    pub(super) fleet_at: Time,
     /// Load of each other host as it sent it directly, and when.
     pub(super) by_host: BTreeMap<Name, (Load, Time)>,
     /// Rate limit, if the replica has advertised one.
@@ -62,25 +62,24 @@
             reported: previous.reported,
             reported_before: previous.reported_before,
             fleet: previous.fleet,
-            fleet_at: previous.fleet_at,
             by_host: previous.by_host,
             ..State::default()
         };
     }
 
     /// Load of all hosts, as far as it is known.
-    ///
-    /// Loads that hosts send directly are newer than the leader's digest and take precedence.
-    pub(super) fn total_load(&self, now: Time, direct: bool) -> Load {
+    pub(super) fn total_load(&self, now: Time, source: LoadSource) -> Load {
         let mut load = self.own;
-        if direct {
-            for (other, at) in self.by_host.values() {
-                if now.since(*at) < MAX_DIRECT_AGE {
-                    load.add(other);
+        match source {
+            LoadSource::Direct => {
+                for (other, at) in self.by_host.values() {
+                    if now.since(*at) < MAX_DIRECT_AGE {
+                        load.add(other);
+                    }
                 }
             }
-        } else if now.since(self.fleet_at) < MAX_DIGEST_AGE {
-            load.add(&self.fleet);
+            LoadSource::Digest => load.add(&self.fleet),
+            LoadSource::Own => {}
         }
         load
     }
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -5,8 +5,9 @@
 //! removed. [`contact`](crate::contact) tells whether the store is reachable.
 
 use crate::contact::Contact;
+use crate::message::replica_hash;
 use platform::replica::{Entry, Incarnation};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use unit::{Name, Span, Time};
 
 /// Time for which the revision of a removal is kept, to reject older updates from other hosts.
@@ -19,6 +20,8 @@
 #[derive(Debug)]
 pub struct View {
     replicas: BTreeMap<Name, Replica>,
+    /// Identities by their hash, as datagrams name them.
+    ids_by_hash: HashMap<u32, Name>,
     removed: BTreeMap<Name, (u64, Time)>,
     /// Replicas that announced in an answer that they leave; kept while their entries come and go.
     departures: BTreeMap<Name, Departure>,
@@ -156,6 +159,7 @@
     pub fn new(heartbeat: Span) -> View {
         View {
             replicas: BTreeMap::new(),
+            ids_by_hash: HashMap::new(),
             removed: BTreeMap::new(),
             departures: BTreeMap::new(),
             contact: Contact::new(heartbeat),
@@ -171,6 +175,23 @@
         self.replicas.get(id)
     }
 
+    /// Identity of the replica with this hash.
+    pub fn id_of_hash(&self, hash: u32) -> Option<&Name> {
+        self.ids_by_hash.get(&hash)
+    }
+
+    fn insert(&mut self, id: &Name, replica: Replica) {
+        self.ids_by_hash.insert(replica_hash(id), id.clone());
+        self.replicas.insert(id.clone(), replica);
+    }
+
+    /// Drops a replica, and keeps the revision at which it was removed.
+    fn drop_replica(&mut self, id: &Name, revision: u64, now: Time) {
+        self.replicas.remove(id);
+        self.ids_by_hash.remove(&replica_hash(id));
+        self.removed.insert(id.clone(), (revision, now));
+    }
+
     /// Whether a replica is known with another incarnation than this one.
     pub fn has_other_incarnation(&self, id: &str, incarnation: Incarnation) -> bool {
         let replica = self.replicas.get(id);
@@ -243,7 +264,7 @@
         let is_leaving = entry.leaving || self.has_departure(&id, entry.incarnation);
         let Some(replica) = self.replicas.get_mut(&id) else {
             let replica = Replica::new(entry, revision, is_leaving);
-            self.replicas.insert(id.clone(), replica);
+            self.insert(&id, replica);
             return Some(Update::Added(id));
         };
         if replica.revision >= revision {
@@ -290,8 +311,7 @@
         }
         let id: Name = id.into();
         if !may_reappear {
-            self.replicas.remove(&id);
-            self.removed.insert(id.clone(), (revision, now));
+            self.drop_replica(&id, revision, now);
             return Some(Update::Removed(id));
         }
         replica.revision = revision;
@@ -307,6 +327,7 @@
     /// Compares with a complete listing read at `revision`: replicas that it lacks have been
     /// removed.
     pub fn reconcile(&mut self, present: &[Name], revision: u64, now: Time) -> Vec<Update> {
+        let present: HashSet<&Name> = present.iter().collect();
         let missing: Vec<Name> = self
             .replicas
             .values()
@@ -343,8 +364,8 @@
             .map(|s| s.entry.id.clone())
             .collect();
         for id in &expired {
-            if let Some(replica) = self.replicas.remove(id) {
-                self.removed.insert(id.clone(), (replica.revision, now));
+            if let Some(revision) = self.replicas.get(id).map(|replica| replica.revision) {
+                self.drop_replica(id, revision, now);
             }
         }
         expired.into_iter().map(Update::Removed).collect()
--- a/crates/front/tests/fanout.rs
+++ b/crates/front/tests/fanout.rs
@@ -82,7 +82,10 @@
 }
 
 fn report(round: u32, loads: usize, unreachable: usize) -> LoadReport {
-    let load = front::message::Load::default();
+    let load = front::message::Load {
+        requests: 1.0,
+        ..front::message::Load::default()
+    };
     LoadReport {
         host: "h".into(),
         round,
