Elections: hundreds of hosts no longer try in vain

Cause: after its first configuration a host paused its watch for a third of the bound, 1.7 s, in which the leader was elected unseen; each then tried to become the leader, in three calls (lease, transaction, end of the lease). Change: while no leader is known the pause is 0.25 s; a host of a large fleet that follows readers waits for one lease longer than they do.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -23,6 +23,9 @@
 /// Pause of the leader between two watches; its orders depend on current data.
 const LEADER_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause between two watches while no leader is known: about the time of an election.
+const NO_LEADER_PAUSE: Duration = Duration::from_millis(250);
+
 /// Pause between two watches, as a fraction of the propagation bound; leaves time for two failed watches.
 const PAUSE_FRACTION: f64 = 1.0 / 3.0;
 
@@ -189,8 +192,13 @@
     }
 }
 
-/// Pauses after a watch that returned changes.
+/// Pauses after a watch that returned changes, only briefly while no leader is known: a host that does not see the
+/// leader's entry tries to become the leader, in three calls.
 async fn pause_after_changes(state: &State) {
+    if state.leader.lock().is_none() {
+        tokio::time::sleep(NO_LEADER_PAUSE).await;
+        return;
+    }
     let bound = state.settings.bounds.propagation();
     let pause = match (state.leads(), readers::is_root(state)) {
         (true, _) => LEADER_PAUSE,
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::follow::set_leader;
 use crate::state::{Leader, State};
+use crate::{readers, rounds};
 use parking_lot::Mutex;
 use platform::store::{CommitOutcome, Freshness, Item, Lease, Transaction};
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,10 @@
 /// hosts take it for dead.
 const LOW_CPU_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Additional delay of a host that follows readers, within which one of them becomes the leader and its entry comes
+/// here: hundreds of hosts that try in vain would cost three calls each.
+const FOLLOWER_DELAY: Duration = LEASE_TTL;
+
 /// Processor time, in cores, beyond which more does not make a better leader.
 const ENOUGH_CORES: f64 = 0.5;
 
@@ -117,14 +122,13 @@
     F: Fn(Term) -> R,
     R: Future<Output = ()> + Send + 'static,
 {
-    let delay = election_delay(&state);
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         if !may_campaign(&state) {
             continue;
         }
         if !state.leads() {
-            tokio::time::sleep(delay).await;
+            tokio::time::sleep(election_delay(&state)).await;
         }
         if !may_campaign(&state) {
             continue;
@@ -143,11 +147,22 @@
     }
 }
 
-/// Delay before this host tries to become the leader: jitter, and more with little processor time.
+/// Delay before this host tries to become the leader: jitter, and more with little processor time or if others are to
+/// try first.
 fn election_delay(state: &State) -> Duration {
     let jitter = rendezvous::hash(state.settings.name.as_bytes()) % MAX_JITTER.as_millis() as u64;
     let shortfall = 1.0 - (state.settings.limits.cores / ENOUGH_CORES).min(1.0);
-    Duration::from_millis(jitter) + LOW_CPU_DELAY.mul_f64(shortfall)
+    let precedence = match is_follower_of_large_fleet(state) {
+        true => FOLLOWER_DELAY,
+        false => Duration::ZERO,
+    };
+    Duration::from_millis(jitter) + LOW_CPU_DELAY.mul_f64(shortfall) + precedence
+}
+
+/// Whether many hosts read the store for this one, which learn of a new leader before it does.
+fn is_follower_of_large_fleet(state: &State) -> bool {
+    let hosts = state.table.lock().host_count;
+    hosts > rounds::MAX_DIRECT_HOSTS && readers::is_follower(state)
 }
 
 /// Whether this host may try to become the leader: it reaches the store, is not draining, and knows
--- a/crates/front/src/readers.rs
+++ b/crates/front/src/readers.rs
@@ -139,6 +139,12 @@
     state.readers.role(state.settings.peers) == Role::Root
 }
 
+/// Whether other hosts are assigned to read the store for this one.
+pub fn is_follower(state: &State) -> bool {
+    let readers = &state.readers;
+    !readers.assignment.lock().is_empty() && readers.role(state.settings.peers) == Role::Follower
+}
+
 /// Whether the fleet is so small that each host reads the store itself.
 pub fn is_small_fleet(state: &State) -> bool {
     state.table.lock().host_count <= MAX_SMALL_FLEET
