Plan: a load from the weight store has a cost

Cause: spare memory is filled with copies by a base weight that any gain justifies; on a small fleet the memory ends first. Change: a load from the store must gain its cost, which a second copy of an idle model does and a third does not; copies at hand are loaded as before.

--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -12,6 +12,10 @@
 /// Cost of evicting one copy: two orders, and the cached prompts.
 const EVICTION_COST: f64 = 0.05;
 
+/// Cost of a load from the weight store. A model without demand gets a second copy from there, in case its only replica
+/// fails, and further ones only where the weights are at hand.
+const STORE_LOAD_COST: f64 = 0.003;
+
 /// Factor on a bound that covers the rounding of the value that it bounds.
 const ROUNDING: f64 = 1.0 + 1e-9;
 
@@ -149,11 +153,11 @@
 
 /// Gain of loading a copy on a replica, before the loss of evictions.
 fn load_gain(state: &State, r: usize, m: usize) -> f64 {
-    let source_factor = match state.replicas[r].cached.contains(&m) {
-        true => 1.0,
-        false => state.models[m].store_factor,
-    };
-    state.gain(m, r) * source_factor * utilization_factor(state, r)
+    let gain = state.gain(m, r) * utilization_factor(state, r);
+    match state.replicas[r].cached.contains(&m) {
+        true => gain,
+        false => gain * state.models[m].store_factor - STORE_LOAD_COST,
+    }
 }
 
 /// Part of a copy's value that is left on a replica with its utilization.
--- a/crates/place/tests/search.rs
+++ b/crates/place/tests/search.rs
@@ -107,3 +107,33 @@
         );
     }
 }
+
+/// Spare memory of a large fleet must not be filled from the weight store with models that nobody asks for.
+#[test]
+fn idle_models_get_a_second_copy_from_the_store_and_more_from_local_copies() {
+    let idle = Model {
+        memory_mb: 60.0,
+        demand: 0.0,
+        recent_demand: 0.0,
+        unserved_secs: 0.0,
+        store_factor: 0.25,
+        expected_demand: 0.0,
+    };
+    let empty = |n: usize| Replica {
+        free_mb: 60.0,
+        held: if n == 0 { vec![0] } else { Vec::new() },
+        accepts_orders: true,
+        in_service: true,
+        ..Replica::default()
+    };
+    let replicas: Vec<Replica> = (0..20).map(empty).collect();
+    let steps = plan_by(Search::Pruned, &replicas, &[idle], 20, 20).steps;
+    assert_eq!(steps.len(), 1);
+    let cached = |replica: &Replica| Replica {
+        cached: vec![0],
+        ..replica.clone()
+    };
+    let cached: Vec<Replica> = replicas.iter().map(cached).collect();
+    let steps = plan_by(Search::Pruned, &cached, &[idle], 20, 20).steps;
+    assert!(steps.len() > 5, "{steps:?}");
+}
