Hosts that ask for a model are told at once where it is or when it comes

What callers saw: 503 no_model for a request that comes after the load of its model is ordered and before the leader's next digest, up to half a second later on the fleet. Cause: the request waits 60 ms for the leader, which took such a question for known and said nothing. Change: the leader answers the host that asked. The new test forces the order of events: without the answer 503 for 200.

--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -45,6 +45,9 @@
     /// Tells on which replica an adapter was placed, sent by the leader.
     #[serde(rename = "Placed")]
     AdapterPlacement(AdapterPlacement),
+    /// Tells a host that requested a model where it is or when it is expected, sent by the leader.
+    #[serde(rename = "Coming")]
+    ModelPlacement(ModelPlacement),
     /// Addresses that a relay forwards the leader's datagrams to, sent by the leader.
     #[serde(rename = "Part")]
     FanoutGroup(Vec<SocketAddr>),
@@ -103,6 +106,7 @@
             Message::AdapterRequest(_) => "want",
             Message::ModelRequest(_) => "missing",
             Message::AdapterPlacement(_) => "placed",
+            Message::ModelPlacement(_) => "coming",
             Message::FanoutGroup(_) => "part",
             Message::QuotaRequest(_) => "question",
             Message::QuotaResponse(..) => "verdict",
@@ -337,6 +341,16 @@
     rmp_serde::from_slice(bytes)
 }
 
+/// Placement of a model.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ModelPlacement {
+    pub model: Name,
+    /// Replica that holds it; none while it is being loaded.
+    pub replica: Option<Name>,
+    /// Time until a copy is expected, in milliseconds.
+    pub eta_ms: u32,
+}
+
 /// Encoded size of a part of a datagram, in bytes.
 pub fn encoded_size(part: &impl Serialize) -> usize {
     rmp_serde::to_vec(part)
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -21,7 +21,9 @@
 
 pub use inbox::Inbox;
 
-use crate::message::{self, AdapterPlacement, Digest, Message, PackedLoad, TrialResponse, status};
+use crate::message::{
+    self, AdapterPlacement, Digest, Message, ModelPlacement, PackedLoad, TrialResponse, status,
+};
 use crate::readers::Candidate;
 use crate::rounds::{self, MAX_DIRECT_HOSTS};
 use crate::state::{PlacementRequest, PlacementRequests, State};
@@ -152,9 +154,10 @@
                 self.state.changed.notify_waiters();
             }
             Message::AdapterRequest(request) => self.inbox.push_adapter_request(request, from),
-            Message::ModelRequest(request) => self.inbox.push_model_request(request),
+            Message::ModelRequest(request) => self.inbox.push_model_request(request, from),
             Message::Digest(digest) => self.apply_digest(digest, now),
             Message::AdapterPlacement(placement) => self.apply_placement(placement),
+            Message::ModelPlacement(placement) => self.apply_model_placement(placement, now),
             Message::FanoutGroup(hosts) => *self.fanout_members.lock() = (hosts, now),
             Message::QuotaResponse(number, response) => self.complete_quota_request(number, response),
             Message::Refund(refund) => self.apply_refund(&refund),
@@ -236,6 +239,16 @@
         self.state.changed.notify_waiters();
     }
 
+    fn apply_model_placement(&self, placement: ModelPlacement, now: Time) {
+        let mut table = self.state.table.lock();
+        match placement.replica {
+            Some(replica) => table.add_loaded(replica, placement.model, now),
+            None => table.add_model_eta(placement.model, placement.eta_ms, now),
+        }
+        drop(table);
+        self.state.changed.notify_waiters();
+    }
+
     /// Addresses of all hosts, or none if the fleet is too large for direct exchange.
     pub fn direct_hosts(&self) -> Vec<SocketAddr> {
         let hosts = self.inbox.hosts();
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -30,8 +30,8 @@
     hosts: Mutex<Hosts>,
     /// Adapters requested since the last call of [`Inbox::take_adapter_requests`], each with the host to answer.
     adapter_requests: Mutex<Vec<(AdapterRequest, SocketAddr)>>,
-    /// Models requested since the last call of [`Inbox::take_model_requests`].
-    model_requests: Mutex<Vec<ModelRequest>>,
+    /// Models requested since the last call of [`Inbox::take_model_requests`], each with the host to answer.
+    model_requests: Mutex<Vec<(ModelRequest, SocketAddr)>>,
     /// Adapters used since the last call of [`Inbox::take_adapter_uses`].
     adapter_uses: Mutex<Vec<AdapterUse>>,
     /// Notified when an adapter or a model is requested.
@@ -120,7 +120,8 @@
         std::mem::take(&mut *self.adapter_requests.lock())
     }
 
-    pub fn take_model_requests(&self) -> Vec<ModelRequest> {
+    /// Models requested since the last call, each with the host to answer.
+    pub fn take_model_requests(&self) -> Vec<(ModelRequest, SocketAddr)> {
         std::mem::take(&mut *self.model_requests.lock())
     }
 
@@ -184,8 +185,8 @@
         self.request_received.notify_one();
     }
 
-    pub(super) fn push_model_request(&self, request: ModelRequest) {
-        self.model_requests.lock().push(request);
+    pub(super) fn push_model_request(&self, request: ModelRequest, from: SocketAddr) {
+        self.model_requests.lock().push((request, from));
         self.request_received.notify_one();
     }
 
--- a/crates/front/src/peers/quarantine.rs
+++ b/crates/front/src/peers/quarantine.rs
@@ -70,10 +70,7 @@
         let Some(leader) = self.state.leader.lock().clone() else {
             return;
         };
-        match leader.peers == self.state.settings.peers {
-            true => self.handle(message, leader.peers),
-            false => self.send(&message, leader.peers).await,
-        }
+        self.answer(message, leader.peers).await;
     }
 
     pub(super) fn merge_crash(&self, report: &CrashReport) {
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -17,7 +17,7 @@
 
 use crate::fleet::{Bucket, Record};
 use crate::leader::Term;
-use crate::message::{Load, ModelRequest, replica_hash};
+use crate::message::{Load, Message, ModelPlacement, ModelRequest, replica_hash};
 use crate::peers::Peers;
 use crate::shares;
 use crate::state::State;
@@ -27,6 +27,7 @@
 use parking_lot::Mutex;
 use platform::replica::Entry;
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -258,14 +259,20 @@
     }
 
     /// Records models that hosts have requests for and no replica holds. Returns whether any of
-    /// them is new.
-    fn note_missing(&self) -> bool {
+    /// them is new. Hosts are answered at once where a copy is or is coming: the next digest may come too late for
+    /// their requests.
+    fn note_missing(self: &Arc<Self>) -> bool {
         let missing = self.peers.inbox.take_model_requests();
+        let now = self.state.now();
         let mut fleet = self.fleet.lock();
         let mut any_new = false;
-        for ModelRequest { service, model } in missing {
-            let incoming = fleet.records.values().filter_map(Record::incoming);
-            if !incoming.map(|(m, _)| m).any(|m| *m == model) {
+        for (ModelRequest { service, model }, from) in missing {
+            let placement = fleet.placement(&model, now);
+            let is_coming = placement.as_ref().is_some_and(|p| p.replica.is_none());
+            if let Some(placement) = placement {
+                self.answer(Message::ModelPlacement(placement), from);
+            }
+            if !is_coming {
                 let demand = fleet.demand.entry((service, model)).or_default();
                 any_new |= demand.note_missing();
             }
@@ -273,6 +280,12 @@
         any_new
     }
 
+    /// Sends a message to a host in the background.
+    fn answer(self: &Arc<Self>, message: Message, to: SocketAddr) {
+        let planner = self.clone();
+        tokio::spawn(async move { planner.peers.answer(message, to).await });
+    }
+
     /// Replicas that need a report, or that have orders queued.
     fn replicas_to_call(&self) -> Vec<Name> {
         let fleet = self.fleet.lock();
@@ -284,6 +297,31 @@
     }
 }
 
+impl Fleet {
+    /// Where a model is, or when a copy is expected.
+    fn placement(&self, model: &Name, now: Time) -> Option<ModelPlacement> {
+        let holds =
+            |r: &Record| !r.will_unload(model) && r.resident.iter().any(|h| h.model == *model);
+        let holder = self.records.iter().find(|(_, r)| holds(r));
+        let coming = || {
+            let incoming = self.records.values().filter_map(Record::incoming);
+            incoming
+                .filter(|(m, _)| *m == model)
+                .map(|(_, due)| due)
+                .min()
+        };
+        let eta = match holder {
+            Some(_) => Span::ZERO,
+            None => coming()?.since(now),
+        };
+        Some(ModelPlacement {
+            model: model.clone(),
+            replica: holder.map(|(id, _)| id.clone()),
+            eta_ms: eta.ms() as u32,
+        })
+    }
+}
+
 /// Logs what a newly discovered replica holds.
 fn log_found(entry: &Entry) {
     let held: Vec<&str> = entry.resident.iter().map(|h| &*h.model).collect();
--- a/crates/front/src/planner/adapters.rs
+++ b/crates/front/src/planner/adapters.rs
@@ -134,8 +134,7 @@
             adapter: request.adapter.clone(),
             replica: Some(replica),
         });
-        let planner = self.clone();
-        tokio::spawn(async move { planner.peers.answer(placement, to).await });
+        self.answer(placement, to);
     }
 
     /// Engine of a service, and the entries of its replicas that are not leaving.
--- a/crates/front/src/table/planner_status.rs
+++ b/crates/front/src/table/planner_status.rs
@@ -73,6 +73,12 @@
         self.received_at = now;
     }
 
+    /// Adds a pair.
+    fn add(&mut self, replica: Name, model: Name, now: Time) {
+        self.models.entry(replica).or_default().push(model);
+        self.received_at = now;
+    }
+
     /// Removes the pairs of a replica.
     pub(super) fn forget(&mut self, replica: &Name) {
         self.models.remove(replica);
@@ -109,6 +115,17 @@
         self.planner_status.loaded.set(loaded, now);
     }
 
+    /// Adds a replica that has just loaded a model.
+    pub fn add_loaded(&mut self, replica: Name, model: Name, now: Time) {
+        self.planner_status.loaded.add(replica, model, now);
+    }
+
+    /// Sets when a copy of a model is expected, in milliseconds from now.
+    pub fn add_model_eta(&mut self, model: Name, eta_ms: u32, now: Time) {
+        let due = now + Span::from_ms(u64::from(eta_ms));
+        self.planner_status.model_etas.insert(model, due);
+    }
+
     /// Sets which replicas are about to unload which models.
     pub fn set_unloading(&mut self, unloading: Vec<(Name, Name)>, now: Time) {
         self.planner_status.unloading.set(unloading, now);
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -3,7 +3,7 @@
 mod site;
 
 use front::message::{Load, PackedLoad};
-use platform_standin::replica::Fault;
+use platform_standin::replica::{self, Fault};
 use platform_standin::store::Mode;
 use rstest::rstest;
 use site::{HEARTBEAT, ask, configuration, daemon, engine, store, until, web};
@@ -349,6 +349,37 @@
     until(|| leader(&first).is_some_and(|l| l.term > before.term)).await;
 }
 
+/// Guards against rejecting a request for a model whose load the leader has ordered, because the digest that says so
+/// comes later than the time that the request may wait for it.
+#[tokio::test]
+async fn request_between_the_order_of_a_load_and_the_next_digest_is_served() {
+    let store = store().await;
+    let slow = |id: &str| replica::Options {
+        id: id.into(),
+        load_time: Duration::from_millis(600),
+        ..replica::Options::default()
+    };
+    let replica = replica::spawn(&store, slow("i-1")).await.unwrap();
+    let daemon = daemon(&store, "d1").await;
+    let state = daemon.state();
+    // There is memory for one more model.
+    let announced = || {
+        let table = state.table.lock();
+        let is_announced = |model: &&str| {
+            let eta = table.model_eta(&(*model).into(), state.now());
+            eta.is_some_and(|eta| eta > Span::ZERO)
+        };
+        ["m2", "m3"].into_iter().find(is_announced)
+    };
+    until(|| announced().is_some()).await;
+    let model = announced();
+    // What the host knows just before the first digest after the order.
+    state.table.lock().set_model_etas(&[], state.now());
+    let (_, answer) = ask(&daemon, "/stream/x", model).await;
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    assert!(!replica.is_overcommitted());
+}
+
 #[tokio::test]
 async fn unloaded_model_is_loaded_and_served() {
     let store = store().await;
