Quarantine: a replica that is back before its new entry counts as crashed again

Cause: interruptions are grouped by replica and incarnation. A replica that is back before its new entry has come runs requests under the incarnation whose crash is confirmed, and its second crash was taken for the first: not probed, not counted, and a trial there counted as one that brought none. Change: a request sent after the crash of its incarnation was confirmed belongs to a further crash, with an identity that all hosts derive alike and that only a probe confirms. The new test keeps the store silent so that no new entry comes: four crashes with an identity for trials only, three now.

--- a/crates/front/src/quarantine/probe.rs
+++ b/crates/front/src/quarantine/probe.rs
@@ -3,6 +3,7 @@
 use super::Report;
 use crate::attempt::{Call, Reservation};
 use crate::state::State;
+use crate::view::Replica;
 use route::quarantine::Incident;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -24,23 +25,25 @@
 /// requests that are interrupted together.
 pub fn note_interrupted(state: &Arc<State>, call: &Call, reservation: &Reservation) {
     let now = state.now();
-    let instance = (reservation.replica.clone(), reservation.incarnation);
+    let listed = (reservation.replica.clone(), reservation.incarnation);
     let fingerprint = call.fingerprint();
     if let Some(trial) = call.trial.get() {
         trial.mark_interrupted();
     }
-    let is_first = {
+    let to_probe = {
         let mut registry = state.quarantine.registry.lock();
         registry.alert(now);
+        let sent_at = reservation.reserved_at;
         registry
             .incidents
-            .record_failure(&instance, fingerprint, now)
+            .record_failure(&listed, fingerprint, sent_at, now)
     };
-    if !is_first {
+    let Some(instance) = to_probe else {
         return;
-    }
+    };
     let replica = state.table.lock().view.get(&reservation.replica).cloned();
-    let Some(replica) = replica.filter(|s| s.entry.incarnation == reservation.incarnation) else {
+    let is_present = |s: &Replica| instance != listed || s.entry.incarnation == listed.1;
+    let Some(replica) = replica.filter(is_present) else {
         return report_crash(state, &instance);
     };
     let state = state.clone();
@@ -65,7 +68,7 @@
         .registry
         .lock()
         .incidents
-        .confirm_crash(instance);
+        .confirm_crash(instance, state.now());
     if let Some(incident) = incident {
         report_incident(state, &instance.0, incident);
     }
@@ -78,7 +81,7 @@
     let present = current.map(|s| (s.entry.id.clone(), s.entry.incarnation));
     let incidents = {
         let known = &mut state.quarantine.registry.lock().incidents;
-        known.confirm_replaced(replica, present.as_ref())
+        known.confirm_replaced(replica, present.as_ref(), state.now())
     };
     for incident in incidents {
         report_incident(state, replica, incident);
--- a/crates/front/tests/quarantine.rs
+++ b/crates/front/tests/quarantine.rs
@@ -120,6 +120,29 @@
     assert_eq!(ask_body(&hosts[0], "/once/y", "body").await.status(), 200);
 }
 
+/// Guards against a crash on trial that is taken for an earlier one: the replica is back under its id before its new
+/// entry has come.
+#[tokio::test]
+async fn crash_on_trial_counts_before_the_new_entry_has_come() {
+    let store = store().await;
+    let fleet = fleet(&store, 2).await;
+    let hosts = hosts(&store, 1).await;
+    until(|| hosts[0].state().leads()).await;
+    for host in &hosts {
+        until(|| host.state().table.lock().view.all().count() == 2).await;
+    }
+    store.set_mode(platform_standin::store::Mode::Silent);
+    for _ in 0..10 {
+        let answer = ask_body(&hosts[0], "/once/x", FATAL_BODY).await;
+        if answer.text().contains("kept_out") {
+            break;
+        }
+        sleep(RESTART_TIME * 2).await;
+    }
+    assert!(is_quarantined(&hosts[0]).await);
+    assert_eq!(crashes(&fleet), QUARANTINED_AFTER);
+}
+
 /// A frequent request is in flight at every crash, and must not be taken for the cause.
 #[tokio::test]
 async fn concurrent_request_stays_served() {
--- a/crates/route/src/quarantine/incidents.rs
+++ b/crates/route/src/quarantine/incidents.rs
@@ -35,8 +35,10 @@
     pub in_flight: Vec<Fingerprint>,
     /// Time of the first interruption.
     pub at: Time,
-    /// Whether the crash is confirmed.
-    is_crash: bool,
+    /// When the crash was confirmed, if it is.
+    confirmed_at: Option<Time>,
+    /// Whether only a probe of the replica can confirm it.
+    needs_probe: bool,
     /// Term of the leader that the crash was last reported to, and the number of reports.
     reported: (u64, u32),
 }
@@ -48,24 +50,30 @@
 }
 
 impl Incidents {
-    /// Records an interrupted request; returns whether it is the first at this instance, so that the replica should be
-    /// probed.
+    /// Records a request that was sent at `sent_at` and interrupted; returns the instance if it is the first there, so
+    /// that the replica should be probed.
+    ///
+    /// A replica that is back before its new entry is known runs requests under an incarnation whose crash is
+    /// confirmed. What is sent after that belongs to another crash, which gets an identity of its own.
     pub fn record_failure(
         &mut self,
         instance: &Instance,
         fingerprint: Fingerprint,
+        sent_at: Time,
         now: Time,
-    ) -> bool {
+    ) -> Option<Instance> {
         self.expire(now);
-        if self.incidents.len() >= MAX_INCIDENTS && !self.incidents.contains_key(instance) {
-            return false;
+        let current = self.instance_at(instance, sent_at);
+        if self.incidents.len() >= MAX_INCIDENTS && !self.incidents.contains_key(&current) {
+            return None;
         }
-        let is_first = !self.incidents.contains_key(instance);
-        let incident = self.incidents.entry(instance.clone()).or_insert(Incident {
-            crash: identity(instance),
+        let is_first = !self.incidents.contains_key(&current);
+        let incident = self.incidents.entry(current.clone()).or_insert(Incident {
+            crash: identity(&current),
             in_flight: Vec::new(),
             at: now,
-            is_crash: false,
+            confirmed_at: None,
+            needs_probe: current != *instance,
             reported: (0, 0),
         });
         if incident.in_flight.len() < MAX_IN_FLIGHT && !incident.in_flight.contains(&fingerprint) {
@@ -73,28 +81,46 @@
             // Earlier reports lack this request.
             incident.reported = (0, 0);
         }
-        is_first
+        is_first.then_some(current)
+    }
+
+    /// Instance that a request sent at a time ran at: the given one, or one after its confirmed crashes.
+    fn instance_at(&self, instance: &Instance, sent_at: Time) -> Instance {
+        let crashed_before = |instance: &Instance| {
+            let incident = self.incidents.get(instance);
+            incident.is_some_and(|i| i.confirmed_at.is_some_and(|at| at < sent_at))
+        };
+        let mut current = instance.clone();
+        while crashed_before(&current) {
+            current.1 = Some(current.1.unwrap_or(0).wrapping_add(1));
+        }
+        current
     }
 
     /// Confirms that the instance crashed; returns the incident unless it was already confirmed.
-    pub fn confirm_crash(&mut self, instance: &Instance) -> Option<Incident> {
+    pub fn confirm_crash(&mut self, instance: &Instance, now: Time) -> Option<Incident> {
         let incident = self
             .incidents
             .get_mut(instance)
-            .filter(|incident| !incident.is_crash)?;
-        incident.is_crash = true;
+            .filter(|incident| incident.confirmed_at.is_none())?;
+        incident.confirmed_at = Some(now);
         Some(incident.clone())
     }
 
     /// Confirms the crashes of all former instances of a replica, given the present one, and returns their incidents.
-    pub fn confirm_replaced(&mut self, replica: &str, present: Option<&Instance>) -> Vec<Incident> {
-        let instances = self.incidents.keys();
-        let former =
-            instances.filter(|instance| *instance.0 == *replica && Some(*instance) != present);
-        let former: Vec<Instance> = former.cloned().collect();
+    pub fn confirm_replaced(
+        &mut self,
+        replica: &str,
+        present: Option<&Instance>,
+        now: Time,
+    ) -> Vec<Incident> {
+        let former = self.incidents.iter().filter(|(instance, incident)| {
+            *instance.0 == *replica && Some(*instance) != present && !incident.needs_probe
+        });
+        let former: Vec<Instance> = former.map(|(instance, _)| instance.clone()).collect();
         former
             .iter()
-            .filter_map(|instance| self.confirm_crash(instance))
+            .filter_map(|instance| self.confirm_crash(instance, now))
             .collect()
     }
 
@@ -105,7 +131,7 @@
         for incident in self
             .incidents
             .values_mut()
-            .filter(|incident| incident.is_crash)
+            .filter(|incident| incident.confirmed_at.is_some())
         {
             if incident.reported.0 != term {
                 incident.reported = (term, 0);
@@ -125,7 +151,7 @@
 
     fn expire(&mut self, now: Time) {
         self.incidents.retain(|_, incident| {
-            let retention = if incident.is_crash {
+            let retention = if incident.confirmed_at.is_some() {
                 CONFIRMED_RETENTION
             } else {
                 UNCONFIRMED_RETENTION
