Test of a stream at a leaving replica: the request runs before the departure is known

Cause: the leader in the same host asks the replica for a report at its own time; where that answer announces the departure before the request is placed, the request is refused and has not run, as it must. The test now lets the request arrive first and asks for all five events and one run as before; a second test forces the other order and checks that the request is refused and never ran. Both orders were left to chance before.

--- a/crates/front/tests/departures.rs
+++ b/crates/front/tests/departures.rs
@@ -165,7 +165,8 @@
     assert_eq!(late_requests_from_all(&web, &hosts), 0, "plain requests");
 }
 
-/// Guards against aborting requests that run at a leaving replica.
+/// Guards against aborting requests that run at a leaving replica. The leader in the host may ask the replica for a
+/// report at any moment, and a request that comes after its answer is refused: so this one runs first.
 #[tokio::test]
 async fn running_requests_at_a_leaving_replica_complete() {
     let store = store().await;
@@ -175,12 +176,37 @@
     };
     let slow = replica::spawn(&store, options).await.unwrap();
     let host = daemon(&store, "d1").await;
-    announce_departure(&slow);
-    let (id, answer) = ask(&host, "/stream/x", Some("m1")).await;
+    let running = ask(&host, "/stream/x", Some("m1"));
+    let leaving = async {
+        until(|| slow.arrivals() == 1).await;
+        announce_departure(&slow);
+    };
+    let ((id, answer), ()) = tokio::join!(running, leaving);
     assert_eq!(answer.events(), [1, 2, 3, 4, 5]);
     assert_eq!(slow.request_log(&id).runs, 1);
 }
 
+/// A request that comes once the host knows of the departure is refused and has not run.
+#[tokio::test]
+async fn a_request_after_a_known_departure_is_refused_unrun() {
+    let store = store().await;
+    let leaving = engine(&store, "i-1", &["m1"]).await;
+    let host = daemon(&store, "d1").await;
+    announce_departure(&leaving);
+    let knows = || {
+        let table = host.state().table.lock();
+        table.view.get("i-1").is_some_and(|s| s.entry.leaving)
+    };
+    while !knows() {
+        // The leader asks for a report, or a request hears of it.
+        ask(&host, "/stream/x", Some("m1")).await;
+    }
+    let (id, answer) = ask(&host, "/stream/x", Some("m1")).await;
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.events(), [0; 0]);
+    assert_eq!(leaving.request_log(&id).runs, 0);
+}
+
 /// Guards against further orders to a replica that announced its departure in the answer to an
 /// order.
 #[tokio::test]
