Logs: changes of replicas and the planner's reports have limits of their own

At a start of the fleet 4,000 replicas are listed and reported on within seconds; their lines used up the limit of all others (181 to 420 left out each half second), so that failures of readers were not logged.

--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -1,5 +1,6 @@
 //! Applies store data: configuration, replicas, the leader, and the quarantine list.
 
+use crate::log::Topic;
 use crate::state::{self, State};
 use crate::view::Update;
 use crate::{leader, quarantine, routes};
@@ -174,7 +175,7 @@
             Update::Missing(_) => state.entry_missing.notify_one(),
             _ => {}
         }
-        state.log.rate_limited(
+        state.log.rate_limited_by(Topic::Replicas,
             || info!(target: "view", event, replica = &**id, revision, store_back_ms, "replica changed"),
         );
     }
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -12,7 +12,18 @@
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
-/// Rate limit, in lines per second. A line costs about 20 µs.
+/// What a rate-limited line is about. Each topic has a limit of its own, so that thousands of replicas that are listed
+/// at once leave room for other lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    General,
+    /// Changes of the replicas that the store lists.
+    Replicas,
+    /// Replicas that the planner takes up and reports that it asks for.
+    Planner,
+}
+
+/// Rate limit of a topic, in lines per second. A line costs about 20 µs.
 const LINES_PER_SECOND: f64 = 40.0;
 
 /// Lines that may be logged at once.
@@ -26,7 +37,8 @@
     pub metrics: Metrics,
     /// One request in this many is logged.
     sample: u64,
-    bucket: Mutex<TokenBucket>,
+    /// By topic.
+    buckets: [Mutex<TokenBucket>; 3],
     omitted: AtomicU64,
 }
 
@@ -40,9 +52,11 @@
     Log {
         metrics: crate::metrics::open(),
         sample,
-        bucket: Mutex::new(TokenBucket {
-            tokens: BURST,
-            refilled: Instant::now(),
+        buckets: std::array::from_fn(|_| {
+            Mutex::new(TokenBucket {
+                tokens: BURST,
+                refilled: Instant::now(),
+            })
         }),
         omitted: AtomicU64::new(0),
     }
@@ -103,7 +117,12 @@
 
     /// Logs a line unless the rate limit is exceeded.
     pub fn rate_limited(&self, log: impl FnOnce()) {
-        if self.take_token() {
+        self.rate_limited_by(Topic::General, log);
+    }
+
+    /// Logs a line unless the rate limit of its topic is exceeded.
+    pub fn rate_limited_by(&self, topic: Topic, log: impl FnOnce()) {
+        if self.take_token(topic) {
             log();
             return;
         }
@@ -113,8 +132,8 @@
             .increment(1);
     }
 
-    fn take_token(&self) -> bool {
-        let mut bucket = self.bucket.lock();
+    fn take_token(&self, topic: Topic) -> bool {
+        let mut bucket = self.buckets[topic as usize].lock();
         let elapsed = bucket.refilled.elapsed().as_secs_f64();
         bucket.refilled = Instant::now();
         bucket.tokens = (bucket.tokens + elapsed * LINES_PER_SECOND).min(BURST);
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -17,6 +17,7 @@
 
 use crate::fleet::{Bucket, Record};
 use crate::leader::Term;
+use crate::log::Topic;
 use crate::message::{Load, Message, ModelPlacement, ModelRequest, replica_hash};
 use crate::peers::Peers;
 use crate::shares;
@@ -204,7 +205,9 @@
         for replica in table.view.all().filter(|s| runs_models(&s.entry.service)) {
             let record = fleet.records.entry(replica.entry.id.clone());
             let record = record.or_insert_with(|| {
-                log_found(&replica.entry);
+                self.state
+                    .log
+                    .rate_limited_by(Topic::Planner, || log_found(&replica.entry));
                 Record::default()
             });
             let is_unreachable =
--- a/crates/front/src/planner/dispatch.rs
+++ b/crates/front/src/planner/dispatch.rs
@@ -3,6 +3,7 @@
 use super::{Fleet, Planner};
 use crate::feedback;
 use crate::fleet::{Job, Pending, Record};
+use crate::log::Topic;
 use crate::table::Permit;
 use platform::config::Engine;
 use platform::replica::{self, Entry, Operation, Order, OrderStatus};
@@ -122,7 +123,9 @@
                     return false;
                 };
                 record.apply_report(&report, self.state.now());
-                info!(target: "planner", event = "looked", replica = &*entry.id, orders = report.orders_accepted, busy = report.busy, "replica report applied");
+                self.state.log.rate_limited_by(Topic::Planner, || {
+                    info!(target: "planner", event = "looked", replica = &*entry.id, orders = report.orders_accepted, busy = report.busy, "replica report applied")
+                });
                 !report.busy
             }
             Err(why) => {
