Start: a host waits for the assignment of readers before it watches the store again

Cause: until the leader's first digest a host takes the fleet for a small one and watches the store itself; with 4,000 replicas that write each second every watch ends at once, and a new one followed after a third of the bound. Change: it waits for the digest, at most half of the bound. Also the experiment 'fleet', the exchange between hosts and leader by size.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -17,6 +17,7 @@
 use platform::store::{Change, Item, Listing};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 use tracing::{info, warn};
 use unit::{Span, Time};
 
@@ -29,6 +30,13 @@
 /// Pause between two watches, as a fraction of the propagation bound; leaves time for two failed watches.
 const PAUSE_FRACTION: f64 = 1.0 / 3.0;
 
+/// Longest wait of a host that has just started for the assignment of readers, as a fraction of the propagation bound:
+/// until then each change of any replica would end a watch.
+const ASSIGNMENT_FRACTION: f64 = 0.5;
+
+/// Interval at which it looks for the assignment.
+const ASSIGNMENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time that a watch waits for a change, as a fraction of the propagation bound; limits how long a watch lost in a
 /// network outage delays the recovery.
 const WATCH_FRACTION: f64 = 0.75;
@@ -200,6 +208,10 @@
         return;
     }
     let bound = state.settings.bounds.propagation();
+    if !state.leads() && !state.table.lock().knows_host_count {
+        wait_for_assignment(state, bound.mul_f64(ASSIGNMENT_FRACTION)).await;
+        return;
+    }
     let pause = match (state.leads(), readers::is_root(state)) {
         (true, _) => LEADER_PAUSE,
         (false, true) => bound.mul_f64(ROOT_FRACTION),
@@ -208,6 +220,14 @@
     tokio::time::sleep(pause).await;
 }
 
+/// Waits for the leader's first digest, which tells whether there are readers to poll.
+async fn wait_for_assignment(state: &State, limit: Duration) {
+    let end = Instant::now() + limit;
+    while Instant::now() < end && !state.table.lock().knows_host_count {
+        tokio::time::sleep(ASSIGNMENT_POLL_INTERVAL).await;
+    }
+}
+
 /// Pauses after all sources failed. Roots and hosts without a configuration retry quickly; the many others rarely.
 async fn pause_after_failure(state: &State) {
     let is_unconfigured = state.table.lock().routes.is_none();
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -1,5 +1,6 @@
 //! Measurements, each by its name.
 
+mod fleet;
 mod measure;
 mod model;
 mod overhead;
@@ -41,8 +42,8 @@
         .help("Only rows of 'quality' that bear this size, workload or policy; may be repeated")
         .argument::<String>("WORD")
         .many();
-    let name =
-        positional::<String>("NAME").help("overhead, quality, curve, spread, slopes or platform");
+    let name = positional::<String>("NAME")
+        .help("overhead, quality, curve, spread, slopes, platform or fleet");
     let parser = construct!(Options {
         json,
         seed,
@@ -75,8 +76,9 @@
         "spread" => spread::run(options),
         "slopes" => slopes::run(options),
         "platform" => platform::run(options),
+        "fleet" => fleet::run(options),
         other => Err(io::Error::other(format!(
-            "'{other}' is no experiment; known are: overhead, quality, curve, spread, slopes, platform."
+            "'{other}' is no experiment; known are: overhead, quality, curve, spread, slopes, platform, fleet."
         ))),
     }
 }
--- a/crates/standin/src/experiment/measure.rs
+++ b/crates/standin/src/experiment/measure.rs
@@ -3,7 +3,7 @@
 use hdrhistogram::Histogram;
 use std::fs;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, Runtime};
 use unit::Span;
 
@@ -69,3 +69,17 @@
         self.0.len()
     }
 }
+
+/// Time spent on each point.
+const EACH: Duration = Duration::from_millis(150);
+
+/// Microseconds of one call, over many.
+pub fn each(mut call: impl FnMut()) -> f64 {
+    let start = Instant::now();
+    let mut calls = 0u32;
+    while start.elapsed() < EACH {
+        call();
+        calls += 1;
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
+}
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -1,7 +1,7 @@
 //! What the parts that run on a platform cost, over several sizes.
 
 use super::Options;
-use super::measure::allocated;
+use super::measure::{allocated, each};
 use cli::render::{print_json, print_line, table};
 use front::message::{Digest, Load, Message, PackedLoad, encode};
 use front::table::{Criteria, Table};
@@ -10,12 +10,8 @@
 use platform::replica::{Entry, Resident};
 use std::hint::black_box;
 use std::io;
-use std::time::{Duration, Instant};
 use unit::{Name, Span, Time};
 
-/// Time spent on each point.
-const EACH: Duration = Duration::from_millis(150);
-
 /// Replicas that hold one model, of those that hold any.
 const HOLDERS: usize = 12;
 
@@ -148,14 +144,3 @@
         black_box(copies::plan(&held, &demands, 20, 20));
     })
 }
-
-/// Microseconds of one call, over many.
-fn each(mut call: impl FnMut()) -> f64 {
-    let start = Instant::now();
-    let mut calls = 0u32;
-    while start.elapsed() < EACH {
-        call();
-        calls += 1;
-    }
-    start.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
-}
