Planner: models by index once a plan, holders of models once a prefetch

Each plan looked up the models of all replicas by a scan of the configuration, and each adapter by a scan of all replicas. The digest is sent by shorter functions, and rows of a term's start count as sent.

--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -33,41 +33,23 @@
     /// Sends the load and the plans to all hosts.
     pub(super) async fn send_digest(&self, round: usize) {
         let now = self.state.now();
-        let unreachable = self.peers.inbox.unreachable(now);
         let hosts = self.peers.inbox.candidates(now);
-        let heartbeat = self.state.settings.bounds.heartbeat.into();
-        let store_uptime = self.peers.inbox.store_uptime(heartbeat, now);
         self.peers.assign_fanout_groups(hosts.clone()).await;
-        let readers = self.readers(hosts);
-        let adapters_within = Span::from(self.peers.report_interval()) * ADAPTER_ROUNDS;
-        let (status, adapters) = {
-            let fleet = self.fleet.lock();
-            let announced_for = rounds::at_least_rounds(
-                MIN_ANNOUNCED_FOR,
-                ANNOUNCED_ROUNDS,
-                self.peers.inbox.host_count(),
-            );
-            let status = PlannerStatus {
-                round: round as u32,
-                unreachable,
-                readers,
-                direct_hosts: self.peers.direct_hosts(),
-                store_uptime,
-                ..planner_status(&fleet, announced_for, now)
-            };
-            (status, changed_adapters(&fleet, adapters_within, now))
-        };
-        let hosts = self.peers.inbox.host_count() as u32;
         let header = Digest {
             term: self.term.token,
-            hosts,
+            hosts: hosts.len() as u32,
             ..Digest::default()
         };
+        let status = PlannerStatus {
+            round: round as u32,
+            readers: self.readers(hosts),
+            ..self.status(now)
+        };
         let mut parts = Parts::new(header, status);
         for row in self.digest_rows(round) {
             parts.with_room(ROW_SIZE).loads.push(row);
         }
-        for (id, adapters) in adapters {
+        for (id, adapters) in self.changed_adapters(now) {
             let size = ROW_SIZE + adapters.len() * ADAPTER_SIZE;
             parts.with_room(size).adapters.push((id, adapters));
         }
@@ -76,6 +58,32 @@
         }
     }
 
+    /// Status of the plans and of the replicas and the store, as the hosts report them.
+    fn status(&self, now: Time) -> PlannerStatus {
+        let inbox = &self.peers.inbox;
+        let heartbeat = self.state.settings.bounds.heartbeat.into();
+        let announced_for =
+            rounds::at_least_rounds(MIN_ANNOUNCED_FOR, ANNOUNCED_ROUNDS, inbox.host_count());
+        PlannerStatus {
+            unreachable: inbox.unreachable(now),
+            direct_hosts: self.peers.direct_hosts(),
+            store_uptime: inbox.store_uptime(heartbeat, now),
+            ..planner_status(&self.fleet.lock(), announced_for, now)
+        }
+    }
+
+    /// Adapters of the replicas that loaded or unloaded one recently.
+    fn changed_adapters(&self, now: Time) -> Vec<(Name, Vec<(Name, Name)>)> {
+        let within = Span::from(self.peers.report_interval()) * ADAPTER_ROUNDS;
+        let fleet = self.fleet.lock();
+        let is_recent = |r: &Record| now.since(r.adapters_changed) < within;
+        let changed = fleet.records.iter();
+        changed
+            .filter(|(_, r)| is_recent(r) && r.report_due.is_none())
+            .map(|(id, r)| (id.clone(), r.adapters()))
+            .collect()
+    }
+
     /// Chooses the hosts that read the store for the others. A leader whose term has ended keeps
     /// the last choice: the hosts that no longer report to it may be the ones in contact, and
     /// follow another leader. Within its term a leader chooses even when the store fails it, so
@@ -106,31 +114,33 @@
     /// At the start of a term these are twice the rows of all replicas, since hosts know those of another leader.
     fn digest_rows(&self, round: usize) -> Vec<PackedLoad> {
         let changed = self.changed_rows();
-        if round == 1 || round == FULL_DIGEST_ROUNDS {
-            let loads = self.peers.inbox.loads(self.state.now());
-            let replicas = self.replicas().into_iter();
-            let load = |hash| loads.get(&hash).copied().unwrap_or_default();
-            return replicas
-                .map(|id| PackedLoad::of_hash(replica_hash(&id), &load(replica_hash(&id))))
-                .collect();
-        }
-        match round.is_multiple_of(FULL_DIGEST_ROUNDS) {
-            true => self.last_sent.lock().full_rows(),
-            false => changed,
+        match round {
+            1 | FULL_DIGEST_ROUNDS => self.all_rows(),
+            _ if round.is_multiple_of(FULL_DIGEST_ROUNDS) => self.last_sent.lock().full_rows(),
+            _ => changed,
         }
     }
 
+    /// Rows of all replicas, including those of services without models.
+    fn all_rows(&self) -> Vec<PackedLoad> {
+        let loads = self.peers.inbox.loads(self.state.now());
+        let row = |id: &Name| {
+            let replica = replica_hash(id);
+            let load = loads.get(&replica).copied().unwrap_or_default();
+            PackedLoad::of_hash(replica, &load)
+        };
+        let table = self.state.table.lock();
+        let rows: Vec<PackedLoad> = table.view.all().map(|r| row(&r.entry.id)).collect();
+        drop(table);
+        self.last_sent.lock().remember(&rows);
+        rows
+    }
+
     /// Rows that have changed since they were last sent.
     fn changed_rows(&self) -> Vec<PackedLoad> {
         let candidates = self.peers.inbox.take_changed_loads(self.state.now());
         self.last_sent.lock().changed_rows(candidates)
     }
-
-    /// All replicas, including those of services without models.
-    fn replicas(&self) -> Vec<Name> {
-        let table = self.state.table.lock();
-        table.view.all().map(|s| s.entry.id.clone()).collect()
-    }
 }
 
 /// Rows that hosts were last sent.
@@ -141,6 +151,12 @@
 }
 
 impl SentRows {
+    /// Records rows as sent.
+    fn remember(&mut self, rows: &[PackedLoad]) {
+        self.rows
+            .extend(rows.iter().map(|row| (row.replica(), *row)));
+    }
+
     /// Rows that differ from those sent last, which they replace.
     fn changed_rows(&mut self, candidates: Vec<PackedLoad>) -> Vec<PackedLoad> {
         let mut changed = candidates;
@@ -226,13 +242,3 @@
         .cloned()
         .collect()
 }
-
-/// Adapters of the replicas that loaded or unloaded one within a time.
-fn changed_adapters(fleet: &Fleet, within: Span, now: Time) -> Vec<(Name, Vec<(Name, Name)>)> {
-    let is_recent = |r: &Record| now.since(r.adapters_changed) < within;
-    let changed = fleet.records.iter();
-    changed
-        .filter(|(_, r)| is_recent(r) && r.report_due.is_none())
-        .map(|(id, r)| (id.clone(), r.adapters()))
-        .collect()
-}
--- a/crates/front/src/planner/prefetch.rs
+++ b/crates/front/src/planner/prefetch.rs
@@ -1,6 +1,7 @@
 //! Loading of adapters into free slots before they are requested.
 
 use super::adapters::job;
+use super::service::{Indices, indices};
 use super::{Fleet, Planner};
 use crate::fleet::Record;
 use place::adapters::{self, Replica};
@@ -17,6 +18,7 @@
         let Some((_, entries)) = self.active_replicas(service) else {
             return;
         };
+        let indices = indices(engine);
         let mut fleet = self.fleet.lock();
         let replicas: Vec<Replica> = entries
             .iter()
@@ -24,7 +26,7 @@
                 fleet
                     .records
                     .get(&e.id)
-                    .map_or_else(Replica::default, |r| adapter_slots(r, engine))
+                    .map_or_else(Replica::default, |r| adapter_slots(r, engine, &indices))
             })
             .collect();
         let counts: Vec<u32> = engine.models.iter().map(|m| m.adapter_count).collect();
@@ -53,8 +55,8 @@
 }
 
 /// Adapter slots of a replica, as the plan sees them.
-fn adapter_slots(record: &Record, engine: &Engine) -> Replica {
-    let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
+fn adapter_slots(record: &Record, engine: &Engine, indices: &Indices) -> Replica {
+    let index = |name: &Name| indices.get(&**name).copied();
     let held = record
         .adapters()
         .into_iter()
--- a/crates/front/src/planner/service.rs
+++ b/crates/front/src/planner/service.rs
@@ -80,6 +80,7 @@
         let plan = Plan {
             service,
             engine,
+            indices: indices(engine),
             entries: &entries,
             replicas: &replicas,
             models: &models,
@@ -153,10 +154,19 @@
     }
 }
 
+/// Index of each model in the configuration, by name.
+pub(super) type Indices<'a> = HashMap<&'a str, usize>;
+
+pub(super) fn indices(engine: &Engine) -> Indices<'_> {
+    let names = engine.models.iter().map(|m| &*m.name);
+    names.enumerate().map(|(i, name)| (name, i)).collect()
+}
+
 /// Inputs of a plan of one service.
 struct Plan<'a> {
     service: &'a Name,
     engine: &'a Engine,
+    indices: Indices<'a>,
     entries: &'a [Entry],
     replicas: &'a [copies::Replica],
     models: &'a [copies::Model],
@@ -167,7 +177,8 @@
     fn is_current(&self, replica: usize, record: &Record, now: Time) -> bool {
         let planned = &self.replicas[replica];
         let entry = &self.entries[replica];
-        let current = self::replica(entry, record, self.engine, planned.utilization, now);
+        let utilization = planned.utilization;
+        let current = self::replica(entry, record, self.engine, &self.indices, utilization, now);
         copies::Replica {
             degraded_capacity: planned.degraded_capacity,
             ..current
@@ -290,9 +301,11 @@
     now: Time,
 ) -> Vec<copies::Replica> {
     let unknown = Record::default();
+    let indices = indices(engine);
     let to_input = |entry: &Entry| {
         let record = records.get(&entry.id).unwrap_or(&unknown);
-        let input = replica(entry, record, engine, utilization(entry, loads), now);
+        let utilization = utilization(entry, loads);
+        let input = replica(entry, record, engine, &indices, utilization, now);
         copies::Replica {
             degraded_capacity: capacities.get(&entry.id).copied(),
             ..input
@@ -306,10 +319,11 @@
     entry: &Entry,
     record: &Record,
     engine: &Engine,
+    indices: &Indices,
     utilization: f64,
     now: Time,
 ) -> copies::Replica {
-    let index = |name: &Name| engine.models.iter().position(|m| m.name == *name);
+    let index = |name: &Name| indices.get(&**name).copied();
     let unloading = record.unloading();
     let resident = record
         .resident
--- a/crates/place/src/adapters.rs
+++ b/crates/place/src/adapters.rs
@@ -1,5 +1,7 @@
 //! Plans the prefetch of adapters into free adapter slots.
 
+use std::collections::HashSet;
+
 /// State of a replica that a plan is based on.
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
@@ -28,14 +30,20 @@
         .iter()
         .map(|r| if r.accepts_orders { r.free_slots } else { 0 })
         .collect();
+    let held: HashSet<&(usize, u32)> = replicas.iter().flat_map(|r| &r.adapters).collect();
+    let mut holders = vec![Vec::new(); counts.len()];
+    for (r, replica) in replicas.iter().enumerate() {
+        for model in &replica.models {
+            holders[*model].push(r);
+        }
+    }
     let mut fetches = Vec::new();
     for model in order {
         for number in 1..=counts[*model] {
-            let key = (*model, number);
-            if replicas.iter().any(|r| r.adapters.contains(&key)) {
+            if held.contains(&(*model, number)) {
                 continue;
             }
-            let holders = (0..replicas.len()).filter(|r| replicas[*r].models.contains(model));
+            let holders = holders[*model].iter().copied();
             let Some(best) = holders.filter(|r| free[*r] > 0).max_by_key(|r| free[*r]) else {
                 break;
             };
