--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -24,9 +24,6 @@
 /// Pause of the leader between two watches; its orders depend on current data.
 const LEADER_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause between two watches while no leader is known: about the time of an election.
-const NO_LEADER_PAUSE: Duration = Duration::from_millis(250);
-
 /// Pause between two watches, as a fraction of the propagation bound; leaves time for two failed watches.
 const PAUSE_FRACTION: f64 = 1.0 / 3.0;
 
@@ -72,7 +69,7 @@
                 let has_changes = !changes.items.is_empty();
                 apply_changes(&state, changes.items);
                 if has_changes {
-                    pause_after_changes(&state).await;
+                    pause_after_changes(&state, position.revision).await;
                 }
             }
             Next::Snapshot(snapshot) => {
@@ -200,14 +197,13 @@
     }
 }
 
-/// Pauses after a watch that returned changes, only briefly while no leader is known: a host that does not see the
-/// leader's entry tries to become the leader, in three calls.
-async fn pause_after_changes(state: &State) {
+/// Pauses after a watch that returned changes up to a revision. While no leader is known the host watches for its entry
+/// meanwhile: one that does not see it tries to become the leader, in three calls.
+async fn pause_after_changes(state: &State, revision: u64) {
+    let bound = state.settings.bounds.propagation();
     if state.leader.lock().is_none() {
-        tokio::time::sleep(NO_LEADER_PAUSE).await;
-        return;
+        bootstrap::await_leader(state, revision, bound.mul_f64(PAUSE_FRACTION)).await;
     }
-    let bound = state.settings.bounds.propagation();
     if !state.leads() && !state.table.lock().knows_host_count {
         wait_for_assignment(state, bound.mul_f64(ASSIGNMENT_FRACTION)).await;
         return;
--- a/crates/front/src/follow/bootstrap.rs
+++ b/crates/front/src/follow/bootstrap.rs
@@ -98,6 +98,21 @@
     state.leads() || readers::is_root(state) || (knows_host_count && readers::is_small_fleet(state))
 }
 
+/// Watches for the leader's entry for at most a time.
+pub(super) async fn await_leader(state: &State, revision: u64, limit: Duration) {
+    let end = Instant::now() + limit;
+    let watched = tokio::time::timeout(limit, state.store.watch(OWN_KEYS, revision, limit)).await;
+    match watched {
+        Ok(Ok(changes)) => apply_changes(state, changes.items),
+        // The next watch of all keys reports what is wrong.
+        Ok(Err(why)) => {
+            info!(target: "store", event = "not_watched", why = %why, "cannot watch for the leader");
+            tokio::time::sleep_until(end).await;
+        }
+        Err(_) => {}
+    }
+}
+
 /// Applies changes of the leader until the time is over.
 async fn watch_leader(state: &State, mut revision: u64, until: Instant) {
     while Instant::now() < until {
