--- a/crates/front/src/peers/load_reports.rs
+++ b/crates/front/src/peers/load_reports.rs
@@ -15,8 +15,10 @@
 /// Maximum delay of a report that load was reduced, after a report of added load.
 const LOAD_REDUCED_WAIT: Duration = Duration::from_millis(50);
 
-/// Interval at which ended requests are reported while none is added. Hosts that hold a share of a quota send a
-/// heartbeat as often.
+/// Number of hosts up to which all send unchanged loads again: some 1,700 datagrams a second for the leader.
+const MAX_RESENDING_HOSTS: usize = 300;
+
+/// Interval of load messages while no request is added.
 const LOAD_IDLE_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Peers {
@@ -67,7 +69,7 @@
         };
         let now = self.state.now();
         let loads = self.state.table.lock().report_own_loads(now);
-        if !self.take_as_sent(leader.term, &loads) && !self.state.shares.is_any_held() {
+        if !self.take_as_sent(leader.term, &loads) && !self.resends_loads() {
             return;
         }
         let sequence = self.load_sequence.fetch_add(1, Ordering::Relaxed);
@@ -81,6 +83,13 @@
         }
     }
 
+    /// Whether unchanged loads are sent again: as a heartbeat of a host that holds a share of a quota, and where the
+    /// fleet is small enough, to replace a lost datagram before the next round.
+    fn resends_loads(&self) -> bool {
+        let hosts = self.state.table.lock().host_count;
+        hosts <= MAX_RESENDING_HOSTS || self.state.shares.is_any_held()
+    }
+
     /// Records loads as sent to the leader of a term; returns whether they differ from those recorded before.
     fn take_as_sent(&self, term: u64, loads: &[PackedLoad]) -> bool {
         let mut sent = self.sent_loads.lock();
--- a/crates/place/src/copies/step.rs
+++ b/crates/place/src/copies/step.rs
@@ -12,9 +12,9 @@
 /// Cost of evicting one copy: two orders, and the cached prompts.
 const EVICTION_COST: f64 = 0.05;
 
-/// Cost of a load from the weight store. A model without demand gets a second copy from there, in case its only replica
-/// fails, and further ones only where the weights are at hand.
-const STORE_LOAD_COST: f64 = 0.003;
+/// Cost of a load from the weight store for a model without demand. Beyond some twenty copies it gets further ones only
+/// where the weights are at hand, however much memory the fleet has to spare.
+const IDLE_LOAD_COST: f64 = 0.000_03;
 
 /// Factor on a bound that covers the rounding of the value that it bounds.
 const ROUNDING: f64 = 1.0 + 1e-9;
@@ -154,9 +154,11 @@
 /// Gain of loading a copy on a replica, before the loss of evictions.
 fn load_gain(state: &State, r: usize, m: usize) -> f64 {
     let gain = state.gain(m, r) * utilization_factor(state, r);
+    let model = &state.models[m];
     match state.replicas[r].cached.contains(&m) {
         true => gain,
-        false => gain * state.models[m].store_factor - STORE_LOAD_COST,
+        false if model.demand + model.recent_demand > 0.0 => gain * model.store_factor,
+        false => gain * model.store_factor - IDLE_LOAD_COST,
     }
 }
 
