--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,7 +1,7 @@
 //! Daemon for a platform whose store lists the replicas: routes requests, follows the store, plans placement.
 //!
-//! Module dependencies are acyclic: `state` holds what several modules share and depends only on lower ones; `run`
-//! starts them all. Lock order: [`queue::Queues`], then [`table::Table`]; neither is held across an await.
+//! `state` holds what several modules share; `run` starts them all. Lock order: [`queue::Queues`], then
+//! [`table::Table`]; neither is held across an await.
 
 pub mod accounts;
 pub mod attempt;
--- a/crates/front/tests/unreachable.rs
+++ b/crates/front/tests/unreachable.rs
@@ -11,6 +11,7 @@
 use site::{ask, daemon, engine, store, until, web};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use unit::Span;
 
 /// Requests sent one after the other.
 const REQUESTS: usize = 40;
@@ -119,9 +120,13 @@
             sleep(Duration::from_millis(10)).await;
         }
     };
+    let mut oldest_status = Span::ZERO;
     let asking = async {
         sleep(Duration::from_millis(2_500)).await;
         for _ in 0..REQUESTS {
+            let state = informed.state();
+            let age = state.table.lock().planner_status_age(state.now());
+            oldest_status = oldest_status.max(age);
             assert_eq!(ask(&informed, "/again/x", None).await.1.status(), 200);
         }
     };
@@ -132,6 +137,6 @@
     let opened_connections = opened_connections(&informed);
     assert!(
         opened_connections <= 1,
-        "{opened_connections} connections, one to the healthy replica"
+        "{opened_connections} connections, one to the healthy replica; by a status of up to {oldest_status}"
     );
 }
