Quarantine: crashes are told apart by time, not by what one host has seen

Cause, traced: the identity of a crash came from the incarnation that the host knew from the store and from the crashes that this host had confirmed under it. A host that had not seen the first crash of an incarnation gave the second one the same identity, and the leader took a trial's crash for known. Change: a report holds the ages of the newest interrupted connection and of the first interruption. Each tracker tells crashes apart by these windows, so no identity is worked out by a host. Trials run over a connection opened for them and are marked in the report: what was seen before the trial began is another crash. A late report of a crash before a trial is no longer attributed to the trial, which could have quarantined a harmless request.

Failed before: crashes_seen_by_different_hosts_count_before_the_new_entry_has_come (four crashes for three).

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use unit::{Span, clock};
 
 /// Time without acknowledgements after which a connection fails (`TCP_USER_TIMEOUT`): a host that lost power sends no
 /// reset.
@@ -26,6 +27,8 @@
     addr: SocketAddr,
     sender: SendRequest<Body>,
     written: Arc<AtomicU64>,
+    /// Time since boot before it was opened.
+    opened: Span,
 }
 
 /// Complete response.
@@ -43,6 +46,7 @@
     /// Opens a connection; fails if it is not open within `limit`.
     pub async fn open(addr: SocketAddr, limit: Duration) -> Result<Connection, Error> {
         let ms = limit.as_millis() as u64;
+        let opened = clock::since_boot();
         let stream = timeout(limit, TcpStream::connect(addr))
             .await
             .map_err(|_| Error::ConnectTimeout { addr, ms })?
@@ -59,9 +63,15 @@
             addr,
             sender,
             written,
+            opened,
         })
     }
 
+    /// Time since before the connection was opened: its peer was running at some time since then.
+    pub fn age(&self) -> Span {
+        clock::since_boot().saturating_sub(self.opened)
+    }
+
     /// Whether another request may be sent over this connection.
     pub fn is_reusable(&self) -> bool {
         !self.sender.is_closed()
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -114,16 +114,17 @@
     state: &Arc<State>,
     call: &Call,
     choice: &Choice,
-    reservation: Reservation,
+    mut reservation: Reservation,
     last_event: Option<u64>,
 ) -> Result<Exchange, Failure> {
-    let is_idempotent = call.route.kind.is_idempotent();
-    let pooled = state.pool.take(&choice.replica, is_idempotent, state.now());
+    let pooled = pooled(state, call, choice);
     let is_pooled = pooled.is_some();
     let mut line = match pooled {
         Some(line) => line,
         None => open(state, call, choice, &reservation).await?,
     };
+    let now = state.now();
+    reservation.connected_at = Some(now - line.age());
     // Directly before each send, since the key may have been revoked after the last one.
     let account = accounts::reauthenticate(state, call).map_err(Failure::Unauthorized)?;
     quarantine::check(state, call).map_err(Failure::Quarantined)?;
@@ -161,6 +162,18 @@
     classify(state, call, reservation, line, response).await
 }
 
+/// An idle connection to the replica that may carry the request.
+///
+/// A trial takes none: an idle connection may belong to a process that has crashed already, and a trial that breaks
+/// has to prove that the replica crashed after it began.
+fn pooled(state: &State, call: &Call, choice: &Choice) -> Option<Connection> {
+    if call.trial.get().is_some() {
+        return None;
+    }
+    let is_idempotent = call.route.kind.is_idempotent();
+    state.pool.take(&choice.replica, is_idempotent, state.now())
+}
+
 async fn open(
     state: &Arc<State>,
     call: &Call,
--- a/crates/front/src/attempt/reservation.rs
+++ b/crates/front/src/attempt/reservation.rs
@@ -25,6 +25,8 @@
     without_adapter: bool,
     /// When the reservation was opened.
     pub reserved_at: Time,
+    /// When the connection that the request is sent over was opened, once there is one.
+    pub connected_at: Option<Time>,
     /// Prompt tokens to prefill, if no other prompt waited at the replica.
     unqueued_tokens: Option<f64>,
     /// When the first token arrived.
@@ -51,6 +53,7 @@
             model: call.metadata.model.clone(),
             without_adapter: call.metadata.adapter.is_none(),
             reserved_at: now,
+            connected_at: None,
             unqueued_tokens,
             first_token_at: None,
         }
--- a/crates/front/src/message/quarantine.rs
+++ b/crates/front/src/message/quarantine.rs
@@ -1,15 +1,57 @@
 //! Messages about requests that crash replicas.
 
+use route::quarantine::{Incident, IncidentId, Report, Window};
 use serde::{Deserialize, Serialize};
-use unit::{Fingerprint, Span};
+use unit::{Fingerprint, Name, Span, Time};
 
 /// Crash of a replica, as observed by a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// Id of the crash, the same on all hosts.
-    pub crash: u64,
+    /// Identity of the host's incident, the same in each report of it.
+    pub incident: u64,
+    pub replica: Name,
+    /// Incarnation of the replica that the host knew.
+    pub incarnation: Option<u64>,
+    /// Time since the newest of the interrupted connections was opened, in milliseconds.
+    pub opened_ms: u32,
+    /// Time since the first of them was seen interrupted, in milliseconds.
+    pub broke_ms: u32,
     /// Requests of the host that were in flight on the replica.
     pub in_flight: Vec<Fingerprint>,
+    /// Those of them that ran on trial.
+    pub on_trial: Vec<Fingerprint>,
+}
+
+impl CrashReport {
+    /// Report of an incident, with its ages at `now`.
+    pub fn new(incident: Incident, now: Time) -> CrashReport {
+        let age_ms = |at| u32::try_from(now.since(at).0 / 1_000).unwrap_or(u32::MAX);
+        let (replica, incarnation) = incident.instance;
+        CrashReport {
+            incident: incident.id.0,
+            replica,
+            incarnation,
+            opened_ms: age_ms(incident.window.opened_at),
+            broke_ms: age_ms(incident.window.broke_at),
+            in_flight: incident.in_flight,
+            on_trial: incident.on_trial,
+        }
+    }
+
+    /// The report in times of the receiver's clock, where it arrived at `now`.
+    pub fn received(self, now: Time) -> Report {
+        let at = |age_ms| now - Span::from_ms(u64::from(age_ms));
+        Report {
+            id: IncidentId(self.incident),
+            instance: (self.replica, self.incarnation),
+            window: Window {
+                opened_at: at(self.opened_ms),
+                broke_at: at(self.broke_ms),
+            },
+            in_flight: self.in_flight,
+            on_trial: self.on_trial,
+        }
+    }
 }
 
 /// Leader's decision on a suspected request.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -165,7 +165,7 @@
             Message::LimitDigest(limits) if self.is_from_earlier_term(limits.term) => {}
             Message::LimitDigest(limits) => self.merge_limits(&limits.limits, &limits.host),
             Message::Departures(departures) => self.merge_departures(&departures),
-            Message::CrashReport(report) => self.merge_crash(&report),
+            Message::CrashReport(report) => self.merge_crash(report),
             Message::Succeeded(fingerprint) => self.state.quarantine.note_success_anywhere(fingerprint),
             Message::TrialFailed(fingerprint, broke) => self.state.quarantine.note_trial_ended(fingerprint, broke, now),
             Message::TrialResponse(number, response) => self.trials.complete(number, response),
--- a/crates/front/src/peers/quarantine.rs
+++ b/crates/front/src/peers/quarantine.rs
@@ -3,7 +3,7 @@
 use super::Peers;
 use crate::message::{CrashReport, Message, TrialResponse};
 use crate::quarantine::{Report, Reports};
-use route::quarantine::{Crash, Incident, RequestId};
+use route::quarantine::{Incident, RequestId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,10 +40,9 @@
     /// Reports a crash to the leader and, in a small fleet, to all hosts, so that the next leader knows of it.
     async fn report_crash(&self, incident: Incident) {
         let now = self.state.now();
-        self.state
-            .quarantine
-            .note_crash(incident.crash, &incident.in_flight, now);
-        let message = crash_message(incident);
+        let report = CrashReport::new(incident, now);
+        self.merge_crash(report.clone());
+        let message = Message::CrashReport(report);
         let others = self.direct_hosts.lock().clone();
         for other in &others {
             self.send(&message, *other).await;
@@ -61,7 +60,8 @@
         };
         let now = self.state.now();
         for incident in self.state.quarantine.unreported_crashes(term, now) {
-            self.send_to_leader(crash_message(incident)).await;
+            let report = CrashReport::new(incident, now);
+            self.send_to_leader(Message::CrashReport(report)).await;
         }
     }
 
@@ -73,12 +73,11 @@
         self.answer(message, leader.peers).await;
     }
 
-    pub(super) fn merge_crash(&self, report: &CrashReport) {
+    pub(super) fn merge_crash(&self, report: CrashReport) {
         let now = self.state.now();
-        let crash = Crash(report.crash);
         self.state
             .quarantine
-            .note_crash(crash, &report.in_flight, now);
+            .note_crash_report(&report.received(now), now);
     }
 
     /// Requests the leader's decision on a suspected request; none if there was no response.
@@ -131,10 +130,3 @@
         }
     }
 }
-
-fn crash_message(incident: Incident) -> Message {
-    Message::CrashReport(CrashReport {
-        crash: incident.crash.0,
-        in_flight: incident.in_flight,
-    })
-}
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -23,7 +23,9 @@
 use parking_lot::Mutex;
 use platform::store::Item;
 use registry::Registry;
-use route::quarantine::{Crash, Incident, Permit, RequestId, Status, TrialOutcome};
+use route::quarantine::{
+    Crash, Incident, Permit, Report as CrashReport, RequestId, Status, TrialOutcome,
+};
 use std::collections::BTreeMap;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -94,10 +96,20 @@
         }
     }
 
-    /// Records a crash seen here or reported by another host.
+    /// Records a crash that this host or another one reports.
+    pub fn note_crash_report(&self, report: &CrashReport, now: Time) {
+        let changed = self.registry.lock().record_report(report, now);
+        self.note_suspected(&changed);
+    }
+
+    /// Records a crash just now, with a known identity.
     pub fn note_crash(&self, crash: Crash, in_flight: &[Fingerprint], now: Time) {
         let changed = self.registry.lock().record_crash(crash, in_flight, now);
-        for fingerprint in &changed {
+        self.note_suspected(&changed);
+    }
+
+    fn note_suspected(&self, changed: &[Fingerprint]) {
+        for fingerprint in changed {
             info!(target: "quarantine", event = "suspected", print = %fingerprint, "request suspected: it was in flight at several replica crashes");
         }
         self.notify_if(!changed.is_empty());
--- a/crates/front/src/quarantine/probe.rs
+++ b/crates/front/src/quarantine/probe.rs
@@ -4,7 +4,7 @@
 use crate::attempt::{Call, Reservation};
 use crate::state::State;
 use crate::view::Replica;
-use route::quarantine::Incident;
+use route::quarantine::{Incident, IncidentId, Instance, Interruption};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,31 +26,36 @@
 pub fn note_interrupted(state: &Arc<State>, call: &Call, reservation: &Reservation) {
     let now = state.now();
     let listed = (reservation.replica.clone(), reservation.incarnation);
-    let fingerprint = call.fingerprint();
-    if let Some(trial) = call.trial.get() {
+    let trial = call.trial.get();
+    if let Some(trial) = trial {
         trial.mark_interrupted();
     }
+    let interruption = Interruption {
+        fingerprint: call.fingerprint(),
+        connected_at: reservation.connected_at.unwrap_or(reservation.reserved_at),
+        on_trial: trial.is_some(),
+    };
     let to_probe = {
         let mut registry = state.quarantine.registry.lock();
         registry.alert(now);
-        let sent_at = reservation.reserved_at;
         registry
             .incidents
-            .record_failure(&listed, fingerprint, sent_at, now)
+            .record_interruption(&listed, interruption, now)
     };
-    let Some(instance) = to_probe else {
+    let Some(incident) = to_probe else {
         return;
     };
     let replica = state.table.lock().view.get(&reservation.replica).cloned();
-    let is_present = |s: &Replica| instance != listed || s.entry.incarnation == listed.1;
-    let Some(replica) = replica.filter(is_present) else {
-        return report_crash(state, &instance);
+    let must_probe =
+        |replica: &Replica| incident.needs_probe || replica.entry.incarnation == listed.1;
+    let Some(replica) = replica.filter(must_probe) else {
+        return report_crash(state, &listed, incident.id);
     };
     let state = state.clone();
     tokio::spawn(async move {
         sleep(PROBE_DELAY).await;
         if refuses(replica.entry.addr).await {
-            report_crash(&state, &instance);
+            report_crash(&state, &listed, incident.id);
         }
     });
 }
@@ -62,15 +67,11 @@
 }
 
 /// Reports a crash, unless it has been reported.
-fn report_crash(state: &State, instance: &route::quarantine::Instance) {
-    let incident = state
-        .quarantine
-        .registry
-        .lock()
-        .incidents
-        .confirm_crash(instance, state.now());
+fn report_crash(state: &State, instance: &Instance, id: IncidentId) {
+    let incidents = &mut state.quarantine.registry.lock().incidents;
+    let incident = incidents.confirm_crash(instance, id);
     if let Some(incident) = incident {
-        report_incident(state, &instance.0, incident);
+        report_incident(state, incident);
     }
 }
 
@@ -81,14 +82,15 @@
     let present = current.map(|s| (s.entry.id.clone(), s.entry.incarnation));
     let incidents = {
         let known = &mut state.quarantine.registry.lock().incidents;
-        known.confirm_replaced(replica, present.as_ref(), state.now())
+        known.confirm_replaced(replica, present.as_ref())
     };
     for incident in incidents {
-        report_incident(state, replica, incident);
+        report_incident(state, incident);
     }
 }
 
-fn report_incident(state: &State, replica: &str, incident: Incident) {
+fn report_incident(state: &State, incident: Incident) {
+    let replica = &*incident.instance.0;
     let in_flight = incident.in_flight.len();
     state.log.rate_limited(|| {
         info!(target: "quarantine", event = "fell", replica, in_flight, "replica crashed with requests of this host in flight; their failed attempts name them")
--- a/crates/front/src/quarantine/registry.rs
+++ b/crates/front/src/quarantine/registry.rs
@@ -2,7 +2,7 @@
 
 use super::stored;
 use crate::message::{QuarantineEntry, QuarantineList};
-use route::quarantine::{Crash, Incidents, Status, Tracker};
+use route::quarantine::{Crash, Incidents, Report, Status, Tracker};
 use std::collections::{BTreeMap, HashMap};
 use unit::{Fingerprint, Span, Time};
 
@@ -115,6 +115,11 @@
         self.status(fingerprint, now) != Status::Clear
     }
 
+    pub(super) fn record_report(&mut self, report: &Report, now: Time) -> Vec<Fingerprint> {
+        self.alert(now);
+        self.tracker.record_report(report, now)
+    }
+
     pub(super) fn record_crash(
         &mut self,
         crash: Crash,
--- a/crates/front/tests/quarantine.rs
+++ b/crates/front/tests/quarantine.rs
@@ -143,6 +143,31 @@
     assert_eq!(crashes(&fleet), QUARANTINED_AFTER);
 }
 
+/// Guards against merging two crashes of one incarnation because they were seen by different hosts: the replica is back
+/// under its id before its new entry has come, and each repetition arrives at another host.
+#[tokio::test]
+async fn crashes_seen_by_different_hosts_count_before_the_new_entry_has_come() {
+    let store = store().await;
+    let fleet = fleet(&store, 2).await;
+    let hosts = hosts(&store, 3).await;
+    until(|| hosts.iter().any(|host| host.state().leads())).await;
+    for host in &hosts {
+        until(|| host.state().table.lock().view.all().count() == 2).await;
+    }
+    store.set_mode(platform_standin::store::Mode::Silent);
+    for number in 0..10 {
+        let answer = ask_body(&hosts[number % hosts.len()], "/once/x", FATAL_BODY).await;
+        if answer.text().contains("kept_out") {
+            break;
+        }
+        sleep(RESTART_TIME * 2).await;
+    }
+    assert_eq!(crashes(&fleet), QUARANTINED_AFTER);
+    for host in &hosts {
+        assert!(is_quarantined(host).await);
+    }
+}
+
 /// A frequent request is in flight at every crash, and must not be taken for the cause.
 #[tokio::test]
 async fn concurrent_request_stays_served() {
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -6,11 +6,14 @@
 //! crashes the replica too is quarantined. A suspect that succeeds anywhere is cleared, since a request that crashes
 //! replicas never succeeds; frequent requests succeed somewhere within a fraction of a second and thus stay served.
 
+mod crashes;
 mod incidents;
 mod record;
 
-pub use incidents::{Incident, Incidents, Instance};
+pub use crashes::{IncidentId, Window};
+pub use incidents::{Incident, Incidents, Instance, Interruption};
 
+use crashes::Crashes;
 use record::Record;
 use std::collections::{HashMap, HashSet, VecDeque};
 use unit::{Fingerprint, Span, Time};
@@ -49,7 +52,7 @@
 /// Maximum number of suspects listed, the most recent first, so that the list fits into one datagram.
 pub const MAX_SUSPECTS: usize = 64;
 
-/// Identity of one crash, derived from the replica and its incarnation.
+/// Identity of one crash. Each tracker assigns its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Crash(pub u64);
 
@@ -90,6 +93,20 @@
     Inconclusive,
 }
 
+/// Crash of a replica as one host saw it, in times of the tracker's clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Identity of the incident, the same in all reports of it.
+    pub id: IncidentId,
+    pub instance: Instance,
+    /// Time in which the replica crashed.
+    pub window: Window,
+    /// Requests of the host that the crash interrupted.
+    pub in_flight: Vec<Fingerprint>,
+    /// Those of them that ran on trial, each over a connection opened for it.
+    pub on_trial: Vec<Fingerprint>,
+}
+
 /// Suspected or quarantined request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspect {
@@ -114,25 +131,59 @@
     records: HashMap<Fingerprint, Record>,
     /// Suspected and quarantined requests.
     suspects: HashSet<Fingerprint>,
+    /// Crashes reported by hosts.
+    reported: Crashes,
     /// Requests in flight at the most recent crashes, oldest first.
     crashes: VecDeque<(Crash, Vec<Fingerprint>)>,
     trial: Option<Trial>,
 }
 
 impl Tracker {
-    /// Records requests that were in flight at a crash and returns those whose status changed. The same crash may be
+    /// Records what a host reports of a crash and returns the requests whose status changed. The same crash may be
     /// reported repeatedly and by several hosts.
+    pub fn record_report(&mut self, report: &Report, now: Time) -> Vec<Fingerprint> {
+        let on_trial = report.on_trial.iter();
+        // A crash that was seen before the trial began is another one.
+        let since = on_trial
+            .filter_map(|fingerprint| self.records.get(fingerprint)?.trial_started)
+            .max();
+        let crash = self
+            .reported
+            .identify(&report.instance, report.id, report.window, since, now);
+        let at = report.window.broke_at;
+        self.count_crash(crash, &report.in_flight, &report.on_trial, at, now)
+    }
+
+    /// Records requests that were in flight at a crash just now, with a known identity; returns those whose status
+    /// changed.
     pub fn record_crash(
         &mut self,
         crash: Crash,
         in_flight: &[Fingerprint],
         now: Time,
+    ) -> Vec<Fingerprint> {
+        let is_on_trial = |fingerprint: &&Fingerprint| {
+            let record = self.records.get(fingerprint);
+            record.is_some_and(|record| record.is_on_trial(now))
+        };
+        let on_trial: Vec<Fingerprint> = in_flight.iter().filter(is_on_trial).copied().collect();
+        self.count_crash(crash, in_flight, &on_trial, now, now)
+    }
+
+    fn count_crash(
+        &mut self,
+        crash: Crash,
+        in_flight: &[Fingerprint],
+        on_trial: &[Fingerprint],
+        crashed_at: Time,
+        now: Time,
     ) -> Vec<Fingerprint> {
         self.add_in_flight(crash, in_flight);
         let before: Vec<Status> = in_flight.iter().map(|p| self.status(*p, now)).collect();
         for fingerprint in in_flight {
             let record = self.records.entry(*fingerprint).or_insert(Record::new(now));
-            record.record_crash(crash, now);
+            let is_trial = on_trial.contains(fingerprint);
+            record.record_crash(crash, is_trial, crashed_at, now);
             if record.is_suspected() {
                 self.suspects.insert(*fingerprint);
             }
@@ -220,7 +271,7 @@
                 _ if !record.may_start_trial(now) => Permit::Wait,
                 _ => {
                     let until = now + TRIAL_TIMEOUT;
-                    record.start_trial(until);
+                    record.start_trial(now, until);
                     self.trial = Some(Trial {
                         fingerprint,
                         request_id,
--- a/crates/route/src/quarantine/incidents.rs
+++ b/crates/route/src/quarantine/incidents.rs
@@ -1,18 +1,18 @@
 //! Groups interrupted requests by replica and detects whether the replica crashed.
 //!
 //! An interrupted response alone proves little: a connection may have been reset, or the replica may have failed single
-//! requests. It counts as a crash if the replica then refuses connections or has restarted. All interruptions at one
-//! incarnation belong to the same crash.
+//! requests. It counts as a crash if the replica then refuses connections or has restarted. Interruptions that are seen
+//! together at one incarnation belong to one incident.
 
-use super::Crash;
+use super::crashes::{IncidentId, Window};
 use std::collections::HashMap;
-use unit::{Fingerprint, Name, Span, Time, rendezvous};
+use unit::{Fingerprint, Name, Span, Time};
 
 /// Time for which an unconfirmed incident is kept; a crashed replica restarts within seconds.
 const UNCONFIRMED_RETENTION: Span = Span::from_secs(10);
 
 /// Time for which a crash is reported to each new leader.
-const CONFIRMED_RETENTION: Span = Span::from_secs(60);
+pub(super) const CONFIRMED_RETENTION: Span = Span::from_secs(60);
 
 /// Number of times that a crash is reported to the same leader, since datagrams may be lost.
 const MAX_REPORTS: u32 = 3;
@@ -23,104 +23,130 @@
 /// Maximum number of requests kept per incident.
 const MAX_IN_FLIGHT: usize = 128;
 
-/// Instance of a replica: its identity and, if known, its incarnation.
+/// Time after the first interruption of an incident in which others join it: a process that ends closes all of its
+/// connections at once.
+const JOIN_WITHIN: Span = Span::from_ms(500);
+
+/// Instance of a replica: its identity and, if known, its incarnation as the store tells it.
 pub type Instance = (Name, Option<u64>);
 
-/// Requests interrupted at one replica instance.
+/// Request whose answer broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Interruption {
+    pub fingerprint: Fingerprint,
+    /// When the connection that it was sent over was opened.
+    pub connected_at: Time,
+    /// Whether it ran on trial.
+    pub on_trial: bool,
+}
+
+/// Requests interrupted together at one replica instance.
 #[derive(Debug, Clone)]
 pub struct Incident {
-    /// Identity of the crash, if it is confirmed.
-    pub crash: Crash,
+    pub id: IncidentId,
+    pub instance: Instance,
+    /// Time in which the replica crashed, if it did.
+    pub window: Window,
     /// Interrupted requests.
     pub in_flight: Vec<Fingerprint>,
-    /// Time of the first interruption.
-    pub at: Time,
-    /// When the crash was confirmed, if it is.
-    confirmed_at: Option<Time>,
-    /// Whether only a probe of the replica can confirm it.
-    needs_probe: bool,
+    /// Those of them that ran on trial.
+    pub on_trial: Vec<Fingerprint>,
+    is_confirmed: bool,
+    /// Whether only a probe of the replica can confirm it: the instance had crashed before, so that a new entry may
+    /// describe the very process that interrupted the requests.
+    pub needs_probe: bool,
     /// Term of the leader that the crash was last reported to, and the number of reports.
     reported: (u64, u32),
 }
 
-/// Incidents by replica instance.
+impl Incident {
+    fn add(&mut self, interruption: Interruption) {
+        let fingerprint = interruption.fingerprint;
+        self.window.opened_at = self.window.opened_at.max(interruption.connected_at);
+        if self.in_flight.len() >= MAX_IN_FLIGHT || self.in_flight.contains(&fingerprint) {
+            return;
+        }
+        self.in_flight.push(fingerprint);
+        if interruption.on_trial {
+            self.on_trial.push(fingerprint);
+        }
+        // Earlier reports lack this request.
+        self.reported = (0, 0);
+    }
+}
+
+/// Recent incidents by replica instance, oldest first.
 #[derive(Debug, Default)]
 pub struct Incidents {
-    incidents: HashMap<Instance, Incident>,
+    incidents: HashMap<Instance, Vec<Incident>>,
 }
 
 impl Incidents {
-    /// Records a request that was sent at `sent_at` and interrupted; returns the instance if it is the first there, so
-    /// that the replica should be probed.
-    ///
-    /// A replica that is back before its new entry is known runs requests under an incarnation whose crash is
-    /// confirmed. What is sent after that belongs to another crash, which gets an identity of its own.
-    pub fn record_failure(
+    /// Records an interruption that is seen now; returns the incident if it is the first of one, so that
+    /// the replica should be probed.
+    pub fn record_interruption(
         &mut self,
         instance: &Instance,
-        fingerprint: Fingerprint,
-        sent_at: Time,
+        interruption: Interruption,
         now: Time,
-    ) -> Option<Instance> {
+    ) -> Option<Incident> {
         self.expire(now);
-        let current = self.instance_at(instance, sent_at);
-        if self.incidents.len() >= MAX_INCIDENTS && !self.incidents.contains_key(&current) {
+        let count: usize = self.incidents.values().map(Vec::len).sum();
+        let known = self.incidents.entry(instance.clone()).or_default();
+        let joined = known.iter_mut().rev().find(|incident| {
+            interruption.connected_at <= incident.window.broke_at
+                && now.since(incident.window.broke_at) <= JOIN_WITHIN
+        });
+        if let Some(incident) = joined {
+            incident.add(interruption);
+            return None;
+        }
+        if count >= MAX_INCIDENTS {
             return None;
         }
-        let is_first = !self.incidents.contains_key(&current);
-        let incident = self.incidents.entry(current.clone()).or_insert(Incident {
-            crash: identity(&current),
+        let mut incident = Incident {
+            id: IncidentId(rand::random()),
+            instance: instance.clone(),
+            window: Window {
+                opened_at: interruption.connected_at,
+                broke_at: now,
+            },
             in_flight: Vec::new(),
-            at: now,
-            confirmed_at: None,
-            needs_probe: current != *instance,
+            on_trial: Vec::new(),
+            is_confirmed: false,
+            needs_probe: known
+                .iter()
+                .any(|i| i.is_confirmed && i.window.broke_at < interruption.connected_at),
             reported: (0, 0),
-        });
-        if incident.in_flight.len() < MAX_IN_FLIGHT && !incident.in_flight.contains(&fingerprint) {
-            incident.in_flight.push(fingerprint);
-            // Earlier reports lack this request.
-            incident.reported = (0, 0);
-        }
-        is_first.then_some(current)
-    }
-
-    /// Instance that a request sent at a time ran at: the given one, or one after its confirmed crashes.
-    fn instance_at(&self, instance: &Instance, sent_at: Time) -> Instance {
-        let crashed_before = |instance: &Instance| {
-            let incident = self.incidents.get(instance);
-            incident.is_some_and(|i| i.confirmed_at.is_some_and(|at| at < sent_at))
         };
-        let mut current = instance.clone();
-        while crashed_before(&current) {
-            current.1 = Some(current.1.unwrap_or(0).wrapping_add(1));
-        }
-        current
+        incident.add(interruption);
+        known.push(incident.clone());
+        Some(incident)
     }
 
-    /// Confirms that the instance crashed; returns the incident unless it was already confirmed.
-    pub fn confirm_crash(&mut self, instance: &Instance, now: Time) -> Option<Incident> {
-        let incident = self
-            .incidents
-            .get_mut(instance)
-            .filter(|incident| incident.confirmed_at.is_none())?;
-        incident.confirmed_at = Some(now);
+    /// Confirms that an incident was a crash; returns it unless it was already confirmed.
+    pub fn confirm_crash(&mut self, instance: &Instance, id: IncidentId) -> Option<Incident> {
+        let known = self.incidents.get_mut(instance)?;
+        let incident = known
+            .iter_mut()
+            .find(|incident| incident.id == id && !incident.is_confirmed)?;
+        incident.is_confirmed = true;
         Some(incident.clone())
     }
 
     /// Confirms the crashes of all former instances of a replica, given the present one, and returns their incidents.
-    pub fn confirm_replaced(
-        &mut self,
-        replica: &str,
-        present: Option<&Instance>,
-        now: Time,
-    ) -> Vec<Incident> {
-        let former = self.incidents.iter().filter(|(instance, incident)| {
-            *instance.0 == *replica && Some(*instance) != present && !incident.needs_probe
-        });
-        let former: Vec<Instance> = former.map(|(instance, _)| instance.clone()).collect();
+    pub fn confirm_replaced(&mut self, replica: &str, present: Option<&Instance>) -> Vec<Incident> {
+        let former = self
+            .incidents
+            .iter_mut()
+            .filter(|(instance, _)| *instance.0 == *replica && Some(*instance) != present)
+            .flat_map(|(_, incidents)| incidents)
+            .filter(|incident| !incident.needs_probe && !incident.is_confirmed);
         former
-            .iter()
-            .filter_map(|instance| self.confirm_crash(instance, now))
+            .map(|incident| {
+                incident.is_confirmed = true;
+                incident.clone()
+            })
             .collect()
     }
 
@@ -128,11 +154,8 @@
     pub fn due_reports(&mut self, term: u64, now: Time) -> Vec<Incident> {
         self.expire(now);
         let mut due = Vec::new();
-        for incident in self
-            .incidents
-            .values_mut()
-            .filter(|incident| incident.confirmed_at.is_some())
-        {
+        let all = self.incidents.values_mut().flatten();
+        for incident in all.filter(|incident| incident.is_confirmed) {
             if incident.reported.0 != term {
                 incident.reported = (term, 0);
             }
@@ -144,24 +167,17 @@
         due
     }
 
-    /// Whether there are any recent incidents, confirmed or not.
-    pub fn has_recent(&self) -> bool {
-        !self.incidents.is_empty()
-    }
-
     fn expire(&mut self, now: Time) {
-        self.incidents.retain(|_, incident| {
-            let retention = if incident.confirmed_at.is_some() {
-                CONFIRMED_RETENTION
-            } else {
-                UNCONFIRMED_RETENTION
-            };
-            now.since(incident.at) < retention
+        self.incidents.retain(|_, incidents| {
+            incidents.retain(|incident| {
+                let retention = if incident.is_confirmed {
+                    CONFIRMED_RETENTION
+                } else {
+                    UNCONFIRMED_RETENTION
+                };
+                now.since(incident.window.broke_at) < retention
+            });
+            !incidents.is_empty()
         });
     }
 }
-
-/// Identity of the crash of an instance, equal on all hosts.
-fn identity((replica, instance): &Instance) -> Crash {
-    Crash(rendezvous::weight(instance.unwrap_or(0), replica))
-}
--- a/crates/route/src/quarantine/record.rs
+++ b/crates/route/src/quarantine/record.rs
@@ -13,6 +13,9 @@
 /// Crashes on trial that prove a request guilty even if other suspects were in flight, since trials never overlap.
 const PROOF_TRIALS: usize = 2;
 
+/// Bit of the identities of placeholders, which no other crash has.
+const PLACEHOLDERS: u64 = 1 << 62;
+
 /// Crashes and trials of one request.
 #[derive(Debug)]
 pub(super) struct Record {
@@ -24,6 +27,8 @@
     pub(super) first: Time,
     /// Time of the last counted crash.
     pub(super) last: Time,
+    /// When the last trial started, if this tracker permitted one.
+    pub(super) trial_started: Option<Time>,
     /// Time until which a crash is attributed to the trial.
     trial_until: Option<Time>,
     /// Earliest start of the next trial.
@@ -43,6 +48,7 @@
             cleared: Vec::new(),
             first: now,
             last: now,
+            trial_started: None,
             trial_until: None,
             next_trial: Time(0),
             interrupted_trials: 0,
@@ -74,21 +80,36 @@
         QUARANTINE_DURATION.saturating_sub(now.since(self.last))
     }
 
-    pub(super) fn record_crash(&mut self, crash: Crash, now: Time) {
-        if self.counted.contains(&crash) || self.cleared.contains(&crash) {
+    /// Counts a crash seen at `crashed_at`.
+    pub(super) fn record_crash(
+        &mut self,
+        crash: Crash,
+        on_trial: bool,
+        crashed_at: Time,
+        now: Time,
+    ) {
+        if self.cleared.contains(&crash) {
             return;
         }
-        if self.counted.is_empty() {
-            self.first = now;
+        if !self.counted.contains(&crash) {
+            self.first = match self.counted.is_empty() {
+                true => crashed_at,
+                false => self.first.min(crashed_at),
+            };
+            push_bounded(&mut self.counted, crash);
+            self.last = now;
+            self.interrupted_trials = 0;
         }
-        push_bounded(&mut self.counted, crash);
-        self.last = now;
-        self.interrupted_trials = 0;
-        if self.trial_until.is_some_and(|until| now < until) {
+        if on_trial && !self.trial_crashes.contains(&crash) {
             push_bounded(&mut self.trial_crashes, crash);
         }
     }
 
+    /// Whether a crash now is attributed to the trial.
+    pub(super) fn is_on_trial(&self, now: Time) -> bool {
+        self.trial_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the request is suspected or quarantined.
     pub(super) fn is_suspected(&self) -> bool {
         self.counted.len() >= SUSPICION_THRESHOLD
@@ -98,7 +119,8 @@
         now >= self.next_trial
     }
 
-    pub(super) fn start_trial(&mut self, until: Time) {
+    pub(super) fn start_trial(&mut self, now: Time, until: Time) {
+        self.trial_started = Some(now);
         self.trial_until = Some(until + CRASH_DETECTION_DELAY);
     }
 
@@ -138,7 +160,7 @@
     /// Adds placeholder crashes up to the given number.
     fn pad_crashes(&mut self, crashes: usize) {
         for placeholder in self.counted.len()..crashes {
-            self.counted.push(Crash(placeholder as u64));
+            self.counted.push(Crash(PLACEHOLDERS | placeholder as u64));
         }
     }
 
