Unreachable replicas are probed, so that reports last as long as they are down

What callers saw: a replica is down and its entry stands. 2.5 s after the last try of the two hosts that reported it, all others send it requests again, each refused a connection and later than it had to be. Cause, traced: a host tried such a replica again only when the choice happened to fall on it, which prefers replicas without failures. Its report lapsed 2.5 s after the last try, so with few requests, or a slow machine, before it was renewed. Change: a replica that refuses connections gets no request until a probe of the host has opened one, after the same growing pauses; the connection is kept for the next request. The leader verifies by a probe of its own what several hosts report, so that a cut between two hosts and a replica does not take it from all.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod planner;
 pub mod pool;
+mod probe;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -192,7 +192,7 @@
     /// Updates the records from store entries and from the hosts' reports of adapter uses.
     fn sync(&self) {
         let now = self.state.now();
-        let unreachable: HashSet<u32> = self.peers.inbox.unreachable(now).into_iter().collect();
+        let unreachable: HashSet<u32> = self.unreachable(now).into_iter().collect();
         let table = self.state.table.lock();
         let mut fleet = self.fleet.lock();
         fleet.synced = now;
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Replicas, by hash, that several hosts cannot reach and this one cannot either, as far as it knows.
+    pub(super) fn unreachable(&self, now: Time) -> Vec<u32> {
+        let reported = self.peers.inbox.unreachable(now);
+        self.state.table.lock().confirm_unreachable(reported, now)
+    }
+
     /// Status of the plans and of the replicas and the store, as the hosts report them.
     fn status(&self, now: Time) -> PlannerStatus {
         let inbox = &self.peers.inbox;
@@ -65,7 +71,7 @@
         let announced_for =
             rounds::at_least_rounds(MIN_ANNOUNCED_FOR, ANNOUNCED_ROUNDS, inbox.host_count());
         PlannerStatus {
-            unreachable: inbox.unreachable(now),
+            unreachable: self.unreachable(now),
             direct_hosts: self.peers.direct_hosts(),
             store_uptime: inbox.store_uptime(heartbeat, now),
             ..planner_status(&self.fleet.lock(), announced_for, now)
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -8,7 +8,7 @@
 use crate::quarantine::Reports;
 use crate::settings::{self, Settings};
 use crate::state::{self, PlacementRequests, State};
-use crate::{follow, leader, log, planner, queue, readers, respond, serve};
+use crate::{follow, leader, log, planner, probe, queue, readers, respond, serve};
 use conn::{Bounds, Server};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -185,6 +185,7 @@
     tasks.spawn(peers.clone().send_departures());
     tasks.spawn(upkeep(state.clone()));
     tasks.spawn(expire_missing(state.clone()));
+    tasks.spawn(probe::run(state.clone()));
     let (state, peers) = (state.clone(), peers.clone());
     tasks.spawn(async move {
         let lead = |term| planner::run(state.clone(), peers.clone(), term);
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod permit;
 mod planner_status;
+mod probes;
 mod rate_limit;
 mod reachability;
 mod replica;
@@ -39,11 +40,12 @@
 use platform::config::Service;
 use platform::ingress::Metadata;
 use platform::replica::Entry;
+use probes::Reported;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use replica::State;
 use route::windowed_budget::WindowedBudget;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use unit::{Name, Span, Time};
 
@@ -71,6 +73,9 @@
     retry_budgets: HashMap<Name, WindowedBudget>,
     demand: Demands,
     planner_status: PlannerStatus,
+    /// Replicas to probe, now or later.
+    to_probe: BTreeSet<Name>,
+    reported_unreachable: Reported,
     /// When `replica::State::reported_before` was last replaced.
     rotated_at: Time,
     /// Adapters used by requests of this host since the last report.
@@ -115,6 +120,8 @@
             retry_budgets: HashMap::new(),
             demand: Demands::default(),
             planner_status: PlannerStatus::default(),
+            to_probe: BTreeSet::new(),
+            reported_unreachable: Reported::new(),
             rotated_at: Time(0),
             adapter_uses: HashSet::new(),
             direct_at: Time(0),
@@ -267,7 +274,8 @@
 
     /// Records that a replica refused a connection.
     pub fn record_unreachable(&mut self, replica: &Name, now: Time) {
-        self.replica_mut(replica).reachability.record_failure(now);
+        self.replica_mut(replica).reachability.record_refused(now);
+        self.to_probe.insert(replica.clone());
     }
 
     /// Records that a replica refused a request as meant for another replica, model or adapter.
--- a/crates/front/tests/unreachable.rs
+++ b/crates/front/tests/unreachable.rs
@@ -3,12 +3,14 @@
 
 mod site;
 
+use front::message::replica_hash;
+use front::table::Table;
 use platform_standin::ports;
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Store;
 use rstest::rstest;
 use serde_json::json;
-use site::{ask, daemon, engine, store, until, web};
+use site::{ask, at, daemon, engine, entry, store, until, web};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use unit::Span;
@@ -140,3 +142,78 @@
         "{opened_connections} connections, one to the healthy replica; by a status of up to {oldest_status}"
     );
 }
+
+/// Guards against a report that lapses while the replica is still down, since the hosts that reported it have no
+/// requests that would try it again: each other host then sends it one.
+#[tokio::test]
+async fn a_replica_is_reported_as_long_as_it_is_down() {
+    let store = store().await;
+    let _healthy = web(&store, "i-2").await;
+    let reporters = [daemon(&store, "d1").await, daemon(&store, "d2").await];
+    let informed = daemon(&store, "d3").await;
+    put_crashed_entry(&store, "i-1");
+    let has_failed = |reporter: &front::Daemon| {
+        let state = reporter.state();
+        let table = state.table.lock();
+        !table.unreachable_replicas(state.now()).is_empty()
+    };
+    for reporter in &reporters {
+        while !has_failed(reporter) {
+            ask(reporter, "/again/x", None).await;
+        }
+    }
+    sleep(Duration::from_millis(4_000)).await;
+    for _ in 0..REQUESTS {
+        assert_eq!(ask(&informed, "/again/x", None).await.1.status(), 200);
+    }
+    assert_eq!(
+        opened_connections(&informed),
+        1,
+        "one to the healthy replica"
+    );
+}
+
+/// Guards against requests that are spent on finding out whether a replica is back.
+#[tokio::test]
+async fn a_replica_that_refuses_connections_gets_no_second_request() {
+    let store = store().await;
+    put_crashed_entry(&store, "i-1");
+    let _healthy = web(&store, "i-2").await;
+    let daemon = daemon(&store, "d1").await;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(2_500) {
+        assert_eq!(ask(&daemon, "/again/x", None).await.1.status(), 200);
+        sleep(Duration::from_millis(5)).await;
+    }
+    let opened_connections = opened_connections(&daemon);
+    assert!(opened_connections <= 2, "{opened_connections} connections");
+}
+
+/// Guards against a replica that is taken from all hosts because two of them are cut off from it.
+#[test]
+fn the_leader_verifies_that_a_replica_is_unreachable() {
+    let (hash, limit) = (replica_hash("i-1"), Span::from_ms(300));
+    let mut table = Table::new("a".into(), 1, site::HEARTBEAT);
+    table.view.put(entry("i-1"), 1);
+    assert_eq!(
+        table.confirm_unreachable(vec![hash], at(0)),
+        [hash],
+        "not known yet"
+    );
+    let probes = table.start_probes(16, limit, at(10));
+    assert_eq!(probes.len(), 1);
+    table.record_probe(&probes[0].0, true, at(12));
+    assert_eq!(table.confirm_unreachable(vec![hash], at(250)), [0; 0]);
+    assert!(
+        table.start_probes(16, limit, at(300)).is_empty(),
+        "verified just now"
+    );
+    assert_eq!(table.confirm_unreachable(vec![hash], at(1_100)), [0; 0]);
+    let probes = table.start_probes(16, limit, at(1_110));
+    table.record_probe(&probes[0].0, false, at(1_112));
+    assert_eq!(
+        table.confirm_unreachable(vec![hash], at(2_100)),
+        [hash],
+        "down since"
+    );
+}
