Departures: each host tells a new leader all that it knows

What callers saw: after the host that heard of a departure has ended, a leader that started later plans with the leaving replica, and new hosts send it requests until its own answers tell them. Cause: departures are repeated to a leader only by the host that received them itself, and only for 5 s. Found by a_new_host_learns_of_a_departure_after_the_leader_died, which failed once in a run of its file beside 14 other runs and 5 busy processes; that run kept no trace, the fault was named from the code and forced. Change: for three rounds each host sends a new leader all departures of listed replicas that it knows. Failed before: a_new_leader_learns_of_a_departure_from_hosts_that_were_told.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -53,6 +53,8 @@
     pub inbox: Inbox,
     /// Other hosts, if the fleet is small enough for direct exchange.
     direct_hosts: Mutex<Vec<SocketAddr>>,
+    /// Term of the leader that all known departures were last sent to, and the number of times.
+    sent_departures: Mutex<(u64, u32)>,
     /// Sequence number of load messages between two rounds.
     load_sequence: AtomicU32,
     /// Loads last sent between two rounds, and the term of the leader that they were sent to.
@@ -77,6 +79,7 @@
         socket,
         inbox: Inbox::default(),
         direct_hosts: Mutex::default(),
+        sent_departures: Mutex::default(),
         load_sequence: AtomicU32::new(0),
         sent_loads: Mutex::default(),
         fanout_groups: Mutex::default(),
--- a/crates/front/src/peers/departures.rs
+++ b/crates/front/src/peers/departures.rs
@@ -13,10 +13,12 @@
 /// Delay in which departures are batched; a release makes several replicas leave at once.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
 
-/// Time for which a host repeats a departure that it received itself to the leader, so that a new leader learns of
-/// it.
+/// Time for which a host repeats a departure that it received itself to the leader, since datagrams may be lost.
 const RESEND_FOR: Span = Span::from_secs(5);
 
+/// Number of rounds in which a host sends all departures that it knows to a new leader.
+const SENDS_TO_NEW_LEADER: u32 = 3;
+
 impl Peers {
     /// Sends new departures as they are received, until the daemon ends.
     pub async fn send_departures(self: Arc<Self>) {
@@ -40,23 +42,39 @@
         }
     }
 
-    /// Sends recent departures to the leader again.
+    /// Sends departures to the leader again: all that are known to a new one, which may have started after they were
+    /// announced, and else those that this host received recently.
     pub(super) async fn resend_departures(&self) {
+        let Some(term) = self.state.leader.lock().as_ref().map(|l| l.term) else {
+            return;
+        };
         if self.state.leads() {
             return;
         }
-        let now = self.state.now();
-        let recent = self
-            .state
-            .table
-            .lock()
-            .view
-            .recent_departures(RESEND_FOR, now);
-        for message in self.departure_messages(&recent) {
+        let is_new = self.take_send_to(term);
+        let departures = {
+            let view = &self.state.table.lock().view;
+            match is_new {
+                true => view.departures(),
+                false => view.recent_departures(RESEND_FOR, self.state.now()),
+            }
+        };
+        for message in self.departure_messages(&departures) {
             self.send_to_leader(message).await;
         }
     }
 
+    /// Counts a round as one in which the leader of this term is sent all departures; false if there were enough.
+    fn take_send_to(&self, term: u64) -> bool {
+        let mut sent = self.sent_departures.lock();
+        if sent.0 != term {
+            *sent = (term, 0);
+        }
+        let is_due = sent.1 < SENDS_TO_NEW_LEADER;
+        sent.1 += u32::from(is_due);
+        is_due
+    }
+
     /// Sends all departures of known replicas to all hosts; called by the leader.
     pub async fn broadcast_departures(&self) {
         let known = self.state.table.lock().view.departures();
--- a/crates/front/tests/departures.rs
+++ b/crates/front/tests/departures.rs
@@ -323,6 +323,29 @@
     assert_eq!(leaving.arrivals(), 1);
 }
 
+/// Guards against a departure that is lost with the host that heard of it: the next leader had not started then, and the
+/// other hosts know of it by the last leader only.
+#[tokio::test]
+async fn a_new_leader_learns_of_a_departure_from_hosts_that_were_told() {
+    let store = store().await;
+    let leaving = web(&store, "i-1").await;
+    let first = daemon(&store, "d1").await;
+    until(|| first.state().leads()).await;
+    let (told, proxy) = daemon_behind_proxy(&store, "d2").await;
+    announce_departure(&leaving);
+    assert_eq!(ask(&first, "/again/x", None).await.1.status(), 200);
+    until(|| knows_departure(&told)).await;
+    // The host that was told cannot become the leader.
+    proxy.set(proxy::Mode::DropToTarget);
+    drop(first);
+    store.end_leases();
+    let late = front::spawn(settings(&store, "late")).await.unwrap();
+    until(|| late.state().leads()).await;
+    proxy.set(proxy::Mode::Pass);
+    until(|| knows_departure(&late)).await;
+    assert_eq!(leaving.arrivals(), 1);
+}
+
 /// Guards against orders to a replica whose report announces its departure while its entry does
 /// not.
 #[tokio::test]
