A configuration is passed on while the store is read again after it lost its history

A root takes that for an outage and polls the other root; the other root reads the store whole and passes nothing on until it has all pages; all followers find both stale and read the store themselves. Change: a watch that is cut while it waits is repeated once; the configuration, the leader and the quarantine list of a first page are passed on before the other pages are read; a reader without a usable root no longer waits to be served.

--- a/crates/front/src/changelog.rs
+++ b/crates/front/src/changelog.rs
@@ -69,6 +69,15 @@
         self.compact(confirmed);
     }
 
+    /// Adds items that are newer than the revision up to which changes are included, and leaves that revision as it is.
+    /// Before the first snapshot nothing is added, since there are no changes to add them to.
+    pub fn add_ahead(&mut self, items: &[Item]) {
+        if self.revision > 0 {
+            let written = items.iter().cloned().map(Change::Written);
+            self.extend(written, self.revision, self.confirmed_at);
+        }
+    }
+
     /// Drops old removals; changes since before them are no longer returned.
     fn compact(&mut self, now: Time) {
         let compacted_revision = &mut self.compacted_revision;
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -143,7 +143,7 @@
     let promoted = state.readers.promoted.notified();
     let sent_at = state.now();
     let changes = tokio::select! {
-        changes = state.store.watch("", after, watch_wait(state)) => changes,
+        changes = watch_store(state, after) => changes,
         // As a root this host must answer with current data, so a long watch is cancelled.
         _ = promoted => return Next::Relayed(Listing { items: Vec::new(), revision: after }),
     };
@@ -158,6 +158,19 @@
     Next::Watched(changes)
 }
 
+/// Watches the store, and once more without waiting if the watch is cut while it waits. The store may cut all watches at
+/// once and be there; roots that took that for an outage would poll each other, and no host would hear of changes.
+async fn watch_store(state: &State, after: u64) -> Result<Listing<Change>, platform::Error> {
+    let (wait, sent_at) = (watch_wait(state), state.now());
+    let changes = state.store.watch("", after, wait).await;
+    let is_cut = matches!(changes, Err(platform::Error::Indeterminate { .. }))
+        && state.now().since(sent_at) < Span::from(wait);
+    match is_cut && !readers::store_failed_recently(state) {
+        true => state.store.watch("", after, Duration::ZERO).await,
+        false => changes,
+    }
+}
+
 /// Polls readers for the changes after a revision; none if this host must read the store itself.
 async fn fetch_from_reader(state: &State, after: u64) -> Option<Next> {
     for _ in 0..MAX_READERS_TRIED {
--- a/crates/front/src/follow/bootstrap.rs
+++ b/crates/front/src/follow/bootstrap.rs
@@ -10,7 +10,7 @@
 use crate::state::State;
 use crate::{leader, quarantine, readers};
 use platform::names;
-use platform::store::{Freshness, Item, Page};
+use platform::store::{Freshness, Item};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::info;
@@ -37,7 +37,10 @@
         return Next::Failed;
     };
     if page.has_more {
-        apply_first_page(state, &page);
+        apply_first_page(
+            state,
+            page.items.iter().filter(|item| is_needed_first(item)),
+        );
         if let Some(next) = fetch_rest(state, after, page.revision).await {
             return next;
         }
@@ -55,13 +58,18 @@
     }
 }
 
-/// Applies the configuration, the leader and the quarantine list of a first page, so that this host can find the
-/// leader or become it.
-fn apply_first_page(state: &State, page: &Page) {
-    let is_needed =
-        |item: &&Item| [names::CONFIG, leader::KEY, quarantine::KEY].contains(&&*item.key);
-    for item in page.items.iter().filter(is_needed) {
-        apply_written(state, item.clone());
+/// Whether an item is applied before the other pages are read: the configuration, the leader or the quarantine list.
+fn is_needed_first(item: &Item) -> bool {
+    [names::CONFIG, leader::KEY, quarantine::KEY].contains(&&*item.key)
+}
+
+/// Applies items of a first page, so that this host can find the leader or become it, and passes them on: the other
+/// pages may take seconds, in which the hosts that follow this one would keep an old configuration.
+fn apply_first_page<'a>(state: &State, items: impl Iterator<Item = &'a Item>) {
+    let items: Vec<Item> = items.cloned().collect();
+    readers::record_ahead(state, &items);
+    for item in items {
+        apply_written(state, item);
     }
 }
 
@@ -87,6 +95,10 @@
         if let Some(next) = fetch_from_reader(state, after).await {
             return Some(next);
         }
+        // The hosts that follow a reader wait for it.
+        if after > 0 && readers::is_reader(state) {
+            return None;
+        }
         sleep(POLL_INTERVAL).await;
     }
     None
--- a/crates/front/src/readers.rs
+++ b/crates/front/src/readers.rs
@@ -139,6 +139,11 @@
     state.readers.role(state.settings.peers) == Role::Root
 }
 
+/// Whether this host is a reader in the current assignment, and no root.
+pub fn is_reader(state: &State) -> bool {
+    state.readers.role(state.settings.peers) == Role::Reader
+}
+
 /// Whether other hosts are assigned to read the store for this one.
 pub fn is_follower(state: &State) -> bool {
     let readers = &state.readers;
@@ -199,6 +204,11 @@
     }
 }
 
+/// Records items that were read ahead of the rest of the store, to serve them with the next changes.
+pub fn record_ahead(state: &State, items: &[Item]) {
+    state.readers.changelog.lock().add_ahead(items);
+}
+
 /// Records a snapshot of the store, read at `confirmed`, to serve it.
 pub fn record_snapshot(state: &State, items: &[Item], revision: u64, confirmed: Time) {
     let mut changelog = state.readers.changelog.lock();
--- a/crates/front/tests/readers.rs
+++ b/crates/front/tests/readers.rs
@@ -8,6 +8,7 @@
 use front::state::State;
 use platform::store::{Change, Item};
 use platform_standin::store::{Mode, Store};
+use serde_json::json;
 use site::{ask, configuration, daemon, store, until, web};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -439,3 +440,35 @@
         "some host must notice the recovery of the store"
     );
 }
+
+/// Guards against hosts that keep an old configuration while the store loses its history: watches hear nothing of the
+/// new one, then all are cut, and both roots have to read the whole store at once, which takes long.
+#[tokio::test]
+async fn a_configuration_is_in_force_in_time_while_the_store_loses_its_history() {
+    let store = store().await;
+    for number in 0..60 {
+        let entry = json!({
+            "service": "web", "address": "127.0.0.1:1", "zone": "a", "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": 0, "models": [], "sequence": 1,
+        });
+        store.put(&format!("servers/i-{number}"), &entry);
+    }
+    let hosts = site::hosts(&store, 12).await;
+    let roots = || {
+        let is_root = |host: &&Daemon| readers::is_root(host.state());
+        hosts.iter().filter(is_root).count()
+    };
+    until(|| roots() == 2).await;
+    sleep(Duration::from_millis(1_500)).await;
+    store.set_page_delay(Duration::from_millis(600));
+    store.set_deaf(true);
+    store.put("op/config", &configuration(2));
+    let acknowledged_at = Instant::now();
+    sleep(Duration::from_secs(1)).await;
+    store.set_deaf(false);
+    store.compact();
+    until(|| hosts.iter().all(|host| version(host) == 2)).await;
+    let bound = site::bounds().configuration;
+    let took = acknowledged_at.elapsed();
+    assert!(took < bound, "{took:?}");
+}
