--- a/crates/bundle/src/part.rs
+++ b/crates/bundle/src/part.rs
@@ -8,7 +8,8 @@
 use std::fmt::Write;
 use unit::Name;
 
-/// Number of parts that the named sections of one kind are distributed over.
+/// Number of parts that the named sections of one kind are distributed over. With 1,700 models a part holds about 27 of
+/// them, or 4 KB: a change of one model transfers that much and a list of some 130 hashes.
 const BUCKETS: u8 = 64;
 
 /// Maximum size of a part in bytes, below the maximum value size of the key-value service.
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -46,10 +46,11 @@
 /// readers see a change, or that the root lost the store, after both at most.
 const ROOT_FRACTION: f64 = 1.0 / 6.0;
 
-/// Pause after a failed call.
+/// Pause after a failed call. The return of the store must be noticed within a fraction of a second.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Maximum pause of a host of a large fleet after a failed store call, as a fraction of the propagation bound.
+/// Maximum pause of a host of a large fleet after a failed store call, as a fraction of the propagation bound: the return
+/// of the store is noticed within half of it.
 const MAX_FAILURE_PAUSE_FRACTION: f64 = 0.25;
 
 /// Readers tried before a host reads the store itself; each may take a quarter of the propagation bound to time out.
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -24,7 +24,9 @@
 const QUEUE_WAIT_FRACTION: f64 = 0.8;
 
 /// Priority from which a request is refused rather than sent to a replica whose prefill limit is
-/// exceeded. More urgent requests are sent although the streams that run there stall.
+/// exceeded. Each stream that runs there, some forty in a full batch, would pause too long. More
+/// urgent requests are sent all the same: below this priority, requests would be refused that can be
+/// served.
 const YIELDING_PRIORITY: u8 = 2;
 
 /// Interval at which a waiting request retries the choice without a change of the table.
--- a/crates/front/src/serve/unavailable.rs
+++ b/crates/front/src/serve/unavailable.rs
@@ -17,7 +17,8 @@
 /// `Retry-After` while replicas are unreachable: about the time of a restart.
 const RETRY_AFTER_UNREACHABLE: Span = Span::from_ms(800);
 
-/// Time for the leader to answer a request for a model that no replica holds.
+/// Time for the leader to answer a request for a model that no replica holds: a few round trips between hosts, and one
+/// plan.
 const LEADER_RESPONSE_TIME: Span = Span::from_ms(60);
 
 /// Time from the end of a load until all hosts know of the copy.
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -52,7 +52,8 @@
 /// Age beyond which the loads that another host sent directly are ignored.
 const MAX_DIRECT_AGE: Span = Span::from_ms(1_500);
 
-/// Duration of one decode step of a batch without prefill, including the way of the answer.
+/// Duration of one decode step of a batch without prefill, including the way of the answer. Typical of an accelerator
+/// with a model of 70 GB.
 const DECODE_STEP: Span = Span::from_ms(12);
 
 /// Routing state of one daemon.
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -13,7 +13,8 @@
 use std::net::SocketAddr;
 use unit::{Name, Span, Time};
 
-/// Steps of one event over which the prefill allowed between two events may be spread.
+/// Steps of one event over which the prefill allowed between two events may be spread: the prompts of a burst are mostly
+/// prefilled in one or two steps. With more, prompts wait at hosts although replicas could prefill them.
 const MAX_PREFILL_STEPS: f64 = 1.2;
 
 /// Width of the random part of a candidate's cost while hosts exchange loads directly, some 10 ms
--- a/crates/front/src/table/pace.rs
+++ b/crates/front/src/table/pace.rs
@@ -8,7 +8,8 @@
 /// Weight of a new sample.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// Prefill speed of a model without samples, in prompt tokens per millisecond.
+/// Prefill speed of a model without samples, in prompt tokens per millisecond. Typical of one accelerator with a model of
+/// 70 GB.
 const DEFAULT_SPEED: f64 = 15.0;
 
 /// Decode time of a model without samples.
--- a/crates/front/src/table/planner_status.rs
+++ b/crates/front/src/table/planner_status.rs
@@ -7,7 +7,8 @@
 use std::collections::{HashMap, HashSet};
 use unit::{Name, Span, Time};
 
-/// Least age beyond which the leader's list of unreachable replicas is ignored.
+/// Least age beyond which the leader's list of unreachable replicas is ignored. A few rounds, so that the list ends soon
+/// after the leader.
 const MIN_UNREACHABLE_AGE: Span = Span::from_ms(600);
 
 /// Rounds after which the list is ignored: a replica that returns must not be avoided for long.
--- a/crates/front/src/table/reachability.rs
+++ b/crates/front/src/table/reachability.rs
@@ -8,7 +8,8 @@
 
 use unit::{Span, Time};
 
-/// Time for which a replica is avoided after its first failure; doubled after each further one.
+/// Time for which a replica is avoided after its first failure; doubled after each further one. About
+/// the time in which a crashed process restarts.
 const INITIAL_AVOIDANCE: Span = Span::from_ms(150);
 
 /// Longest time for which a replica is avoided before one request tries it again.
--- a/crates/route/src/batch.rs
+++ b/crates/route/src/batch.rs
@@ -13,7 +13,8 @@
 const STALL_PENALTY: Span = Span::from_ms(150);
 
 /// Cost of a replica with all slots occupied, in addition to the wait for one; scales with the square of the slot
-/// utilization. Load data is about 50 ms old, and each prefill delays all streams running at the replica.
+/// utilization. Load data is about 50 ms old, and each prefill delays all streams running at the replica. About the time
+/// to prefill a prompt of 1,200 tokens.
 const UTILIZATION_PENALTY: Span = Span::from_ms(60);
 
 /// Failure rate from which a replica is chosen only if all others fail as often.
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -46,7 +46,7 @@
 /// Maximum number of tracked requests, about 0.4 MB. Beyond it those with the least evidence are evicted.
 const MAX_RECORDS: usize = 4_096;
 
-/// Maximum number of crashes for which the requests in flight are kept.
+/// Maximum number of crashes for which the requests in flight are kept: they tell what else may have caused one.
 const MAX_CRASHES: usize = 128;
 
 /// Maximum number of suspects listed, the most recent first, so that the list fits into one datagram.
