The command line repeats reads that get no answer

Cause, traced: in each failing run the loser's read of the history got no answer within its limit of 500 ms, while nine daemons activated the winner's bundle. The tool repeats writes whose answer is lost, and repeated no read. Change: reads of the key-value service and of the host list that get no answer are repeated as often as writes, and writes to the history as well. Daemons read in loops of their own and are as before. The platform's path does not share the cause: nothing there tells an operator of a single lost read.

--- a/crates/backing/src/kv.rs
+++ b/crates/backing/src/kv.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::time::sleep;
 use unit::Name;
 
 /// Path of the endpoint.
@@ -21,6 +22,9 @@
 /// Maximum response size in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * MAX_VALUE_BYTES;
 
+/// Pause before a read is repeated.
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum time that a watch waits.
 pub const MAX_WATCH: Duration = Duration::from_secs(30);
 
@@ -172,6 +176,8 @@
     addrs: Arc<[SocketAddr]>,
     pool: Pool,
     timeout: Duration,
+    /// Attempts at a read that gets no answer.
+    read_attempts: u32,
     calls: Arc<CallCounts>,
 }
 
@@ -181,11 +187,20 @@
         addrs: addrs.into(),
         pool: Pool::default(),
         timeout,
+        read_attempts: 1,
         calls: Arc::default(),
     }
 }
 
 impl Kv {
+    /// Repeats reads that get no answer, up to `attempts` in all: unlike a write, a read has no effect.
+    pub fn with_read_attempts(self, attempts: u32) -> Kv {
+        Kv {
+            read_attempts: attempts,
+            ..self
+        }
+    }
+
     /// Numbers of calls made so far.
     pub fn calls(&self) -> &CallCounts {
         &self.calls
@@ -227,10 +242,21 @@
         Err(last_error)
     }
 
+    /// Sends a read, and sends it again while it gets no answer.
+    async fn read(&self, call: &Call) -> Result<Answer, Error> {
+        for _ in 1..self.read_attempts {
+            match self.call(call, self.timeout).await {
+                Err(Error::Indeterminate { .. }) => sleep(READ_RETRY_INTERVAL).await,
+                answered => return answered,
+            }
+        }
+        self.call(call, self.timeout).await
+    }
+
     /// Reads a value.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned>, Error> {
         let call = Call::Get { key: key.into() };
-        match self.call(&call, self.timeout).await? {
+        match self.read(&call).await? {
             Answer::Value { found } => Ok(found),
             other => Err(unexpected_response(&other)),
         }
@@ -241,7 +267,7 @@
         let call = Call::List {
             prefix: prefix.into(),
         };
-        match self.call(&call, self.timeout).await? {
+        match self.read(&call).await? {
             Answer::Values { found } => Ok(found),
             other => Err(unexpected_response(&other)),
         }
--- a/crates/cli/src/bundles.rs
+++ b/crates/cli/src/bundles.rs
@@ -1,6 +1,6 @@
 //! Operations on bundles: check, diff, propose, approve, roll, history.
 
-use crate::client::Client;
+use crate::client::{CALL_ATTEMPTS, Client};
 use crate::error::Error;
 use backing::hosts::Kind;
 use backing::keys;
@@ -20,10 +20,7 @@
 use tokio::time::sleep;
 use unit::Name;
 
-/// Attempts at a write whose outcome is unknown, such as after a lost response.
-const WRITE_ATTEMPTS: u32 = 10;
-
-/// Pause between two such attempts.
+/// Pause between two attempts at a write.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// An operator with its signing key.
@@ -288,14 +285,9 @@
 /// Writes a head to the history. Its sequence is the key, so a repeated write has no effect.
 async fn archive(client: &Client, head: &Head) -> Result<(), Error> {
     let key = keys::history(head.sequence);
-    match client
-        .kv
-        .compare_and_swap(&key, 0, Some(&to_json(head)), None)
-        .await
-    {
-        Ok(_) => Ok(()),
-        Err(source) => Err(documents::Error::Kv { source }.into()),
-    }
+    let what = format!("writing bundle {} to the history", head.sequence);
+    write(client, &key, 0, &to_json(head), &what).await?;
+    Ok(())
 }
 
 /// Writes a value if its key is at the expected revision, and retries after a lost response.
@@ -310,7 +302,7 @@
     what: &str,
 ) -> Result<bool, Error> {
     let mut in_doubt = false;
-    for _ in 0..WRITE_ATTEMPTS {
+    for _ in 0..CALL_ATTEMPTS {
         match client
             .kv
             .compare_and_swap(key, expected, Some(text), None)
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -13,6 +13,10 @@
 /// Longest response body accepted from a daemon, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32_000_000;
 
+/// Attempts at a read that gets no answer, and at a write whose outcome is unknown, before an operator is told. A busy
+/// machine answers late.
+pub const CALL_ATTEMPTS: u32 = 10;
+
 /// Client of the key-value service, the host list and the daemons.
 pub struct Client {
     /// Settings of the command-line tool.
@@ -33,7 +37,7 @@
 pub fn open(settings: Settings) -> Client {
     let timeout = settings.call_limit.std();
     Client {
-        kv: backing::kv::open(&settings.kv, timeout),
+        kv: backing::kv::open(&settings.kv, timeout).with_read_attempts(CALL_ATTEMPTS),
         hosts: backing::hosts::open(settings.hosts, timeout),
         pool: Pool::default(),
         settings,
@@ -41,9 +45,16 @@
 }
 
 impl Client {
-    /// Reads the host list.
+    /// Reads the host list, and reads it again while it gets no answer.
     pub async fn hosts(&self) -> Result<Vec<Host>, Error> {
-        self.hosts.list().await.map_err(|e| Error::Unreachable {
+        let mut listed = self.hosts.list().await;
+        for _ in 1..CALL_ATTEMPTS {
+            match &listed {
+                Err(error) if !error.proves_unsent() => listed = self.hosts.list().await,
+                _ => break,
+            }
+        }
+        listed.map_err(|e| Error::Unreachable {
             what: "The host list".into(),
             reason: e.to_string(),
         })
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -32,6 +32,8 @@
     pub late_by: Duration,
     /// Reads give what stood this many writes ago.
     pub stale_reads: usize,
+    /// Prefix of keys, and the number of their next reads whose answers are lost.
+    pub lost_reads: (&'static str, usize),
 }
 
 /// Calls a second that the service takes; none for no bound.
@@ -184,6 +186,7 @@
             .await
         }
         Call::Swap { .. } => return swap(&state, &changed, call, &faults).await,
+        Call::Get { key } if state.lock().loses_read(&key) => return Err(Abort),
         call => state.lock().answer(&call),
     };
     if state.lock().faults.down {
@@ -267,6 +270,14 @@
         most.is_none_or(|most| *count <= most)
     }
 
+    /// Whether the answer to a read of a key is lost.
+    fn loses_read(&mut self, key: &Name) -> bool {
+        let (prefix, left) = &mut self.faults.lost_reads;
+        let is_lost = *left > 0 && key.starts_with(*prefix);
+        *left -= usize::from(is_lost);
+        is_lost
+    }
+
     fn expire(&mut self) {
         let now = Instant::now();
         let lapsed: Vec<u64> = self
--- a/crates/standin/tests/bundles.rs
+++ b/crates/standin/tests/bundles.rs
@@ -90,6 +90,34 @@
     assert_eq!((current, title), (won.sequence, won.draft.title));
 }
 
+/// Guards against telling the loser that the outcome is unknown because a read got no answer in time, as on a busy machine.
+#[tokio::test]
+async fn the_loser_of_two_rolls_is_told_so_although_reads_are_lost() {
+    let fleet = nine().await;
+    let mut drafts = Vec::new();
+    for (title, operator) in [("one", 0), ("two", 2)] {
+        let signer = fleet.signer(operator);
+        let draft = bundles::propose(&fleet.tool, "b.ini", &titled(title), &signer).await;
+        let draft = draft.unwrap();
+        let approved = bundles::approve(&fleet.tool, &draft.id, &fleet.signer(1)).await;
+        approved.unwrap();
+        drafts.push(draft);
+    }
+    fleet.kv.set_faults(Faults {
+        lost_reads: (keys::HISTORY, 3),
+        ..Faults::default()
+    });
+    let (a, b) = tokio::join!(
+        bundles::roll(&fleet.tool, &drafts[0].id),
+        bundles::roll(&fleet.tool, &drafts[1].id)
+    );
+    let lost = match (a, b) {
+        (Ok(_), Err(lost)) | (Err(lost), Ok(_)) => lost,
+        other => panic!("one must win and one lose: {other:?}"),
+    };
+    assert!(matches!(lost, Error::Superseded { .. }), "{lost}");
+}
+
 #[tokio::test]
 async fn nobody_approves_what_it_proposed_and_unapproved_drafts_do_not_roll() {
     let fleet = nine().await;
--- a/crates/standin/tests/history.rs
+++ b/crates/standin/tests/history.rs
@@ -149,6 +149,7 @@
                     late_by: Duration::from_millis(30),
                     slow: Duration::from_millis(rng.random_range(0..5)),
                     stale_reads: 0,
+                    lost_reads: ("", 0),
                 });
                 count("key-value service");
             }
