Bundles: a relay that does not answer is passed over

What callers and operators saw: both relays of a hall are dead and the host list still names them; the other daemons of the hall hear of no new bundle. Failed before: a_killed_relay_is_replaced_once_the_others_follow_it.

Traced: no daemon had read the host list a second time, and one that knows no peers is a relay, as documented.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -3,7 +3,7 @@
 use crate::active_bundle::{self, ActiveBundle, Bundle};
 use crate::claim;
 use crate::clock::Clock;
-use crate::distribution::Freshness;
+use crate::distribution::{AvoidedRelays, Freshness};
 use crate::fleet::{self, Fleet};
 use crate::metrics::{self, Metrics};
 use crate::planner::StatusCell;
@@ -48,6 +48,8 @@
     pub body_memory: Arc<Semaphore>,
     /// When the bundle in force was last confirmed to be the newest.
     pub freshness: Freshness,
+    /// Relays that did not answer.
+    pub avoided_relays: AvoidedRelays,
     /// Last result of the planner, if this host holds its hall's lease.
     pub planner_status: StatusCell,
     /// Notified when another process requests that this daemon drains and exits.
@@ -83,6 +85,7 @@
         peers: RwLock::default(),
         body_memory: Arc::new(Semaphore::new(units as usize)),
         freshness: Freshness::default(),
+        avoided_relays: AvoidedRelays::default(),
         planner_status: StatusCell::default(),
         shutdown: Notify::new(),
         claim_lease: claim::Lease::default(),
--- a/crates/daemon/src/distribution.rs
+++ b/crates/daemon/src/distribution.rs
@@ -3,12 +3,15 @@
 //! A few relays per hall, the top ones of a rendezvous hash over the host list,
 //! watch the key-value service. The other daemons follow a relay by long polls
 //! and compare sequences with a random peer, so that a lost relay or a cut link
-//! delays a bundle by seconds at most. Sequence numbers, the fan-out and the lag
+//! delays a bundle by seconds at most. A relay that does not answer is passed
+//! over, and the next daemon of the hash takes its place. Sequence numbers, the fan-out and the lag
 //! measured at each end follow the paper on Quicksilver.
 
+mod avoided_relays;
 mod freshness;
 mod peer;
 
+pub use avoided_relays::AvoidedRelays;
 pub use freshness::Freshness;
 pub use peer::{call, exchange, handle};
 
@@ -46,12 +49,14 @@
     relays.is_empty() || relays.contains(&core.settings.name)
 }
 
-/// Names of this hall's relays.
+/// Names of this hall's relays, without those that did not answer.
 fn relays(core: &Core) -> Vec<Name> {
+    let now = core.now();
     let peers = core.peers.read();
     let candidates: Vec<Name> = peers
         .iter()
         .filter(|p| p.hall == core.settings.hall && !p.leaving)
+        .filter(|p| !core.avoided_relays.contains(&p.name, now))
         .map(|p| p.name.clone())
         .collect();
     let key = rendezvous::hash(core.settings.hall.as_bytes());
@@ -124,6 +129,7 @@
         if follow_peer(core, relay, POLL_WAIT).await {
             return true;
         }
+        core.avoided_relays.add(relay, core.now());
     }
     false
 }
--- a/crates/standin/tests/bundles.rs
+++ b/crates/standin/tests/bundles.rs
@@ -325,15 +325,26 @@
     assert!(fleet.eventually(PATIENCE, || in_force(&fleet, 2)).await);
 }
 
+/// Positions of the relays among the daemons.
+fn relays(fleet: &Fleet) -> Vec<usize> {
+    let daemons = fleet.daemons.iter().enumerate();
+    let relays = daemons.filter(|(_, d)| daemon::distribution::is_relay(d.core()));
+    relays.map(|(i, _)| i).collect()
+}
+
+/// Waits until the daemons have read the host list; one that knows no peers is a relay.
+async fn two_relays_in_each_hall(fleet: &Fleet) {
+    let settled = fleet
+        .eventually(PATIENCE, || relays(fleet).len() == 6)
+        .await;
+    assert!(settled, "two in each of three halls");
+}
+
 #[tokio::test]
 async fn a_killed_relay_is_replaced() {
     let mut fleet = nine().await;
-    let is_relay = |d: &daemon::Daemon| daemon::distribution::is_relay(d.core());
-    let relays: Vec<usize> = (0..fleet.daemons.len())
-        .filter(|i| is_relay(&fleet.daemons[*i]))
-        .collect();
-    assert_eq!(relays.len(), 6, "two in each of three halls");
-    for i in relays.into_iter().rev() {
+    two_relays_in_each_hall(&fleet).await;
+    for i in relays(&fleet).into_iter().rev() {
         fleet.daemons.remove(i).kill();
     }
     fleet.roll(&titled("second")).await.unwrap();
@@ -341,6 +352,21 @@
     assert!(fleet.eventually(PATIENCE, || in_force(&fleet, 2)).await);
 }
 
+/// Guards against a hall without bundles while the host list still names its dead relays: daemons that have just started
+/// watch the service themselves, and hide this.
+#[tokio::test]
+async fn a_killed_relay_is_replaced_once_the_others_follow_it() {
+    let mut fleet = nine().await;
+    two_relays_in_each_hall(&fleet).await;
+    // Longer than the longest watch.
+    sleep(Duration::from_secs(6)).await;
+    for i in relays(&fleet).into_iter().rev() {
+        fleet.daemons.remove(i).kill();
+    }
+    fleet.roll(&titled("second")).await.unwrap();
+    assert!(fleet.eventually(PATIENCE, || in_force(&fleet, 2)).await);
+}
+
 #[tokio::test]
 async fn sequences_never_fall_under_many_rolls_and_faults() {
     let fleet = nine().await;
