--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -140,7 +140,11 @@
     let answer = state
         .clock
         .timeout_at(call.deadline, line.send(request, remaining));
-    let response = match answer.await {
+    let answered = answer.await;
+    if !matches!(answered, Ok(Ok(_))) {
+        count_failure(state, is_pooled);
+    }
+    let response = match answered {
         Ok(Ok(response)) => response,
         Err(Elapsed) | Ok(Err(Error::Timeout { .. })) => {
             reservation.record_bad_answer();
@@ -162,6 +166,16 @@
     classify(state, call, reservation, line, response).await
 }
 
+/// Counts a send that got no answer, by whether its connection had carried another request before.
+fn count_failure(state: &State, is_pooled: bool) {
+    let connection = if is_pooled { "kept" } else { "new" };
+    let labels = [("connection", connection)];
+    let metrics = &state.log.metrics;
+    metrics
+        .counter("coveford_sends_unanswered_total", &labels)
+        .increment(1);
+}
+
 /// An idle connection to the replica that may carry the request.
 ///
 /// A trial takes none: an idle connection may belong to a process that has crashed already, and a trial that breaks
--- a/crates/front/src/serve/room.rs
+++ b/crates/front/src/serve/room.rs
@@ -81,8 +81,11 @@
     reason: Unplaceable,
     now: Time,
 ) -> (Time, Rejection) {
-    let is_unreachable = reason == Unplaceable::Unreachable;
-    let needs_copy = matches!(reason, Unplaceable::Unreachable | Unplaceable::NoModel(_));
+    let is_unreachable = matches!(reason, Unplaceable::Unreachable(_));
+    let needs_copy = matches!(
+        reason,
+        Unplaceable::Unreachable(_) | Unplaceable::NoModel(_)
+    );
     let model = call.metadata.model.as_ref().filter(|_| needs_copy);
     let eta = model.and_then(|m| state.table.lock().announced_model_eta(m, now));
     let request = request(state, call, "", false, now);
--- a/crates/front/src/serve/unavailable.rs
+++ b/crates/front/src/serve/unavailable.rs
@@ -7,7 +7,7 @@
 use crate::rate_limit::{self, WaitGuard};
 use crate::respond::Rejection;
 use crate::state::{PlacementRequest, State};
-use crate::table::{Saturation, Unplaceable};
+use crate::table::{Saturation, Unplaceable, Witnesses};
 use std::sync::Arc;
 use unit::{Span, Time};
 
@@ -114,8 +114,11 @@
             let rejection = Rejection::not_run("no_adapter", message, RETRY_AFTER_NO_ADAPTER);
             (retry_deadline, rejection)
         }
-        Unplaceable::Unreachable => {
-            let message = "The replicas that could take the request cannot be reached.";
+        Unplaceable::Unreachable(witnesses) => {
+            let Witnesses { own, others } = witnesses;
+            let message = format!(
+                "The replicas that could take the request cannot be reached ({own} by this host, {others} by reports of others)."
+            );
             let rejection = Rejection::not_run("unreachable", message, RETRY_AFTER_UNREACHABLE);
             (retry_deadline, rejection)
         }
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -27,7 +27,7 @@
 mod speeds;
 
 pub use backoff::BackoffUpdate;
-pub use choose::{Choice, Saturation, Unplaceable};
+pub use choose::{Choice, Saturation, Unplaceable, Witnesses};
 pub use permit::{Permit, Unavailable};
 pub use places::Places;
 pub use rate_limit::{LimitChange, LimitTerms};
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -67,11 +67,20 @@
     /// A replica holds the model, but none holds the adapter.
     NoAdapter,
     /// The replicas that hold what is needed cannot be reached.
-    Unreachable,
+    Unreachable(Witnesses),
     /// The replicas that hold what is needed take no requests now; the one with the shortest wait.
     Saturated(Saturation),
 }
 
+/// Who could not reach the replicas that hold what a request needs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Witnesses {
+    /// Replicas that this host failed to reach.
+    pub own: usize,
+    /// Replicas that only other hosts report.
+    pub others: usize,
+}
+
 /// Replica that takes no request now: it asked for a backoff, or its rate limit is used up.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Saturation {
@@ -127,6 +136,7 @@
         let (mut eligible, mut without_adapter) = (Vec::new(), Vec::new());
         let mut best_fit = Fit::Excluded;
         let mut shortest_wait: Option<Saturation> = None;
+        let mut witnesses = Witnesses::default();
         for replica in self.view.all() {
             let fit = self.fit(&replica.entry, criteria, model, now);
             best_fit = best_fit.max(fit);
@@ -137,6 +147,8 @@
                     let saturation = self.saturation(&replica.entry, criteria, now);
                     shortest_wait = shortest_wait.into_iter().chain(saturation).min();
                 }
+                Fit::Unreachable if self.is_avoided(&replica.entry.id, now) => witnesses.own += 1,
+                Fit::Unreachable => witnesses.others += 1,
                 _ => {}
             }
         }
@@ -145,7 +157,7 @@
                 Some(saturation) if best_fit == Fit::Saturated => {
                     Unplaceable::Saturated(saturation)
                 }
-                _ => self.unplaceable(best_fit, model, now),
+                _ => self.unplaceable(best_fit, witnesses, model, now),
             });
         }
         let inputs = self.inputs(criteria, model, engine, now);
@@ -247,8 +259,13 @@
     pub(super) fn is_unreachable(&self, id: &str, now: Time) -> bool {
         let state = self.replicas.get(id);
         let was_reached = state.is_some_and(|s| s.reachability.was_reached(now));
+        self.is_avoided(id, now) || !was_reached && self.is_reported_unreachable(id, now)
+    }
+
+    /// Whether requests avoid a replica because this host could not reach it.
+    fn is_avoided(&self, id: &str, now: Time) -> bool {
+        let state = self.replicas.get(id);
         state.is_some_and(|s| s.reachability.is_avoided(now))
-            || !was_reached && self.is_reported_unreachable(id, now)
     }
 
     /// Why a replica takes no request now, if it does not: its backoff, or else its rate limit.
@@ -267,7 +284,13 @@
     }
 
     /// Reason why no replica is eligible, by the one that fits best.
-    fn unplaceable(&self, best_fit: Fit, model: Option<&Name>, now: Time) -> Unplaceable {
+    fn unplaceable(
+        &self,
+        best_fit: Fit,
+        witnesses: Witnesses,
+        model: Option<&Name>,
+        now: Time,
+    ) -> Unplaceable {
         match best_fit {
             Fit::Excluded => Unplaceable::NoReplica,
             Fit::Leaving => Unplaceable::Leaving,
@@ -275,7 +298,9 @@
                 Unplaceable::NoModel(model.and_then(|m| self.planner_status.model_eta(m, now)))
             }
             Fit::NoAdapter => Unplaceable::NoAdapter,
-            Fit::Unreachable | Fit::Saturated | Fit::Eligible => Unplaceable::Unreachable,
+            Fit::Unreachable | Fit::Saturated | Fit::Eligible => {
+                Unplaceable::Unreachable(witnesses)
+            }
         }
     }
 
