Requests of a host without paths to the replicas go by way of another host

Cause: a host had no way to a replica but its own, and each request found out anew, 1.2 s a connection, that there was none.

Evidence: callers_of_a_host_without_paths_to_the_replicas_are_served failed in all six cases (0 of 60, 0 of 180, 31 of 60), and passes in the four where most hosts keep their paths.

Change: - front::paths knows by arrivals, failed connections and probes whether this host reaches replicas (route::isolation). While requests wait and nothing arrives for 300 ms, paths are probed, so connections that hang are found out without a deadline. - front::detour passes a request on to a host that the leader lists with its room. The host that the caller asked checks key and quota and answers; the other one sends it by its own knowledge of keys, limits, departures and the quarantine. One step at most; attempts, deadline and "not run" hold over both. - A connection to a replica has 400 ms to open instead of 1,200: two kinds of requests have a deadline of 1 s. - A repeatable request whose host loses all paths is given up after 700 ms and sent by another host.

Why this fixes it: whatever a request meets on a host without paths (hanging, reset or refused connections, or none tried yet) ends in another host, which is chosen before any path of this one is tried once it is known.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -2,15 +2,18 @@
 
 mod call;
 mod history;
+mod origin;
 mod reservation;
 
 pub use call::Call;
 pub use history::History;
+pub use origin::Origin;
 pub use reservation::Reservation;
 
 use crate::accounts::{self, Refusal};
 use crate::clock::Elapsed;
 use crate::feedback;
+use crate::paths;
 use crate::quarantine;
 use crate::rate_limit;
 use crate::respond::Rejection;
@@ -25,10 +28,9 @@
 use std::time::Duration;
 use unit::{Name, Span};
 
-/// Exchange with a replica whose answer has begun.
+/// Exchange with a replica or another host whose answer has begun.
 pub struct Exchange {
-    /// Reservation of the request at the replica.
-    pub reservation: Reservation,
+    pub origin: Origin,
     pub line: Connection,
     /// Head of the answer, with the body still to be read.
     pub response: Response<Incoming>,
@@ -62,6 +64,12 @@
     Unauthorized(Refusal),
     /// The request is quarantined and answered with this rejection; nothing was sent.
     Quarantined(Rejection),
+    /// Another host rejected the request, and says that it has not run there.
+    RejectedByHost {
+        rejection: Rejection,
+        /// Whether another host may take it.
+        may_go_elsewhere: bool,
+    },
 }
 
 impl Failure {
@@ -80,6 +88,7 @@
                 | Failure::Unavailable(_)
                 | Failure::Unauthorized(_)
                 | Failure::Quarantined(_)
+                | Failure::RejectedByHost { .. }
         )
     }
 }
@@ -105,6 +114,9 @@
             }
             Failure::Unauthorized(why) => write!(f, "not let on: {why}"),
             Failure::Quarantined(rejection) => write!(f, "not let on: {}", rejection.message),
+            Failure::RejectedByHost { rejection, .. } => {
+                write!(f, "not taken by another host: {}", rejection.message)
+            }
         }
     }
 }
@@ -140,7 +152,14 @@
     let answer = state
         .clock
         .timeout_at(call.deadline, line.send(request, remaining));
-    let answered = answer.await;
+    let answered = tokio::select! {
+        biased;
+        answered = answer => answered,
+        () = paths_lost(state), if call.route.kind.is_idempotent() => {
+            reservation.record_bad_answer();
+            return Err(Failure::Lost("this host reaches no replica any more".into()));
+        }
+    };
     if !matches!(answered, Ok(Ok(_))) {
         count_failure(state, is_pooled);
     }
@@ -166,6 +185,21 @@
     classify(state, call, reservation, line, response).await
 }
 
+/// Time without paths after which the answer to a repeatable request is given up: a replica may also be silent for a
+/// moment and go on.
+const PATHS_LOST_AFTER: Duration = Duration::from_millis(700);
+
+/// Waits until this host has reached no replica for a time.
+pub async fn paths_lost(state: &State) {
+    loop {
+        paths::isolated(state).await;
+        tokio::time::sleep(PATHS_LOST_AFTER).await;
+        if paths::is_isolated(state) {
+            return;
+        }
+    }
+}
+
 /// Counts a send that got no answer, by whether its connection had carried another request before.
 fn count_failure(state: &State, is_pooled: bool) {
     let connection = if is_pooled { "kept" } else { "new" };
@@ -241,7 +275,7 @@
         )));
     }
     Ok(Exchange {
-        reservation,
+        origin: Origin::Replica(Box::new(reservation)),
         line,
         response,
         feedback,
--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -10,6 +10,7 @@
 use platform::config::Route;
 use platform::ingress::Metadata;
 use route::admission::{self, Standing};
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -34,8 +35,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// Reservation of body memory, held until the request ends.
-    pub _memory: Option<OwnedSemaphorePermit>,
+    /// Reservations of memory and of a slot for requests of other hosts, held until the request ends.
+    pub permits: Vec<OwnedSemaphorePermit>,
     /// Metadata from the header fields.
     pub metadata: Metadata,
     /// When the head arrived.
@@ -48,6 +49,10 @@
     pub standing: Mutex<Standing>,
     /// Whether its caller exceeded its share of the busy replicas when it arrived, once that is known.
     pub exceeds_share: OnceLock<bool>,
+    /// Host that passed the request on to this one.
+    pub passed_on_by: Option<Name>,
+    /// Hosts that this one passed it on to.
+    pub detours: Mutex<Vec<SocketAddr>>,
     /// Trial run, if the request is suspected of crashing replicas.
     pub trial: OnceLock<Trial>,
 }
--- a/crates/front/src/attempt/history.rs
+++ b/crates/front/src/attempt/history.rs
@@ -12,6 +12,10 @@
     pub attempted: Vec<Name>,
     /// Those that may have run it.
     pub may_have_run: Vec<Name>,
+    /// Runs at replicas that are not known by name: another host sent it there, and its answer is lost.
+    pub unnamed_runs: u32,
+    /// Runs that are left to the host that passed the request on.
+    pub reserved_runs: u32,
 }
 
 impl History {
@@ -29,7 +33,31 @@
 
     /// Whether the route allows one more replica to run the request.
     pub fn may_run_again(&self, call: &Call) -> bool {
-        (self.may_have_run.len() as u32) < call.route.attempt_limit
+        self.remaining_runs(call.route.attempt_limit) > 0
+    }
+
+    /// Whether a replica may have run the request.
+    pub fn has_run(&self) -> bool {
+        !self.may_have_run.is_empty() || self.unnamed_runs > 0
+    }
+
+    /// Runs that are left of `limit`.
+    fn remaining_runs(&self, limit: u32) -> u32 {
+        let used = self.may_have_run.len() as u32 + self.unnamed_runs + self.reserved_runs;
+        limit.saturating_sub(used)
+    }
+
+    /// Runs that another host may use for the request: all but one, which is kept for the case that its answer is lost.
+    pub fn runs_for_detour(&self, limit: u32) -> u32 {
+        let remaining = self.remaining_runs(limit);
+        remaining.saturating_sub(1).max(remaining.min(1))
+    }
+
+    /// Adds the replicas that another host sent the request to.
+    pub fn merge(&mut self, attempted: &[Name], may_have_run: &[Name]) {
+        attempted.iter().for_each(|id| add(&mut self.attempted, id));
+        let runs = &mut self.may_have_run;
+        may_have_run.iter().for_each(|id| add(runs, id));
     }
 }
 
--- /dev/null
+++ b/crates/front/src/attempt/origin.rs
@@ -0,0 +1,99 @@
+//! What an answer comes from: a replica, or another host that the request was passed on to.
+
+use super::{Call, Failure, Reservation};
+use crate::detour::Hop;
+use crate::state::State;
+use conn::Connection;
+use platform::response::Feedback;
+use unit::{Name, Span};
+
+pub enum Origin {
+    /// A replica, at which the request has a reservation.
+    Replica(Box<Reservation>),
+    /// A host that sends the request to replicas.
+    Host(Hop),
+}
+
+impl Origin {
+    /// Replica that answers, if this host sent the request there.
+    pub fn replica(&self) -> Option<&Name> {
+        self.reservation().map(|reservation| &reservation.replica)
+    }
+
+    /// Ratio of the expected time to first token to the real one, where the former is known.
+    pub fn forecast_ratio(&self) -> Option<f64> {
+        self.reservation()?.forecast_ratio
+    }
+
+    fn reservation(&self) -> Option<&Reservation> {
+        match self {
+            Origin::Replica(reservation) => Some(reservation),
+            Origin::Host(_) => None,
+        }
+    }
+
+    /// Whether it is still there, as far as the store or the leader tells.
+    pub fn is_present(&self, state: &State) -> bool {
+        let reservation = match self {
+            Origin::Replica(reservation) => reservation,
+            Origin::Host(hop) => return hop.is_present(),
+        };
+        let table = state.table.lock();
+        let listed = table.view.get(&reservation.replica);
+        listed.is_some_and(|s| {
+            s.missing_since.is_none() && s.entry.incarnation == reservation.incarnation
+        })
+    }
+
+    /// Records the first token.
+    pub fn record_first_token(&mut self) {
+        if let Origin::Replica(reservation) = self {
+            reservation.record_first_token();
+        }
+    }
+
+    /// Records the pauses between the first events of its stream.
+    pub fn record_pauses(&self, pauses: &mut [Span]) {
+        if let Some(reservation) = self.reservation() {
+            reservation.record_pauses(pauses);
+        }
+    }
+
+    /// Records a complete answer.
+    pub fn record_answer(&mut self, failed: bool) {
+        match self {
+            Origin::Replica(reservation) => reservation.record_answer(failed),
+            Origin::Host(hop) => hop.record_answer(),
+        }
+    }
+
+    /// Records that no complete answer arrived.
+    pub fn record_failure(&self, call: &Call, failure: &Failure) {
+        match self {
+            Origin::Replica(reservation) => reservation.record_failure(call, failure),
+            Origin::Host(hop) if matches!(failure, Failure::Lost(_)) => hop.record_failure(),
+            Origin::Host(_) => {}
+        }
+    }
+
+    /// Returns a connection to the pool after a complete answer, if the other end keeps it open.
+    pub fn return_connection(&self, state: &State, line: Connection, feedback: &Feedback) {
+        match self {
+            Origin::Host(hop) => hop.return_connection(line),
+            Origin::Replica(reservation) if feedback.keep_alive => state.pool.give(
+                &reservation.replica,
+                line,
+                feedback.keep_alive_timeout,
+                state.now(),
+            ),
+            Origin::Replica(_) => {}
+        }
+    }
+
+    /// Closes all idle connections to the replica.
+    pub fn close_idle(&self, state: &State) {
+        if let Some(replica) = self.replica() {
+            state.pool.close_all(replica);
+        }
+    }
+}
--- a/crates/front/src/attempt/reservation.rs
+++ b/crates/front/src/attempt/reservation.rs
@@ -4,6 +4,7 @@
 use super::{Call, Failure};
 use crate::dispatch::Place;
 use crate::feedback::Source;
+use crate::paths::{self, Waiting};
 use crate::quarantine;
 use crate::state::State;
 use crate::table::{Choice, Footprint, Forecast};
@@ -36,6 +37,7 @@
     pub place: Option<Place>,
     /// Ratio of the expected time to first token to the real one, where the former is known.
     pub forecast_ratio: Option<f64>,
+    _waiting: Waiting,
 }
 
 impl Reservation {
@@ -51,6 +53,7 @@
         drop(table);
         state.load_added.notify_one();
         Reservation {
+            _waiting: paths::enter(state),
             state: state.clone(),
             replica: choice.replica.clone(),
             incarnation,
@@ -124,6 +127,7 @@
             .table
             .lock()
             .record_unreachable(&self.replica, now);
+        paths::record_failure(&self.state, &self.replica);
     }
 
     /// Records that the replica did not take the request.
--- a/crates/front/src/feedback.rs
+++ b/crates/front/src/feedback.rs
@@ -2,6 +2,7 @@
 //! reachability.
 
 use crate::attempt::{Call, Reservation};
+use crate::paths;
 use crate::rate_limit;
 use crate::state::State;
 use crate::table::{BackoffUpdate, Permit, Unavailable};
@@ -29,6 +30,7 @@
 
 /// Applies everything that an answer says about its replica.
 pub fn apply(state: &State, source: &Source, feedback: &Feedback) {
+    paths::record_arrival(state);
     if feedback.leaving {
         record_departure(state, source);
     }
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -158,6 +158,20 @@
     /// Samples of the speeds of replicas and models since the last round.
     #[serde(default)]
     pub speeds: Vec<speed::Row>,
+    /// Paths of this host to the replicas.
+    #[serde(default)]
+    pub paths: Paths,
+}
+
+/// Paths of a host to the replicas, and what it does for hosts without.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Paths {
+    /// Whether it reaches no replica.
+    pub is_isolated: bool,
+    /// Whether it may need other hosts for its requests.
+    pub wants_detours: bool,
+    /// Requests of other hosts that it takes beyond those that it has.
+    pub room: u16,
 }
 
 /// Rows that fit one datagram; a row takes at most 40 bytes.
@@ -190,6 +204,7 @@
             round: self.round,
             store_failed: self.store_failed,
             store_uptime: self.store_uptime,
+            paths: self.paths,
         };
         let demand = self.demand.chunks(rows).map(|rows| LoadReport {
             demand: rows.to_vec(),
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -25,7 +25,7 @@
 use crate::message::{
     self, AdapterPlacement, Digest, Message, ModelPlacement, PackedLoad, TrialResponse, status,
 };
-use crate::readers::Candidate;
+use crate::readers;
 use crate::rounds::{self, MAX_DIRECT_HOSTS};
 use crate::state::{PlacementRequest, PlacementRequests, State};
 use bytes::Bytes;
@@ -33,6 +33,7 @@
 use parking_lot::Mutex;
 use pending::PendingRequests;
 use quota::QuotaState;
+use route::detour::Candidate;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -236,6 +237,12 @@
             if let Some(ages) = status.store_uptime {
                 table.view.contact.merge(ages, now);
             }
+            let detours = status.detours.into_iter();
+            let detours = detours.filter(|(addr, ..)| *addr != own);
+            let to_candidate = |(addr, hall, room)| Candidate { addr, hall, room };
+            self.state
+                .detours
+                .assign(detours.map(to_candidate).collect(), now);
             table.set_unreachable(status.unreachable, now);
             table.set_model_etas(&status.loading, now);
             table.set_loaded(status.loaded, now);
@@ -334,7 +341,7 @@
     }
 
     /// Recomputes the fan-out groups of a large fleet and informs their relays.
-    pub async fn assign_fanout_groups(&self, hosts: Vec<Candidate>) {
+    pub async fn assign_fanout_groups(&self, hosts: Vec<readers::Candidate>) {
         if self.is_direct() {
             return;
         }
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -3,7 +3,7 @@
 use super::totals::Totals;
 use crate::contact::{self, Ages};
 use crate::message::{
-    AdapterRequest, AdapterUse, Demand, Load, LoadReport, ModelRequest, PackedLoad,
+    AdapterRequest, AdapterUse, Demand, Load, LoadReport, ModelRequest, PackedLoad, status,
 };
 use crate::readers::Candidate;
 use crate::rounds;
@@ -11,7 +11,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use tokio::sync::Notify;
-use unit::{Name, Span, Time};
+use unit::{Name, Span, Time, rendezvous};
 
 /// Least time without a report after which a host counts as silent.
 const MIN_SILENT_AFTER: Span = Span::from_ms(1_000);
@@ -25,6 +25,9 @@
 /// Minimum number of hosts that must find a replica unreachable before all hosts avoid it.
 const MIN_UNREACHABLE_VOTES: usize = 2;
 
+/// Most hosts that are listed for requests of others.
+const MAX_DETOURS: usize = 64;
+
 #[derive(Default)]
 pub struct Inbox {
     hosts: Mutex<Hosts>,
@@ -176,6 +179,7 @@
             state.report.loads = report.loads;
         }
         state.report.store_uptime = report.store_uptime;
+        state.report.paths = report.paths;
         state.sequence = Some(report.round);
         state.reported_at = now;
     }
@@ -190,6 +194,30 @@
         self.request_received.notify_one();
     }
 
+    /// Hosts that take requests of those without paths, if any host may need them or the fleet is small.
+    pub fn detours(&self, now: Time) -> Vec<status::Detour> {
+        let mut hosts = self.hosts.lock();
+        hosts.expire(now);
+        let silent_after =
+            rounds::at_least_rounds(MIN_SILENT_AFTER, SILENT_ROUNDS, hosts.by_name.len());
+        let is_wanted = hosts.by_name.len() <= rounds::MAX_DIRECT_HOSTS
+            || hosts.by_name.values().any(|h| h.report.paths.wants_detours);
+        if !is_wanted {
+            return Vec::new();
+        }
+        let is_sound = |host: &&HostState| {
+            !host.report.paths.is_isolated && now.since(host.reported_at) <= silent_after
+        };
+        let sound = hosts.by_name.values().filter(is_sound);
+        let mut sound: Vec<&HostState> = sound.collect();
+        // The same hosts in each round, whatever their room.
+        sound.sort_by_key(|host| rendezvous::hash(host.report.host.as_bytes()));
+        sound.truncate(MAX_DETOURS);
+        let detour =
+            |host: &HostState| (host.from, host.report.hall.clone(), host.report.paths.room);
+        sound.into_iter().map(detour).collect()
+    }
+
     /// Hashes of replicas that several hosts could not reach and that fewer hosts have requests on.
     ///
     /// The second condition distinguishes a replica that is down from a network fault of some hosts.
--- a/crates/front/src/peers/load_reports.rs
+++ b/crates/front/src/peers/load_reports.rs
@@ -2,7 +2,9 @@
 //! is prefilled.
 
 use super::Peers;
-use crate::message::{Demand, LoadReport, Message, PackedLoad, replica_hash};
+use crate::detour;
+use crate::message::{Demand, LoadReport, Message, PackedLoad, Paths, replica_hash};
+use crate::paths;
 use crate::readers;
 use crate::rounds;
 use std::sync::Arc;
@@ -159,6 +161,11 @@
             store_failed: readers::store_failed_recently(&self.state),
             store_uptime: store,
             speeds: Vec::new(),
+            paths: Paths {
+                is_isolated: paths::is_isolated(&self.state),
+                wants_detours: detour::is_wanted(&self.state),
+                room: detour::room(&self.state),
+            },
         }
     }
 }
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -102,6 +102,7 @@
         PlannerStatus {
             unreachable: self.unreachable(now),
             direct_hosts: self.peers.direct_hosts(),
+            detours: inbox.detours(now),
             store_uptime: inbox.store_uptime(heartbeat, now),
             ..planner_status(&self.fleet.lock(), announced_for, now)
         }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -20,8 +20,9 @@
 /// Margin before the end of the keep-alive time at which a connection is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Timeout for opening a connection: a lost SYN is retransmitted after one second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Timeout for opening a connection; hosts and replicas are milliseconds apart. A lost SYN is retransmitted only after
+/// one second: another replica or host is faster.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Most idle connections kept for one replica.
 const MAX_IDLE_PER_REPLICA: usize = 24;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -6,8 +6,9 @@
 
 mod resume;
 
-use crate::attempt::{Call, Exchange, Failure, History, Reservation};
+use crate::attempt::{Call, Exchange, Failure, History, Origin, paths_lost};
 use crate::events::Splitter;
+use crate::paths;
 use crate::peers::Peers;
 use crate::quarantine;
 use crate::respond::{Body, full_body};
@@ -39,15 +40,6 @@
 /// Most pauses of a stream from which its decode step is measured.
 const MAX_PAUSES: usize = 64;
 
-/// Whether the replica of a reservation is listed, with the same incarnation.
-fn is_present(state: &State, reservation: &Reservation) -> bool {
-    let table = state.table.lock();
-    let listed = table.view.get(&reservation.replica);
-    listed.is_some_and(|s| {
-        s.missing_since.is_none() && s.entry.incarnation == reservation.incarnation
-    })
-}
-
 /// Reads and forwards an answer that is not a stream.
 pub async fn read_whole(
     state: &Arc<State>,
@@ -55,55 +47,47 @@
     exchange: Exchange,
 ) -> Result<Response<Body>, Failure> {
     let Exchange {
-        mut reservation,
+        mut origin,
         line,
         response,
         feedback,
     } = exchange;
     let (head, body) = response.into_parts();
     let read = Limited::new(body, MAX_ANSWER).collect();
-    let read = state.clock.timeout_at(call.deadline, read).await;
+    let read = state.clock.timeout_at(call.deadline, read);
+    let read = tokio::select! {
+        biased;
+        read = read => read,
+        () = paths_lost(state), if call.route.kind.is_idempotent() && origin.replica().is_some() => {
+            let failure = Failure::Lost("this host reaches no replica any more".into());
+            origin.record_failure(call, &failure);
+            return Err(failure);
+        }
+    };
     let body = match read {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             let failure = Failure::Lost(format!("its answer broke off: {error}"));
-            reservation.record_failure(call, &failure);
+            origin.record_failure(call, &failure);
             return Err(failure);
         }
         Err(_) => {
-            reservation.record_bad_answer();
+            origin.record_failure(call, &Failure::TimedOut);
             return Err(Failure::TimedOut);
         }
     };
     let failed = head.status.is_server_error();
-    reservation.record_answer(failed);
+    origin.record_answer(failed);
     if !failed {
         quarantine::note_success(state, call);
     }
-    return_connection(state, &reservation, line, &feedback);
+    origin.return_connection(state, line, &feedback);
     let mut response = Response::new(full_body(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = returned(&head.headers);
     Ok(response)
 }
 
-/// Returns a connection to the pool after a complete answer, if the replica keeps it open.
-fn return_connection(
-    state: &State,
-    reservation: &Reservation,
-    line: Connection,
-    feedback: &Feedback,
-) {
-    if feedback.keep_alive {
-        state.pool.give(
-            &reservation.replica,
-            line,
-            feedback.keep_alive_timeout,
-            state.now(),
-        );
-    }
-}
-
 /// Forwarded event stream.
 struct Relay {
     state: Arc<State>,
@@ -139,9 +123,9 @@
     expected: Option<Span>,
 }
 
-/// Replica answer that events are read from.
+/// Answer that events are read from.
 struct Source {
-    reservation: Reservation,
+    origin: Origin,
     line: Connection,
     feedback: Feedback,
     body: Incoming,
@@ -194,7 +178,7 @@
 impl Source {
     fn from(exchange: Exchange) -> Source {
         Source {
-            reservation: exchange.reservation,
+            origin: exchange.origin,
             line: exchange.line,
             feedback: exchange.feedback,
             body: exchange.response.into_body(),
@@ -209,15 +193,15 @@
             Ok(first) => first,
             Err(failure) => {
                 if let Some(source) = self.source.take() {
-                    source.reservation.record_failure(&self.call, &failure);
+                    source.origin.record_failure(&self.call, &failure);
                 }
                 return Err(failure);
             }
         };
         self.last_event_at = self.state.now();
         if let Some(source) = &mut self.source {
-            source.reservation.record_first_token();
-            self.forecast_ratio = source.reservation.forecast_ratio;
+            source.origin.record_first_token();
+            self.forecast_ratio = source.origin.forecast_ratio();
             let took = self.state.now().since(self.call.arrived);
             self.ttft = took;
             let metrics = &self.state.log.metrics;
@@ -261,11 +245,12 @@
         }
         let gap = self.call.route.max_gap.map(Span::from);
         let is_long = gap.is_some_and(|gap| pause > gap * LONG_PAUSE_FRACTION);
-        if let Some(source) = self.source.as_ref().filter(|_| is_long) {
+        let replica = self.source.as_ref().and_then(|s| s.origin.replica());
+        if let Some(replica) = replica.filter(|_| is_long) {
             let mut table = self.state.table.lock();
-            table.record_stall(&source.reservation.replica, now);
+            table.record_stall(replica, now);
             if pause > self.longest_pause.duration {
-                let (in_flight, prefill_backlog) = table.load(&source.reservation.replica, now);
+                let (in_flight, prefill_backlog) = table.load(replica, now);
                 self.longest_pause = Pause {
                     duration: pause,
                     in_flight,
@@ -282,7 +267,7 @@
         let source = self.source.as_ref()?;
         let model = self.call.metadata.model.as_ref()?;
         let table = self.state.table.lock();
-        let replica = &source.reservation.replica;
+        let replica = source.origin.replica()?;
         table.streams_at(replica, &self.call.service, model, self.last_event_at)
     }
 
@@ -343,15 +328,24 @@
                 true => deadline.min(silence),
                 false => deadline,
             };
-            match clock.timeout_at(until, source.body.frame()).await {
+            let frame = clock.timeout_at(until, source.body.frame()).await;
+            let is_isolated = paths::is_isolated(&self.state);
+            match frame {
                 Ok(frame) => {
+                    if source.origin.replica().is_some() {
+                        paths::record_arrival(&self.state);
+                    }
                     let to_failure =
                         |error| Failure::Lost(format!("its stream broke off: {error}"));
                     return frame.transpose().map_err(to_failure);
                 }
                 Err(_) if until == deadline => return Err(Failure::TimedOut),
                 // Silence alone is no failure: the replica may be slow.
-                Err(_) if is_present(&self.state, &source.reservation) => {}
+                Err(_) if is_isolated && source.origin.replica().is_some() => {
+                    let why = "this host reaches no replica any more";
+                    return Err(Failure::Lost(why.into()));
+                }
+                Err(_) if source.origin.is_present(&self.state) => {}
                 Err(_) => {
                     return Err(Failure::Lost("the replica was silent, and is gone".into()));
                 }
@@ -365,15 +359,12 @@
             return Err(Failure::Lost("its stream ended inside an event".into()));
         }
         if let Some(mut source) = self.source.take() {
-            source.reservation.record_answer(false);
-            source.reservation.record_pauses(&mut self.pauses);
+            source.origin.record_answer(false);
+            source.origin.record_pauses(&mut self.pauses);
             quarantine::note_success(&self.state, &self.call);
-            return_connection(
-                &self.state,
-                &source.reservation,
-                source.line,
-                &source.feedback,
-            );
+            source
+                .origin
+                .return_connection(&self.state, source.line, &source.feedback);
         }
         Ok(())
     }
@@ -406,7 +397,7 @@
             .metrics
             .record_outcome(&call.route.name, "cancelled");
         self.state.log.sampled(&call.id, || {
-            info!(target: "request", event = "cancelled", id = &*call.id, route = &*call.route.name, replica = &*source.reservation.replica, ms, "client disconnected; the connection to the replica is closed")
+            info!(target: "request", event = "cancelled", id = &*call.id, route = &*call.route.name, replica = source.origin.replica().map(|r| &**r), ms, "client disconnected; the connection to the replica is closed")
         });
     }
 }
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -1,11 +1,13 @@
 //! Resumption of a broken stream at another replica.
 
 use super::{Relay, Source};
-use crate::attempt::{Failure, Reservation, send};
+use crate::attempt::{Exchange, Failure, Reservation, send};
+use crate::detour;
 use crate::grant::Grant;
 use crate::table::{Choice, Criteria, Unplaceable};
 use crate::{quarantine, rate_limit};
 use route::admission::Standing;
+use std::net::SocketAddr;
 use tracing::info;
 use unit::Span;
 
@@ -20,8 +22,8 @@
     /// Resumes the stream at another replica; returns whether that succeeded.
     pub(super) async fn resume(&mut self, cause: &Failure) -> bool {
         if let Some(source) = self.source.take() {
-            source.reservation.record_failure(&self.call, cause);
-            self.state.pool.close_all(&source.reservation.replica);
+            source.origin.record_failure(&self.call, cause);
+            source.origin.close_idle(&self.state);
         }
         let (state, call) = (self.state.clone(), self.call.clone());
         let is_idempotent = call.route.kind.is_idempotent();
@@ -35,8 +37,22 @@
             if !self.history.may_run_again(&call) || state.now() >= call.deadline {
                 return false;
             }
-            let Some((choice, grant)) = self.next_replica().await else {
-                return false;
+            if let Some(host) = detour::choose(&state, &call) {
+                if self.resume_by_host(host, last, cause).await {
+                    return true;
+                }
+                continue;
+            }
+            let (choice, grant) = match self.next_replica().await {
+                Ok(next) => next,
+                Err(Unplaceable::Unreachable(witnesses)) if witnesses.own > 0 => {
+                    match detour::choose_for_unreached(&state, &call) {
+                        Some(host) if self.resume_by_host(host, last, cause).await => return true,
+                        Some(_) => continue,
+                        None => return false,
+                    }
+                }
+                Err(_) => return false,
             };
             let now = state.now();
             if !state.table.lock().spend_retry(&call.service, now) {
@@ -53,13 +69,7 @@
                 grant.refund(&state).await;
             }
             self.history.record(&choice.replica, &result);
-            state.log.rate_limited(|| {
-                let outcome = match &result {
-                    Ok(exchange) => format!("status {}", exchange.response.status()),
-                    Err(failure) => failure.to_string(),
-                };
-                info!(target: "request", event = "continued", id = &*call.id, replica = &*choice.replica, last, why = %cause, outcome, "resuming a broken stream at another replica")
-            });
+            self.log_resumption(Some(&choice.replica), last, cause, &result);
             match result {
                 Ok(exchange) if exchange.response.status().is_success() => {
                     self.source = Some(Source::from(exchange));
@@ -72,9 +82,48 @@
         false
     }
 
+    /// Resumes the stream by way of another host; returns whether that succeeded.
+    async fn resume_by_host(
+        &mut self,
+        host: SocketAddr,
+        last: Option<u64>,
+        cause: &Failure,
+    ) -> bool {
+        let (state, call) = (self.state.clone(), self.call.clone());
+        if !state.table.lock().spend_retry(&call.service, state.now()) {
+            return false;
+        }
+        let result = detour::send(&state, &call, host, &mut self.history, last).await;
+        self.log_resumption(None, last, cause, &result);
+        match result {
+            Ok(exchange) if exchange.response.status().is_success() => {
+                self.source = Some(Source::from(exchange));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn log_resumption(
+        &self,
+        replica: Option<&str>,
+        last: Option<u64>,
+        cause: &Failure,
+        result: &Result<Exchange, Failure>,
+    ) {
+        let id = &self.call.id;
+        self.state.log.rate_limited(|| {
+            let outcome = match result {
+                Ok(exchange) => format!("status {}", exchange.response.status()),
+                Err(failure) => failure.to_string(),
+            };
+            info!(target: "request", event = "continued", id = &**id, replica, last, why = %cause, outcome, "resuming a broken stream at another replica")
+        });
+    }
+
     /// Chooses a replica to resume at and claims a unit of its rate limit, if it has one. Waits if
     /// all eligible replicas are without capacity.
-    async fn next_replica(&self) -> Option<(Choice, Option<Grant>)> {
+    async fn next_replica(&self) -> Result<(Choice, Option<Grant>), Unplaceable> {
         let (state, call) = (&self.state, &self.call);
         let deadline = state.now() + RESUME_TIMEOUT;
         *call.standing.lock() = Standing::Timely;
@@ -90,7 +139,7 @@
                     if let Ok(grant) =
                         rate_limit::admit(state, &self.peers, &criteria, &choice).await
                     {
-                        return Some((choice, grant));
+                        return Ok((choice, grant));
                     }
                 }
                 Err(Unplaceable::Saturated(saturation))
@@ -99,7 +148,7 @@
                     let _ =
                         tokio::time::timeout(saturation.wait.std(), state.changed.notified()).await;
                 }
-                Err(_) => return None,
+                Err(reason) => return Err(reason),
             }
         }
     }
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -1,7 +1,7 @@
 //! Configuration, indexed for the lookup of routes and services.
 
-use crate::accounts::{self, Accounts};
-use platform::account::Account;
+use crate::accounts::{self, Accounts, Caller};
+use platform::account::{Account, Key};
 use platform::config::{Config, Engine, Limits, Route, Service};
 use route::routing::Router;
 use std::collections::HashMap;
@@ -71,6 +71,15 @@
         self.router.find(host, path)
     }
 
+    /// Caller of a request that another host let in by its key. The key is checked again when the request is sent.
+    pub fn caller(&self, key: Option<Key>) -> Caller {
+        let account = key
+            .as_ref()
+            .and_then(|key| self.accounts.as_ref()?.find(key));
+        let account = account.cloned();
+        Caller { key, account }
+    }
+
     /// Priority of a request on a route, 0 is the most urgent.
     pub fn rank(&self, account: Option<&Arc<Account>>, route: &Route) -> u8 {
         match (&self.accounts, account) {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -3,6 +3,7 @@
 mod gauges;
 
 use crate::accounts;
+use crate::detour;
 use crate::dispatch;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::peers::{self, Peers};
@@ -65,6 +66,9 @@
 /// gone.
 const MISSING_POLL: Duration = Duration::from_millis(50);
 
+/// Interval at which a daemon that drains checks whether requests are left.
+const IN_FLIGHT_POLL: Duration = Duration::from_millis(20);
+
 pub struct Daemon {
     state: Arc<State>,
     callers: Server,
@@ -158,7 +162,7 @@
         callers: serve_callers(&context, callers)?,
         _readiness: serve_readiness(&state, readiness)?,
         _metrics: serve_metrics(&context, metrics)?,
-        _polls: serve_polls(&state, polls)?,
+        _polls: serve_hosts(&context, polls)?,
         _tasks: spawn_tasks(&context, &peers, placement_requests, reports),
         state,
     };
@@ -243,14 +247,21 @@
     conn::serve(listener, OTHER_CONNECTIONS, respond).context(RuntimeSnafu)
 }
 
-/// Answers polls of other hosts for store changes.
-fn serve_polls(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
-    let state = state.clone();
-    let respond = move |request| {
-        let state = state.clone();
-        async move { Ok(readers::respond(state, request).await) }
+/// Answers polls of other hosts for store changes, and the requests that they pass on.
+fn serve_hosts(context: &serve::Context, listener: TcpListener) -> Result<Server, Error> {
+    let limits = context.state.settings.limits;
+    let max_connections = HOST_CONNECTIONS + 2 * detour::max_taken(&limits);
+    let context = context.clone();
+    let respond = move |request: Request<Incoming>| {
+        let context = context.clone();
+        async move {
+            Ok(match request.uri().path() {
+                detour::PATH => detour::respond(&context, request).await,
+                _ => readers::respond(context.state, request).await,
+            })
+        }
     };
-    conn::serve(listener, HOST_CONNECTIONS, respond).context(RuntimeSnafu)
+    conn::serve(listener, max_connections, respond).context(RuntimeSnafu)
 }
 
 /// Closes idle connections, expires replica states, and logs how many lines were suppressed.
@@ -329,6 +340,10 @@
             .timeout_at(exit_at, self.callers.drain(remaining))
             .await;
         let cut = drained.unwrap_or_else(|_| self.callers.connection_count());
+        // Requests of other hosts come by another listener.
+        while state.in_flight() > 0 && state.now() < exit_at {
+            tokio::time::sleep(IN_FLIGHT_POLL).await;
+        }
         info!(target: "daemon", event = "stopped", cut, "daemon stopped");
     }
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -7,7 +7,11 @@
 mod room;
 mod unavailable;
 
+pub use read::{Parts, new_call, reserve_memory};
+pub use unavailable::UNREACHABLE;
+
 use crate::attempt::{Call, Exchange, Failure, History, send};
+use crate::detour;
 use crate::peers::Peers;
 use crate::quarantine;
 use crate::queue::Queues;
@@ -19,6 +23,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use parking_lot::Mutex;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::info;
@@ -90,7 +95,8 @@
     quarantine::admit(state, &context.peers, call).await?;
     let grant = quota::admit(state, &context.peers, call).await?;
     record_arrival(state, call);
-    let result = send_with_retries(context, call).await;
+    let result = send_with_retries(context, call, History::default()).await;
+    let result = result.map_err(|unanswered| unanswered.rejection);
     let has_not_run = result.as_ref().is_err_and(|f| f.retry_after.is_some());
     if let Some(grant) = grant.filter(|_| has_not_run) {
         grant.refund(state).await;
@@ -105,12 +111,21 @@
     table.record_arrival(&call.service, &call.metadata, bounds, call.arrived);
 }
 
+/// Request that got no answer.
+pub struct Unanswered {
+    pub rejection: Rejection,
+    /// Replicas that it was sent to.
+    pub history: History,
+}
+
 /// State of a request between sends.
 struct Progress {
     /// Replicas that it was sent to.
     history: History,
     /// Failure of the last send.
     last_failure: Failure,
+    /// Connections that could not be opened for it, those that timed out twice.
+    unopened: u32,
     /// Whether there were other eligible replicas at the last choice.
     has_alternatives: bool,
     /// Rejection of the last placement, if that ended the retries.
@@ -119,14 +134,22 @@
     answer: Option<Response<Body>>,
 }
 
-/// Sends a request until it is answered or may not be retried.
-async fn send_with_retries(
+/// Connections that may fail to open before a request goes by way of another host, those that timed out twice.
+const MAX_UNOPENED: u32 = 2;
+
+/// Time from which a connection that could not be opened counts as timed out.
+const OPENING_TIMED_OUT: Span = Span::from_ms(200);
+
+/// Sends a request until it is answered or may not be retried. `history` is what another host did before.
+pub async fn send_with_retries(
     context: &Context,
     call: &Arc<Call>,
-) -> Result<Response<Body>, Rejection> {
+    history: History,
+) -> Result<Response<Body>, Unanswered> {
     let state = &context.state;
     let mut progress = Progress {
-        history: History::default(),
+        history,
+        unopened: 0,
         last_failure: Failure::Unsent("no replica was tried".into()),
         has_alternatives: true,
         rejection: None,
@@ -136,38 +159,21 @@
         if attempt > 0 && !may_retry(state, call, &progress) {
             break;
         }
-        let admit::Admission {
-            choice,
-            reservation,
-            grant,
-        } = match place(
-            context,
-            call,
-            &progress.history,
-            progress.has_alternatives,
-            attempt,
-        )
-        .await
-        {
-            Ok(admission) => admission,
-            Err(rejection) if attempt == 0 => return Err(rejection),
+        let sent = match first_host(state, call, &progress) {
+            Some(host) => send_by_host(context, call, host, &mut progress).await,
+            None => send_to_replica(context, call, attempt, &mut progress).await,
+        };
+        let outcome = match sent {
+            Ok(outcome) => outcome,
+            Err(rejection) if attempt == 0 => {
+                let history = progress.history;
+                return Err(Unanswered { rejection, history });
+            }
             Err(rejection) => {
                 progress.rejection = Some(rejection);
                 break;
             }
         };
-        progress.has_alternatives = choice.candidate_count > 1;
-        let exchange = send(state, call, &choice, reservation, call.metadata.last_event).await;
-        if let (Some(grant), Err(failure)) = (grant, &exchange)
-            && failure.proves_unsent()
-        {
-            grant.refund(state).await;
-        }
-        progress.history.record(&choice.replica, &exchange);
-        let outcome = match exchange {
-            Ok(exchange) => forward(context, call, exchange, &progress.history).await,
-            Err(failure) => Err(failure),
-        };
         let failure = match outcome {
             Ok(response) if !progress.may_improve(call, &response) => return Ok(response),
             Ok(response) => {
@@ -177,13 +183,93 @@
             }
             Err(failure) => failure,
         };
-        handle_failure(state, call, &choice, &failure);
         progress.last_failure = failure;
     }
-    match progress.answer {
-        Some(answer) => Ok(answer),
-        None => Err(final_rejection(state, call, progress)),
+    if let Some(answer) = progress.answer {
+        return Ok(answer);
+    }
+    let history = progress.history.clone();
+    let rejection = final_rejection(state, call, progress);
+    Err(Unanswered { rejection, history })
+}
+
+/// Result of one send: an answer for the client, or why there is none.
+type Outcome = Result<Response<Body>, Failure>;
+
+/// Host that the next send goes by way of, if this host's paths to the replicas are in doubt.
+fn first_host(state: &State, call: &Call, progress: &Progress) -> Option<SocketAddr> {
+    match progress.unopened >= MAX_UNOPENED {
+        true => detour::choose_for_unreached(state, call),
+        false => detour::choose(state, call),
+    }
+}
+
+/// Sends a request to a replica; by way of another host if this one reaches none that could take it.
+async fn send_to_replica(
+    context: &Context,
+    call: &Arc<Call>,
+    attempt: usize,
+    progress: &mut Progress,
+) -> Result<Outcome, Rejection> {
+    let state = &context.state;
+    let has_alternatives = progress.has_alternatives;
+    let placed = place(context, call, &progress.history, has_alternatives, attempt).await;
+    let admit::Admission {
+        choice,
+        reservation,
+        grant,
+    } = match placed {
+        Ok(admission) => admission,
+        Err(rejection) if rejection.reason == unavailable::UNREACHABLE => {
+            return match detour::choose_for_unreached(state, call) {
+                Some(host) => send_by_host(context, call, host, progress).await,
+                None => Err(rejection),
+            };
+        }
+        Err(rejection) => return Err(rejection),
+    };
+    progress.has_alternatives = choice.candidate_count > 1;
+    let sent_at = state.now();
+    let exchange = send(state, call, &choice, reservation, call.metadata.last_event).await;
+    if let (Some(grant), Err(failure)) = (grant, &exchange)
+        && failure.proves_unsent()
+    {
+        grant.refund(state).await;
+    }
+    if let Err(Failure::Unsent(_)) = &exchange {
+        let is_timeout = state.now().since(sent_at) >= OPENING_TIMED_OUT;
+        progress.unopened += 1 + u32::from(is_timeout);
     }
+    progress.history.record(&choice.replica, &exchange);
+    let outcome = match exchange {
+        Ok(exchange) => forward(context, call, exchange, &progress.history).await,
+        Err(failure) => Err(failure),
+    };
+    match &outcome {
+        Ok(response) if progress.may_improve(call, response) => {
+            let failure = Failure::ServerError(response.status().as_u16());
+            handle_failure(state, call, &choice, &failure);
+        }
+        Ok(_) => {}
+        Err(failure) => handle_failure(state, call, &choice, failure),
+    }
+    Ok(outcome)
+}
+
+/// Passes a request on to another host.
+async fn send_by_host(
+    context: &Context,
+    call: &Arc<Call>,
+    host: SocketAddr,
+    progress: &mut Progress,
+) -> Result<Outcome, Rejection> {
+    let state = &context.state;
+    let last_event = call.metadata.last_event;
+    let exchange = detour::send(state, call, host, &mut progress.history, last_event).await;
+    Ok(match exchange {
+        Ok(exchange) => forward(context, call, exchange, &progress.history).await,
+        Err(failure) => Err(failure),
+    })
 }
 
 /// Places the next send of a request: at another replica, or else, after a pause, at one that
@@ -247,8 +333,14 @@
                 && quarantine::may_retry(state, call)
         }
         Failure::NotRun { .. } | Failure::Unsent(_) | Failure::Unavailable(_) => true,
+        Failure::RejectedByHost {
+            may_go_elsewhere, ..
+        } => *may_go_elsewhere,
     };
-    let is_free = matches!(last, Failure::Unsent(_) | Failure::Unavailable(_));
+    let is_free = matches!(
+        last,
+        Failure::Unsent(_) | Failure::Unavailable(_) | Failure::RejectedByHost { .. }
+    );
     allowed
         && now < call.deadline
         && (is_free || state.table.lock().spend_retry(&call.service, now))
@@ -283,9 +375,12 @@
 
 /// Rejection of a request that could not be answered.
 fn final_rejection(state: &State, call: &Call, progress: Progress) -> Rejection {
-    let may_have_run = !progress.history.may_have_run.is_empty();
+    let may_have_run = progress.history.has_run();
     let last = &progress.last_failure;
     match last {
+        Failure::RejectedByHost { rejection, .. } if !may_have_run => {
+            return progress.rejection.unwrap_or_else(|| rejection.clone());
+        }
         Failure::Unauthorized(refusal) if !may_have_run => return refusal.rejection(),
         Failure::Quarantined(rejection) if !may_have_run => return rejection.clone(),
         _ => {}
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -1,7 +1,7 @@
 //! Reading of a request: its route, its header fields and its body.
 
 use super::RETRY_AFTER_DEFAULT;
-use crate::accounts;
+use crate::accounts::{self, Caller};
 use crate::attempt::Call;
 use crate::respond::Rejection;
 use crate::routes::Routes;
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HOST, HeaderMap};
-use hyper::{Request, StatusCode, Uri};
+use hyper::{Method, Request, StatusCode, Uri};
 use parking_lot::Mutex;
 use platform::config::Route;
 use platform::ingress;
@@ -73,10 +73,47 @@
     let (mut head, body) = request.into_parts();
     let host = host(&head.uri, &head.headers);
     let caller = accounts::authenticate(state, routes, &route, &mut head.headers)?;
-    let metadata = ingress::parse(&head.headers);
-    let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let timeout = ingress::parse(&head.headers).timeout;
+    let timeout = timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + Span::from(timeout);
     let (body, memory) = read_body(state, routes, body, deadline).await?;
+    let parts = Parts {
+        host,
+        method: head.method,
+        uri: origin_form(head.uri),
+        headers: head.headers,
+        body,
+        arrived,
+        deadline,
+    };
+    let mut call = new_call(routes, route, caller, parts)?;
+    call.permits.extend(memory);
+    Ok(call)
+}
+
+/// Parts of a client's request.
+pub struct Parts {
+    /// Host that the client named.
+    pub host: String,
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// When its head arrived.
+    pub arrived: Time,
+    /// When the client stops waiting for the answer.
+    pub deadline: Time,
+}
+
+/// Makes a call for one of the services of its route.
+pub fn new_call(
+    routes: &Routes,
+    route: Arc<Route>,
+    caller: Caller,
+    parts: Parts,
+) -> Result<Call, Rejection> {
+    let metadata = ingress::parse(&parts.headers);
     let id = metadata.id.clone().unwrap_or_else(|| "-".into());
     let hash = rendezvous::hash(id.as_bytes());
     let service = route::routing::pick_weighted(&route.services, hash);
@@ -89,22 +126,24 @@
     })?;
     Ok(Call {
         id,
-        host,
+        host: parts.host,
         service,
         priority: routes.rank(caller.account.as_ref(), &route),
         caller,
         route,
-        method: head.method,
-        uri: origin_form(head.uri),
-        headers: head.headers,
-        body,
-        _memory: memory,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body: parts.body,
+        permits: Vec::new(),
         metadata,
-        arrived,
-        deadline,
+        arrived: parts.arrived,
+        deadline: parts.deadline,
         fingerprint: OnceLock::new(),
         standing: Mutex::new(Standing::Timely),
         exceeds_share: OnceLock::new(),
+        passed_on_by: None,
+        detours: Mutex::default(),
         trial: OnceLock::new(),
     })
 }
@@ -147,7 +186,7 @@
 const UNKNOWN_LENGTH: u64 = 64 * 1_024;
 
 /// Reserves memory for a body by its length.
-fn reserve_memory(
+pub fn reserve_memory(
     state: &State,
     body: &Incoming,
     max: usize,
--- a/crates/front/src/serve/unavailable.rs
+++ b/crates/front/src/serve/unavailable.rs
@@ -3,6 +3,7 @@
 
 use super::{RETRY_AFTER_DEFAULT, RETRY_AFTER_RANGE};
 use crate::attempt::Call;
+use crate::detour;
 use crate::message::{AdapterRequest, ModelRequest};
 use crate::rate_limit::{self, WaitGuard};
 use crate::respond::Rejection;
@@ -14,6 +15,9 @@
 /// `Retry-After` while an adapter is not loaded.
 const RETRY_AFTER_NO_ADAPTER: Span = Span::from_ms(300);
 
+/// Reason of a rejection because replicas cannot be reached.
+pub const UNREACHABLE: &str = "unreachable";
+
 /// `Retry-After` while replicas are unreachable: about the time of a restart.
 const RETRY_AFTER_UNREACHABLE: Span = Span::from_ms(800);
 
@@ -115,12 +119,16 @@
             (retry_deadline, rejection)
         }
         Unplaceable::Unreachable(witnesses) => {
-            let Witnesses { own, others } = witnesses;
+            let Witnesses { own, confirmed } = witnesses;
             let message = format!(
-                "The replicas that could take the request cannot be reached ({own} by this host, {others} by reports of others)."
+                "The replicas that could take the request cannot be reached ({own} by this host alone, {confirmed} by others too)."
             );
-            let rejection = Rejection::not_run("unreachable", message, RETRY_AFTER_UNREACHABLE);
-            (retry_deadline, rejection)
+            let rejection = Rejection::not_run(UNREACHABLE, message, RETRY_AFTER_UNREACHABLE);
+            // Another host may reach what only this one does not.
+            let is_final =
+                call.passed_on_by.is_some() || own > 0 && detour::is_possible(state, call);
+            let deadline = if is_final { now } else { retry_deadline };
+            (deadline, rejection)
         }
         Unplaceable::Saturated(saturation) => (now, saturated_rejection(call, &saturation)),
         Unplaceable::Leaving => {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -1,9 +1,11 @@
 //! State shared by the modules of a daemon.
 
 use crate::clock::{self, Clock};
+use crate::detour::{self, Detours};
 use crate::dispatch::{self, Dispatch};
 use crate::log::Log;
 use crate::message::{AdapterRequest, ModelRequest};
+use crate::paths::Paths;
 use crate::pool::Pool;
 use crate::quarantine::{self, Quarantine, Reports};
 use crate::readers::Readers;
@@ -46,8 +48,12 @@
     pub shares: Shares,
     /// Places given out by one host.
     pub dispatch: Arc<Dispatch>,
+    /// Requests that are passed on between hosts.
+    pub detours: Detours,
     /// Connections to replicas.
     pub pool: Pool,
+    /// Whether this host reaches the replicas.
+    pub paths: Paths,
     pub log: Log,
     /// Memory for request bodies, in KB.
     pub body_memory: Arc<Semaphore>,
@@ -114,7 +120,9 @@
         readers: Readers::default(),
         shares: shares::open(&settings.bounds),
         dispatch: dispatch::open(clock.clone(), settings.peers),
+        detours: detour::open(&settings.limits, seed),
         pool: Pool::default(),
+        paths: Paths::default(),
         log,
         body_memory: Arc::new(Semaphore::new(bodies)),
         knows_replicas: AtomicBool::new(false),
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -75,10 +75,10 @@
 /// Who could not reach the replicas that hold what a request needs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Witnesses {
-    /// Replicas that this host failed to reach.
+    /// Replicas that only this host failed to reach.
     pub own: usize,
-    /// Replicas that only other hosts report.
-    pub others: usize,
+    /// Replicas that other hosts failed to reach too.
+    pub confirmed: usize,
 }
 
 /// Replica that takes no request now: it asked for a backoff, or its rate limit is used up.
@@ -147,8 +147,10 @@
                     let saturation = self.saturation(&replica.entry, criteria, now);
                     shortest_wait = shortest_wait.into_iter().chain(saturation).min();
                 }
-                Fit::Unreachable if self.is_avoided(&replica.entry.id, now) => witnesses.own += 1,
-                Fit::Unreachable => witnesses.others += 1,
+                Fit::Unreachable if self.is_reported_unreachable(&replica.entry.id, now) => {
+                    witnesses.confirmed += 1;
+                }
+                Fit::Unreachable => witnesses.own += 1,
                 _ => {}
             }
         }
--- a/crates/front/src/table/probes.rs
+++ b/crates/front/src/table/probes.rs
@@ -2,6 +2,7 @@
 //! other hosts cannot reach.
 
 use super::Table;
+use rand::seq::IteratorRandom;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use unit::{Name, Span, Time};
@@ -27,12 +28,21 @@
         due
     }
 
+    /// Draws up to `count` replicas at random.
+    pub fn draw_replicas(&mut self, count: usize) -> Vec<(Name, SocketAddr)> {
+        let all = self.view.all().map(|r| (r.entry.id.clone(), r.entry.addr));
+        all.sample(&mut self.rng, count)
+    }
+
     /// Records whether a probe opened a connection to a replica.
     pub fn record_probe(&mut self, replica: &Name, is_open: bool, now: Time) {
         let reachability = &mut self.replica_mut(replica).reachability;
         match is_open {
             true => reachability.record_connected(now),
-            false => reachability.record_refused(now),
+            false => {
+                reachability.record_refused(now);
+                self.to_probe.insert(replica.clone());
+            }
         }
     }
 
--- a/crates/route/src/isolation.rs
+++ b/crates/route/src/isolation.rs
@@ -87,18 +87,21 @@
         }
     }
 
-    /// Whether a replica has failed since the last arrival.
-    pub fn has_failed(&self, replica: &str) -> bool {
-        self.failed.contains_key(replica)
+    /// Whether replicas have failed since the last arrival, or nothing arrives while requests wait.
+    pub fn is_in_doubt(&self, now: Time) -> bool {
+        !self.failed.is_empty() || self.is_silent(now)
+    }
+
+    fn is_silent(&self, now: Time) -> bool {
+        let quiet_since = self.heard_at.max(self.waiting_since);
+        self.in_flight > 0 && now.since(quiet_since) > SILENCE
     }
 
     /// Whether to probe paths now, and records that this is done: several replicas have failed, or nothing arrives
     /// while requests wait.
     pub fn take_probe(&mut self, known: usize, now: Time) -> bool {
-        let quiet_since = self.heard_at.max(self.waiting_since);
-        let is_silent = self.in_flight > 0 && now.since(quiet_since) > SILENCE;
         let is_due = now.since(self.probed_at) > PROBE_INTERVAL;
-        if !is_due || !is_silent && self.reach(known, now) == Reach::Sound {
+        if !is_due || !self.is_silent(now) && self.reach(known, now) == Reach::Sound {
             return false;
         }
         self.probed_at = now;
