Reports of hosts without paths refuse nothing at hosts that have theirs

Cause: a replica counted as unreachable for all hosts once enough hosts reported it and the leader could not confirm otherwise, whatever else these hosts reached; and a host refused by such reports alone.

Change: a host that is isolated, or cannot reach half of the replicas, is no witness, and such a leader confirms nothing (peers::is_witness). Replicas that only others report are used where no other is left.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -19,7 +19,7 @@
 pub mod quota;
 mod totals;
 
-pub use inbox::Inbox;
+pub use inbox::{Inbox, is_witness};
 
 use crate::dispatch;
 use crate::message::{
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -28,6 +28,15 @@
 /// Most hosts that are listed for requests of others.
 const MAX_DETOURS: usize = 64;
 
+/// Least number of unreachable replicas from which their share of all tells anything.
+const MIN_UNREACHABLE: usize = 3;
+
+/// Whether a host that cannot reach `unreachable` of `known` replicas is a witness against them, rather than at fault
+/// itself.
+pub fn is_witness(unreachable: usize, known: usize) -> bool {
+    unreachable < MIN_UNREACHABLE || unreachable * 2 < known
+}
+
 #[derive(Default)]
 pub struct Inbox {
     hosts: Mutex<Hosts>,
@@ -194,6 +203,14 @@
         self.request_received.notify_one();
     }
 
+    /// Whether any other host than `own` reaches replicas.
+    pub fn is_any_connected(&self, own: &str, now: Time) -> bool {
+        let mut hosts = self.hosts.lock();
+        hosts
+            .current(now)
+            .any(|report| *report.host != *own && !report.paths.is_isolated)
+    }
+
     /// Hosts that take requests of those without paths, if any host may need them or the fleet is small.
     pub fn detours(&self, now: Time) -> Vec<status::Detour> {
         let mut hosts = self.hosts.lock();
@@ -218,13 +235,19 @@
         sound.into_iter().map(detour).collect()
     }
 
-    /// Hashes of replicas that several hosts could not reach and that fewer hosts have requests on.
+    /// Hashes of replicas that several hosts could not reach and that fewer hosts have requests on. `known` is the number
+    /// of replicas.
     ///
-    /// The second condition distinguishes a replica that is down from a network fault of some hosts.
-    pub fn unreachable(&self, now: Time) -> Vec<u32> {
+    /// The second condition distinguishes a replica that is down from a network fault of some hosts. A host that cannot
+    /// reach half of the replicas is itself at fault, and no witness.
+    pub fn unreachable(&self, known: usize, now: Time) -> Vec<u32> {
         let mut hosts = self.hosts.lock();
         let mut votes: HashMap<u32, usize> = HashMap::new();
-        for replica in hosts.current(now).flat_map(|report| &report.unreachable) {
+        let is_witness = |report: &&LoadReport| {
+            !report.paths.is_isolated && is_witness(report.unreachable.len(), known)
+        };
+        let witnesses = hosts.current(now).filter(is_witness);
+        for replica in witnesses.flat_map(|report| &report.unreachable) {
             *votes.entry(*replica).or_default() += 1;
         }
         votes.retain(|_, unreachable| *unreachable >= MIN_UNREACHABLE_VOTES);
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -8,6 +8,8 @@
 use crate::message::{
     self, Digest, Load, MAX_DATAGRAM, Message, PackedLoad, PlannerStatus, replica_hash, status,
 };
+use crate::paths;
+use crate::peers::is_witness;
 use crate::readers::{self, Candidate, Reader};
 use crate::rounds;
 use route::speed;
@@ -89,8 +91,17 @@
 
     /// Replicas, by hash, that several hosts cannot reach and this one cannot either, as far as it knows.
     pub(super) fn unreachable(&self, now: Time) -> Vec<u32> {
-        let reported = self.peers.inbox.unreachable(now);
-        self.state.table.lock().confirm_unreachable(reported, now)
+        let known = self.state.table.lock().view.all().count();
+        let reported = self.peers.inbox.unreachable(known, now);
+        let mut table = self.state.table.lock();
+        let unreached = table.unreachable_replicas(now).len();
+        let confirmed = table.confirm_unreachable(reported, now);
+        drop(table);
+        // A leader that does not reach the replicas itself confirms nothing.
+        match paths::is_isolated(&self.state) || !is_witness(unreached, known) {
+            true => Vec::new(),
+            false => confirmed,
+        }
     }
 
     /// Status of the plans and of the replicas and the store, as the hosts report them.
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -134,6 +134,7 @@
         let engine = service.as_ref().and_then(|s| s.engine.as_ref());
         let model = criteria.ask.model.as_ref().filter(|_| engine.is_some());
         let (mut eligible, mut without_adapter) = (Vec::new(), Vec::new());
+        let mut reported = Vec::new();
         let mut best_fit = Fit::Excluded;
         let mut shortest_wait: Option<Saturation> = None;
         let mut witnesses = Witnesses::default();
@@ -147,6 +148,9 @@
                     let saturation = self.saturation(&replica.entry, criteria, now);
                     shortest_wait = shortest_wait.into_iter().chain(saturation).min();
                 }
+                Fit::Unreachable if !self.is_avoided(&replica.entry.id, now) => {
+                    reported.push(replica);
+                }
                 Fit::Unreachable if self.is_reported_unreachable(&replica.entry.id, now) => {
                     witnesses.confirmed += 1;
                 }
@@ -154,6 +158,10 @@
                 _ => {}
             }
         }
+        if eligible.is_empty() {
+            // Reports of others are no reason to refuse a request.
+            eligible = reported;
+        }
         if eligible.is_empty() {
             return Err(match shortest_wait {
                 Some(saturation) if best_fit == Fit::Saturated => {
--- a/crates/front/tests/unreachable.rs
+++ b/crates/front/tests/unreachable.rs
@@ -3,14 +3,17 @@
 
 mod site;
 
-use front::message::replica_hash;
-use front::table::Table;
+use front::message::{LoadReport, replica_hash};
+use front::peers::Inbox;
+use front::table::{Criteria, Table};
+use platform::ingress::Metadata;
 use platform_standin::ports;
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Store;
 use rstest::rstest;
 use serde_json::json;
 use site::{ask, at, daemon, engine, entry, store, until, web};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use unit::Span;
@@ -217,3 +220,75 @@
         "down since"
     );
 }
+
+/// Report of a host that cannot reach `count` replicas.
+fn report_of_unreachable(host: &str, count: u32) -> LoadReport {
+    LoadReport {
+        host: host.into(),
+        round: 1,
+        unreachable: (0..count).collect(),
+        ..LoadReport::default()
+    }
+}
+
+/// Guards against a majority of hosts without paths whose reports make the others refuse what they could serve.
+#[test]
+fn a_host_that_reaches_next_to_nothing_is_no_witness() {
+    let inbox = Inbox::default();
+    let addr = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
+    for n in 1..=5 {
+        let report = report_of_unreachable(&format!("h{n}"), 20);
+        inbox.record_report(report, addr(n), at(0));
+    }
+    assert!(inbox.unreachable(21, at(10)).is_empty());
+    for n in 6..=7 {
+        let report = report_of_unreachable(&format!("h{n}"), 2);
+        inbox.record_report(report, addr(n), at(0));
+    }
+    let mut confirmed = inbox.unreachable(21, at(10));
+    confirmed.sort_unstable();
+    assert_eq!(confirmed, [0, 1]);
+}
+
+/// Guards against an isolated host that reports the few replicas that it has tried.
+#[test]
+fn an_isolated_host_is_no_witness() {
+    let inbox = Inbox::default();
+    let addr = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
+    for n in 1..=3 {
+        let mut report = report_of_unreachable(&format!("h{n}"), 2);
+        report.paths.is_isolated = true;
+        inbox.record_report(report, addr(n), at(0));
+    }
+    assert!(inbox.unreachable(21, at(10)).is_empty());
+}
+
+/// Guards against a host that refuses a request by what others report, without having tried the replica itself.
+#[test]
+fn reports_of_others_alone_refuse_nothing() {
+    let mut table = Table::new("a".into(), 1, site::HEARTBEAT);
+    table.view.put(entry("i-1"), 1);
+    table.view.put(entry("i-2"), 1);
+    table.set_unreachable(vec![replica_hash("i-1")], at(0));
+    let (service, metadata) = ("web".into(), Metadata::default());
+    let mut choose = |table: &mut Table| {
+        let criteria = Criteria {
+            service: &service,
+            ask: &metadata,
+            priority: 1,
+            max_gap: None,
+            excluded: &[],
+            is_resumption: false,
+        };
+        let chosen = table.choose(&criteria, at(10));
+        chosen.map(|choice| choice.replica.to_string())
+    };
+    assert_eq!(choose(&mut table).as_deref(), Ok("i-2"));
+    table.set_unreachable(vec![replica_hash("i-1"), replica_hash("i-2")], at(0));
+    assert!(choose(&mut table).is_ok());
+    // What this host has found out itself counts.
+    table.record_unreachable(&"i-1".into(), at(5));
+    assert_eq!(choose(&mut table).as_deref(), Ok("i-2"));
+    table.record_unreachable(&"i-2".into(), at(5));
+    assert!(choose(&mut table).is_err());
+}
