A leader that reaches no replica hands over the lead

What callers saw: with the leader partitioned, no copy is placed and no adapter loaded for as long, since its orders reach nobody.

Cause: the lead depended on the store alone.

Change: a leader that has been isolated for a second ends its term if another host reaches replicas, and an isolated host campaigns after all others. Where no host reaches replicas the leader stays: quotas and loads still need one.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -9,7 +9,7 @@
 use crate::clock::Clock;
 use crate::follow::set_leader;
 use crate::state::{Leader, State};
-use crate::{readers, rounds};
+use crate::{paths, readers, rounds};
 use parking_lot::Mutex;
 use platform::store::{CommitOutcome, Freshness, Item, Lease, Transaction};
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,9 @@
 /// here: hundreds of hosts that try in vain would cost three calls each.
 const FOLLOWER_DELAY: Duration = LEASE_TTL;
 
+/// Additional delay of a host that reaches no replica, and could send no orders: longer than all others.
+const ISOLATED_DELAY: Duration = Duration::from_millis(6_000);
+
 /// Processor time, in cores, beyond which more does not make a better leader.
 const ENOUGH_CORES: f64 = 0.5;
 
@@ -156,7 +159,11 @@
         true => FOLLOWER_DELAY,
         false => Duration::ZERO,
     };
-    Duration::from_millis(jitter) + LOW_CPU_DELAY.mul_f64(shortfall) + precedence
+    let isolation = match paths::is_isolated(state) {
+        true => ISOLATED_DELAY,
+        false => Duration::ZERO,
+    };
+    Duration::from_millis(jitter) + LOW_CPU_DELAY.mul_f64(shortfall) + precedence + isolation
 }
 
 /// Whether many hosts read the store for this one, which learn of a new leader before it does.
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -20,6 +20,7 @@
 use crate::leader::Term;
 use crate::log::Topic;
 use crate::message::{Load, Message, ModelPlacement, ModelRequest, replica_hash};
+use crate::paths;
 use crate::peers::Peers;
 use crate::shares;
 use crate::state::State;
@@ -34,7 +35,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tracing::info;
+use tracing::{info, warn};
 use unit::{Name, Span, Time};
 
 /// Interval between plans.
@@ -55,6 +56,9 @@
 /// fraction of the prefill time of a prompt.
 const CHANGES_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Time without paths to the replicas after which a leader resigns.
+const RESIGN_AFTER: Span = Span::from_ms(1_000);
+
 /// The planner of one term.
 pub struct Planner {
     state: Arc<State>,
@@ -64,6 +68,8 @@
     fleet: Mutex<Fleet>,
     /// Load that hosts were last sent.
     last_sent: Mutex<digest::SentRows>,
+    /// Since when this host has reached no replica.
+    isolated_since: Mutex<Option<Time>>,
     /// Whether a write of the quarantine list is in progress.
     storing: AtomicBool,
     /// Whether orders that have become due are sent between plans, by the last plan.
@@ -151,6 +157,7 @@
             _ = tokio::time::sleep_until(next_digest) => {
                 next_digest = tokio::time::Instant::now() + planner.peers.report_interval();
                 round += 1;
+                planner.resign_if_isolated();
                 planner.send_digest(round).await;
                 let is_full_round = round.is_multiple_of(digest::FULL_DIGEST_ROUNDS);
                 planner.broadcast_listing(is_full_round).await;
@@ -189,6 +196,7 @@
             synced: Time(0),
         }),
         last_sent: Mutex::default(),
+        isolated_since: Mutex::default(),
         storing: AtomicBool::new(false),
         advances: AtomicBool::new(false),
         pool: Pool::default(),
@@ -210,6 +218,26 @@
         self.term.started + Span::from(wait)
     }
 
+    /// Ends the term if this host has reached no replica for a time while another host does: it can send no orders.
+    fn resign_if_isolated(&self) {
+        let now = self.state.now();
+        let mut isolated_since = self.isolated_since.lock();
+        if !paths::is_isolated(&self.state) {
+            *isolated_since = None;
+            return;
+        }
+        let since = *isolated_since.get_or_insert(now);
+        let own = &self.state.settings.name;
+        let inbox = &self.peers.inbox;
+        if now.since(since) > RESIGN_AFTER
+            && self.term.is_valid()
+            && inbox.is_any_connected(own, now)
+        {
+            warn!(target: "leader", event = "resigned", term = self.term.token, "this host reaches no replica while others do; another one is to lead");
+            self.term.end();
+        }
+    }
+
     /// Whether this host may broadcast load: its term is valid, or no other leader is record.
     fn may_broadcast(&self) -> bool {
         self.term.is_valid() || !self.state.is_led_by_another()
--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -18,6 +18,10 @@
 /// Requests sent through each host, 25 ms apart.
 const REQUESTS: usize = 60;
 
+/// Time within which a request is refused that no host can serve: a quarter of the target of its route, and what a busy
+/// machine takes.
+const REFUSED_WITHIN: Duration = Duration::from_millis(500);
+
 /// Share of requests that may fail: one in 50.
 const MAX_FAILED: f64 = 0.02;
 
@@ -115,3 +119,42 @@
     tokio::time::sleep_until(cut_at + CONTACT).await;
     assert_served(site.load(partitioned, REQUESTS).await);
 }
+
+/// Guards against a leader that reaches no replica and keeps the lead: its orders reach nobody.
+#[tokio::test]
+async fn a_leader_without_paths_hands_over_the_lead() {
+    let site = site(3).await;
+    let leads = |(host, _): &(Daemon, Links)| host.state().leads();
+    let leader = site.hosts.iter().position(leads).unwrap();
+    site.set_links(&[leader], Mode::Hang);
+    site.load(&[leader], 20).await;
+    let others = || site.hosts.iter().enumerate().filter(|(n, _)| *n != leader);
+    until(|| others().any(|(_, host)| leads(host))).await;
+    site.set_links(&[leader], Mode::Up);
+    sleep(CONTACT).await;
+    let leaders = site.hosts.iter().filter(|host| leads(host)).count();
+    assert_eq!(leaders, 1);
+}
+
+/// Guards against a leader that resigns although no host reaches replicas, which leaves none to grant quotas and tell
+/// loads, and against requests that wait for paths that nobody has.
+#[tokio::test]
+async fn where_no_host_has_paths_the_leader_stays_and_requests_are_refused_at_once() {
+    let site = site(3).await;
+    let leads = |(host, _): &(Daemon, Links)| host.state().leads();
+    let leader = site.hosts.iter().position(leads).unwrap();
+    site.set_links(&[0, 1, 2], Mode::Hang);
+    site.load(&[0, 1, 2], 20).await;
+    sleep(CONTACT).await;
+    assert!(leads(&site.hosts[leader]));
+    let callers = site.hosts[1].0.callers();
+    let sent_at = Instant::now();
+    let (_, answer) = ask_at(callers, "/once/x", None).await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(
+        sent_at.elapsed() < REFUSED_WITHIN,
+        "{:?}",
+        sent_at.elapsed()
+    );
+}
