Tests of requests over two hosts: runs, callers that leave, a host that dies or stops, keys and quotas, one step

Each names the promise that it guards. Without the wait for requests of other hosts in Daemon::drain, a_host_that_stops_ends_the_requests_that_it_took_over fails (502 for 200).

--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -2,12 +2,18 @@
 
 mod site;
 
+use conn::Connection;
 use front::Daemon;
+use platform_standin::Account;
 use platform_standin::link::{self, Links, Mode};
-use platform_standin::replica::Replica;
+use platform_standin::replica::{self, Fault, Options, Replica};
 use platform_standin::store::Store;
+use route::detour::Candidate;
 use rstest::rstest;
-use site::{ask_at, engine, settings, store, until, web};
+use site::{
+    account, ask_at, ask_with, engine, request, send_to, settings, store, until, web, with_accounts,
+};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -27,8 +33,8 @@
 
 /// Hosts with links of their own to two plain replicas and two with models.
 struct Site {
-    _store: Store,
-    _replicas: Vec<Replica>,
+    store: Store,
+    replicas: Vec<Replica>,
     hosts: Vec<(Daemon, Links)>,
 }
 
@@ -44,8 +50,8 @@
     let all = |(host, _): &(Daemon, Links)| host.state().table.lock().host_count == count;
     until(|| hosts.iter().all(all)).await;
     Site {
-        _store: store,
-        _replicas: replicas,
+        store,
+        replicas,
         hosts,
     }
 }
@@ -89,6 +95,41 @@
     }
 }
 
+impl Site {
+    /// Site of which host 1 has no paths, and knows it.
+    async fn partitioned(count: usize) -> Site {
+        let site = site(count).await;
+        assert_served(site.load(&[0, 1], 4).await);
+        site.set_links(&[1], Mode::Hang);
+        site.load(&[1], 20).await;
+        until(|| front::paths::is_isolated(site.hosts[1].0.state())).await;
+        site
+    }
+
+    fn callers(&self, host: usize) -> SocketAddr {
+        self.hosts[host].0.callers()
+    }
+
+    /// Runs of a request over all replicas.
+    fn runs(&self, id: &str) -> u32 {
+        self.replicas.iter().map(|r| r.request_log(id).runs).sum()
+    }
+
+    /// Requests that run at replicas now.
+    fn running(&self) -> u32 {
+        self.replicas.iter().map(|r| r.running().0).sum()
+    }
+
+    /// Requests that a host has taken from others.
+    fn taken(&self, host: usize) -> bool {
+        let text = self.hosts[host].0.state().log.metrics.render();
+        text.contains("coveford_detours_taken_total")
+    }
+}
+
+/// Time for which requests are sent that exceed a quota.
+const QUOTA_TIME: Duration = Duration::from_secs(5);
+
 /// Asserts that at most one in 50 requests was not served.
 fn assert_served((served, sent): (usize, usize)) {
     let failed = (sent - served) as f64;
@@ -158,3 +199,205 @@
         sent_at.elapsed()
     );
 }
+
+/// Guards against a request that runs at more replicas than its route allows, or runs although its answer says that it
+/// has not: all kinds, while paths are cut and come back each second.
+#[tokio::test]
+async fn no_request_runs_too_often_over_both_hosts() {
+    let site = site(3).await;
+    let mut answers = JoinSet::new();
+    for n in 0..400 {
+        if n % 40 == 0 {
+            let mode = [Mode::Hang, Mode::Up, Mode::Reset, Mode::Up][n / 40 % 4];
+            site.set_links(&[1], mode);
+        }
+        let path = ["/once/x", "/again/x"][n % 2];
+        let callers = site.callers(1);
+        answers.spawn(async move { (path, ask_at(callers, path, None).await) });
+        sleep(Duration::from_millis(25)).await;
+    }
+    let mut passed_on = 0;
+    for (path, (id, answer)) in answers.join_all().await {
+        let (runs, status) = (site.runs(&id), answer.status());
+        let most = if path == "/once/x" { 1 } else { 2 };
+        assert!(runs <= most, "{id} at {path} ran {runs} times");
+        assert!(
+            status != 503 || runs == 0,
+            "{id} at {path}: 503, but it ran"
+        );
+        passed_on += u32::from(status == 200);
+    }
+    assert!(passed_on > 300, "{passed_on}");
+}
+
+/// Guards against work that goes on at a replica after its caller has left the first of the two hosts.
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_over_both_hosts() {
+    let mut site = Site::partitioned(2).await;
+    let slow = Options {
+        id: "e-slow".into(),
+        models: vec!["m9".into()],
+        events: 1_000,
+        ..Options::default()
+    };
+    site.replicas
+        .push(replica::spawn(&site.store, slow).await.unwrap());
+    let knows =
+        |(host, _): &(Daemon, Links)| host.state().table.lock().view.get("e-slow").is_some();
+    until(|| site.hosts.iter().all(knows)).await;
+    let (_, prepared) = request("/stream/x", Some("m9"));
+    let mut line = Connection::open(site.callers(1), CONTACT).await.unwrap();
+    let response = line.send(prepared, CONTACT).await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert!(site.taken(0) && site.running() == 1);
+    drop((line, response));
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(site.running(), 0);
+}
+
+/// Guards against a stream that ends, or repeats or lacks events, when the host that it was passed on to dies.
+#[tokio::test]
+async fn a_stream_is_resumed_whole_when_the_other_host_dies() {
+    let mut site = Site::partitioned(3).await;
+    for n in [1, 2] {
+        let slow = Options {
+            id: format!("e-slow-{n}"),
+            models: vec!["m9".into()],
+            events: 100,
+            delay: Duration::from_millis(10),
+            ..Options::default()
+        };
+        site.replicas
+            .push(replica::spawn(&site.store, slow).await.unwrap());
+    }
+    let knows = |(host, _): &(Daemon, Links)| {
+        let table = host.state().table.lock();
+        table.view.get("e-slow-1").is_some() && table.view.get("e-slow-2").is_some()
+    };
+    until(|| site.hosts.iter().all(knows)).await;
+    let prepared = request("/resume/x", Some("m9"));
+    let answer = tokio::spawn(send_to(site.callers(1), prepared));
+    until(|| site.running() > 0).await;
+    sleep(Duration::from_millis(300)).await;
+    // Of the two others, the one that took the stream dies.
+    let carries = |host: &(Daemon, Links)| host.0.state().in_flight() > 0;
+    let dying = [0, 2].into_iter().find(|n| carries(&site.hosts[*n]));
+    drop(site.hosts.remove(dying.unwrap()));
+    let (id, answer) = answer.await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.events(), (1..=100).collect::<Vec<_>>());
+    assert!(site.runs(&id) <= 2);
+}
+
+/// Guards against requests of other hosts that a stopping host cuts off.
+#[tokio::test]
+async fn a_host_that_stops_ends_the_requests_that_it_took_over() {
+    let mut site = Site::partitioned(2).await;
+    for replica in &site.replicas {
+        replica.set_fault(Fault::None);
+    }
+    let slow = Options {
+        id: "w-slow".into(),
+        service: "web".into(),
+        models: Vec::new(),
+        delay: Duration::from_millis(2_500),
+        ..Options::default()
+    };
+    site.replicas
+        .push(replica::spawn(&site.store, slow).await.unwrap());
+    for replica in &site.replicas[..2] {
+        replica.remove_entry();
+    }
+    let only_slow = |(host, _): &(Daemon, Links)| {
+        let table = host.state().table.lock();
+        let web = table.view.all().filter(|r| &*r.entry.service == "web");
+        web.map(|r| r.entry.id.to_string())
+            .eq(["w-slow".to_owned()])
+    };
+    until(|| site.hosts.iter().all(only_slow)).await;
+    let prepared = request("/once/x", None);
+    let answer = tokio::spawn(send_to(site.callers(1), prepared));
+    until(|| site.running() > 0).await;
+    site.hosts.remove(0).0.drain().await;
+    let (_, answer) = answer.await.unwrap();
+    assert_eq!(answer.status(), 200);
+}
+
+/// Guards against quotas that are charged by both hosts, and keys that reach replicas.
+#[tokio::test]
+async fn keys_and_quotas_hold_over_both_hosts() {
+    let site = Site::partitioned(2).await;
+    let limited = Account {
+        tokens: Some((1_000.0, 1_000.0)),
+        ..account("acme", &["k1"])
+    };
+    site.store.put("op/config", &with_accounts(2, &[limited]));
+    until(|| site.hosts.iter().all(|host| version(host) == 2)).await;
+    // A request without token counts costs 200 units, so five a second are within the quota.
+    let end = Instant::now() + QUOTA_TIME;
+    let mut ran = 0;
+    while Instant::now() < end {
+        let (id, answer) = ask_with(&site.hosts[1].0, "k1", "/once/x", None).await;
+        let mut logs = site.replicas.iter().map(|r| r.request_log(&id));
+        let log = logs.find(|log| log.runs > 0);
+        assert_eq!(answer.status(), if log.is_some() { 200 } else { 429 });
+        if let Some(log) = log {
+            assert_eq!((log.account.as_deref(), log.had_key), (Some("acme"), false));
+            ran += 1;
+        }
+    }
+    let due = 5.0 * QUOTA_TIME.as_secs_f64();
+    assert!(f64::from(ran) > due * 0.7, "{ran} of {due}");
+}
+
+/// Guards against a key that the first host still accepts and the second one knows to be withdrawn.
+#[tokio::test]
+async fn a_key_that_only_the_other_host_knows_to_be_withdrawn_runs_nothing() {
+    let site = Site::partitioned(2).await;
+    let put = |version, key| {
+        let accounts = [account("acme", &[key])];
+        site.store
+            .put("op/config", &with_accounts(version, &accounts));
+    };
+    put(2, "k1");
+    until(|| site.hosts.iter().all(|host| version(host) == 2)).await;
+    let routes = site.hosts[1].0.state().table.lock().routes.clone();
+    put(3, "k2");
+    until(|| site.hosts.iter().all(|host| version(host) == 3)).await;
+    site.hosts[1].0.state().table.lock().routes = routes;
+    let (id, public) = ask_with(&site.hosts[1].0, "k1", "/open/x", None).await;
+    assert_eq!((public.status(), site.runs(&id)), (200, 1));
+    let (id, refused) = ask_with(&site.hosts[1].0, "k1", "/once/x", None).await;
+    assert_eq!((refused.status(), site.runs(&id)), (401, 0));
+}
+
+/// Version of the configuration in force on a host.
+fn version((host, _): &(Daemon, Links)) -> u64 {
+    let routes = host.state().table.lock().routes.clone();
+    routes.map_or(0, |routes| routes.version)
+}
+
+/// Guards against a request that two hosts without paths pass to each other, and against clients that pretend to be a
+/// host.
+#[tokio::test]
+async fn a_request_is_passed_on_once() {
+    let site = Site::partitioned(2).await;
+    let host = site.hosts[1].0.state();
+    site.set_links(&[0], Mode::Hang);
+    site.load(&[0], 20).await;
+    // Each believes that the other has paths.
+    for (own, other) in [(0, 1), (1, 0)] {
+        let state = site.hosts[own].0.state();
+        let listed = Candidate {
+            addr: site.hosts[other].0.state().settings.peers,
+            hall: "a".into(),
+            room: 9,
+        };
+        state.detours.assign(vec![listed], state.now());
+    }
+    let (id, answer) = ask_at(site.callers(1), "/once/x", None).await;
+    assert_eq!((answer.status(), site.runs(&id)), (503, 0));
+    let (_, pretended) = ask_at(site.callers(0), front::detour::PATH, None).await;
+    assert_eq!(pretended.status(), 404);
+    assert!(host.in_flight() == 0);
+}
--- a/crates/front/tests/unreachable.rs
+++ b/crates/front/tests/unreachable.rs
@@ -271,7 +271,7 @@
     table.view.put(entry("i-2"), 1);
     table.set_unreachable(vec![replica_hash("i-1")], at(0));
     let (service, metadata) = ("web".into(), Metadata::default());
-    let mut choose = |table: &mut Table| {
+    let choose = |table: &mut Table| {
         let criteria = Criteria {
             service: &service,
             ask: &metadata,
