Brittle replicas: their places are given out by one host, within what they may turn away

Nothing read the header.

Cause: what a replica says of its tolerance was unknown, and hosts that choose alone by sums that are some tens of milliseconds old overrun it together.

A replica that nobody has heard, as after a restart, is as brittle as the others of its service. - Each request for a brittle replica needs a place there, which the dispatcher of the service gives out, also for services with models: the host chooses the replica and asks for it (Ask::only). No queue at the replica. - route::dispatch::room: grants beyond what the replica has lately held are risks; risks in progress and requests turned away within a second stay within the tolerance. Room is learnt downwards at the first request turned away and raised by one a second.

--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -10,8 +10,9 @@
 use std::path::{Path, PathBuf};
 
 /// Targets of log lines that show what a daemon knew when it decided.
-const CONTEXT_TARGETS: [&str; 8] = [
+const CONTEXT_TARGETS: [&str; 9] = [
     "view",
+    "paths",
     "replica",
     "config",
     "store",
--- a/crates/front/src/detour.rs
+++ b/crates/front/src/detour.rs
@@ -43,7 +43,7 @@
 
 /// Most requests of other hosts that a host takes at once.
 pub fn max_taken(limits: &Limits) -> usize {
-    let by_cores = (limits.cores * MAX_PER_CORE) as usize;
+    let by_cores = usize::from(max_room(limits.cores as f32));
     by_cores.min(limits.descriptors / DESCRIPTOR_DIVISOR)
 }
 
@@ -88,6 +88,16 @@
     }
 }
 
+/// Whether it takes fewer requests of other hosts than it could.
+pub fn is_room_reduced(state: &State) -> bool {
+    usize::from(room(state)) < max_taken(&state.settings.limits)
+}
+
+/// Requests of other hosts that a host with this many cores takes at once at most.
+pub fn max_room(cores: f32) -> u16 {
+    (f64::from(cores) * MAX_PER_CORE) as u16
+}
+
 /// Whether this host may need other hosts for its requests.
 pub fn is_wanted(state: &State) -> bool {
     let now = state.now();
--- a/crates/front/src/detour/client.rs
+++ b/crates/front/src/detour/client.rs
@@ -256,7 +256,7 @@
         body: call.body.clone(),
         key: call.caller.key.clone(),
         elapsed_ms: now.since(call.arrived).ms() as u32,
-        remaining_ms: call.remaining(now).as_millis() as u32,
+        left_ms: call.remaining(now).as_millis() as u32,
         revision: state.table.lock().routes.as_ref().map_or(0, |r| r.revision),
         last_event,
         attempted: history.attempted.clone(),
--- a/crates/front/src/detour/message.rs
+++ b/crates/front/src/detour/message.rs
@@ -44,7 +44,7 @@
     /// Time since the request arrived, in milliseconds.
     pub(super) elapsed_ms: u32,
     /// Time until its deadline, in milliseconds.
-    pub(super) remaining_ms: u32,
+    pub(super) left_ms: u32,
     /// Revision of the configuration by which it was let in.
     pub(super) revision: u64,
     /// Last event that the client has of a stream.
--- a/crates/front/src/detour/server.rs
+++ b/crates/front/src/detour/server.rs
@@ -145,7 +145,7 @@
         headers,
         body: envelope.body,
         arrived: arrived - Span::from_ms(u64::from(envelope.elapsed_ms)),
-        deadline: arrived + Span::from_ms(u64::from(envelope.remaining_ms)),
+        deadline: arrived + Span::from_ms(u64::from(envelope.left_ms)),
     };
     let caller = routes.caller(envelope.key);
     let call = serve::new_call(&routes, route, caller, parts);
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -74,7 +74,7 @@
 
     /// Applies the leader's assignment of dispatchers.
     pub fn assign(&self, dispatchers: Vec<Assignment>) {
-        let changes = self.client.assign(dispatchers);
+        let changes = self.client.assign(dispatchers, self.now());
         for change in &changes {
             tracing::info!(target: "dispatch", event = "assigned", service = &*change.service, dispatcher = %change.addr, own = change.addr == self.own, "the leader named the host that gives out the places of a service");
         }
@@ -101,6 +101,11 @@
         at.is_some_and(|at| self.now().since(at) < WITHDRAWN_FOR)
     }
 
+    /// Whether no other host gives out places of a service, as far as this one knows.
+    pub fn is_lost(&self, service: &Name) -> bool {
+        self.client.is_lost(service, self.now())
+    }
+
     /// Records a request that was placed without the dispatcher.
     pub fn hold_alone(self: &Arc<Self>, service: &Name, replica: &str) -> Place {
         Place::alone(self, service, replica)
--- a/crates/front/src/dispatch/ask.rs
+++ b/crates/front/src/dispatch/ask.rs
@@ -35,6 +35,8 @@
     pub account: Option<Name>,
     /// Replicas that must not be chosen.
     pub avoid: Vec<ReplicaKey>,
+    /// Replica that this host has chosen, if only a place there is asked for.
+    pub only: Option<ReplicaKey>,
 }
 
 /// Result of a question.
@@ -153,6 +155,7 @@
         deadline_ms: ms(query.deadline),
         account: query.account.as_deref().map_or(0, account_hash),
         avoid: query.avoid.clone(),
+        only: query.only,
     })
 }
 
@@ -173,7 +176,10 @@
     addr: SocketAddr,
     round_trip: Option<Span>,
 ) {
-    dispatch.client.record_answer(service, addr, round_trip);
+    let now = dispatch.now();
+    dispatch
+        .client
+        .record_answer(service, addr, round_trip, now);
     if let Some(took) = round_trip {
         metrics.record_dispatch_round_trip(took);
     }
--- a/crates/front/src/dispatch/client.rs
+++ b/crates/front/src/dispatch/client.rs
@@ -17,6 +17,9 @@
 /// Longest such time.
 const MAX_SILENCE: Span = Span::from_ms(1_600);
 
+/// Time without an answer after which a dispatcher counts as lost: it gives out no places any more.
+const LOST_AFTER: Span = Span::from_ms(1_000);
+
 /// Interval of reports while requests are in flight.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -32,6 +35,8 @@
     failures: u32,
     /// Time until which it is not asked.
     silent_until: Time,
+    /// When it last answered, or was named.
+    heard_at: Time,
 }
 
 pub(super) struct Client {
@@ -67,7 +72,7 @@
     }
 
     /// Replaces the assignment; returns what is new in it.
-    pub(super) fn assign(&self, assigned: Vec<Assignment>) -> Vec<Assignment> {
+    pub(super) fn assign(&self, assigned: Vec<Assignment>, now: Time) -> Vec<Assignment> {
         let mut dispatchers = self.dispatchers.lock();
         dispatchers.retain(|service, _| assigned.iter().any(|a| a.service == *service));
         let mut changes = assigned;
@@ -78,6 +83,7 @@
                 round_trip: RoundTrip::default(),
                 failures: 0,
                 silent_until: Time(0),
+                heard_at: now,
             };
             dispatchers.insert(change.service.clone(), dispatcher);
         }
@@ -100,9 +106,23 @@
         (now >= dispatcher.silent_until).then(|| (dispatcher.addr, dispatcher.round_trip.limit()))
     }
 
+    /// Whether no dispatcher is known to give out places of a service now.
+    pub(super) fn is_lost(&self, service: &Name, now: Time) -> bool {
+        let dispatchers = self.dispatchers.lock();
+        let dispatcher = dispatchers.get(service);
+        dispatcher.is_none_or(|d| now.since(d.heard_at) >= LOST_AFTER)
+    }
+
     /// Records an answer, and the round trip if it is known which question it answers.
-    pub(super) fn record_answer(&self, service: &Name, addr: SocketAddr, took: Option<Span>) {
+    pub(super) fn record_answer(
+        &self,
+        service: &Name,
+        addr: SocketAddr,
+        took: Option<Span>,
+        now: Time,
+    ) {
         self.update(service, addr, |dispatcher| {
+            dispatcher.heard_at = now;
             dispatcher.failures = 0;
             if let Some(took) = took {
                 dispatcher.round_trip.record(took);
--- a/crates/front/src/dispatch/server.rs
+++ b/crates/front/src/dispatch/server.rs
@@ -58,6 +58,7 @@
                 deadline: after(ask.deadline_ms),
                 account: ask.account,
                 avoid: ask.avoid,
+                only: ask.only,
             };
             service.summary.record_ask();
             service.dispatcher.ask(ask, now)
@@ -150,6 +151,7 @@
         for replica in &places {
             dispatcher.assume(replica.key, replica.in_flight, now);
         }
+        dispatcher.set_tolerances(&tolerances(&places));
         tracing::info!(target: "dispatch", event = "begins", service = &**name, replicas = places.len(), "this host gives out the places of a service");
         Service {
             dispatcher,
@@ -167,7 +169,9 @@
         }
         self.refreshed_at = now;
         let places = table.lock().places(name, now);
-        self.dispatcher.set_replicas(&rows(&places), now)
+        let notices = self.dispatcher.set_replicas(&rows(&places), now);
+        self.dispatcher.set_tolerances(&tolerances(&places));
+        notices
     }
 
     /// Whether a report of a host is later than those before, or the first after its machine was booted.
@@ -184,6 +188,10 @@
 /// Step back of a host's numbers that means that they began anew.
 const RESTART_GAP: u32 = 64;
 
+fn tolerances(places: &[Places]) -> Vec<(u32, Option<u32>)> {
+    places.iter().map(|p| (p.key, p.tolerance)).collect()
+}
+
 fn rows(places: &[Places]) -> Vec<(u32, u32, Status)> {
     let status = |is_serving| match is_serving {
         true => Status::Serving,
--- a/crates/front/src/feedback.rs
+++ b/crates/front/src/feedback.rs
@@ -43,6 +43,9 @@
         Field::Absent => {}
     }
     let answers = feedback.matches_request(&source.subject);
+    if answers && (feedback.signed || feedback.not_executed) {
+        record_brittle(state, source, &feedback.brittle);
+    }
     let ran = answers && feedback.signed && !feedback.not_executed;
     rate_limit::apply(state, source, &feedback.rate_limit, ran);
     let now = state.now();
@@ -54,6 +57,30 @@
     }
 }
 
+/// Records whether a replica says that it is brittle.
+fn record_brittle(state: &State, source: &Source, brittle: &Field<u32>) {
+    let tolerance = match brittle {
+        Field::Value(tolerance) => Some(*tolerance),
+        Field::Absent => None,
+        Field::Invalid(value) => {
+            state.log.rate_limited(|| {
+                warn!(target: "replica", event = "unreadable", replica = &*source.replica, id = &*source.subject, value, "invalid tolerance of a brittle replica; ignored")
+            });
+            return;
+        }
+    };
+    let now = state.now();
+    let is_change = {
+        let mut table = state.table.lock();
+        table.record_brittle(&source.replica, source.incarnation, tolerance, now)
+    };
+    if is_change {
+        state.log.rate_limited(|| {
+            info!(target: "replica", event = "brittle", replica = &*source.replica, tolerance, id = &*source.subject, "the replica falls over if it turns more requests away within a second than this; none if that is over")
+        });
+    }
+}
+
 /// Records that a replica announced its departure in an answer, and passes it on to other hosts.
 pub fn record_departure(state: &State, source: &Source) {
     let now = state.now();
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -1,5 +1,6 @@
 //! Datagrams exchanged between daemons.
 
+pub mod conditions;
 pub mod departures;
 pub mod dispatch;
 pub mod limit;
@@ -7,6 +8,7 @@
 mod quota;
 pub mod status;
 
+pub use conditions::{Brittle, Detour, HostConditions};
 pub use departures::Departures;
 pub use limit::{LimitDigest, LimitReport, ReplicaLimit};
 pub use quarantine::{CrashReport, QuarantineEntry, QuarantineList, TrialResponse};
@@ -91,6 +93,12 @@
     QuarantineList(QuarantineList),
     /// Exchange with the dispatcher of a service.
     Dispatch(dispatch::Dispatch),
+    /// Exceptional conditions at a host, sent to the leader.
+    HostConditions(HostConditions),
+    /// Hosts that take requests of those without paths to the replicas, sent by the leader of this term.
+    Detours(u64, Vec<Detour>),
+    /// Brittle replicas, sent by the leader of this term.
+    Brittle(u64, Vec<Brittle>),
     /// Datagram of the leader that the relay handles and forwards to its fan-out group.
     #[serde(rename = "Pass")]
     Forward(Bytes),
@@ -127,6 +135,9 @@
             Message::Dispatch(dispatch::Dispatch::Ask(_)) => "dispatch_ask",
             Message::Dispatch(dispatch::Dispatch::Answer(..)) => "dispatch_answer",
             Message::Dispatch(_) => "dispatch_report",
+            Message::HostConditions(_) => "conditions",
+            Message::Detours(..) => "detours",
+            Message::Brittle(..) => "brittle",
             Message::Forward(_) => "pass",
         }
     }
@@ -158,20 +169,6 @@
     /// Samples of the speeds of replicas and models since the last round.
     #[serde(default)]
     pub speeds: Vec<speed::Row>,
-    /// Paths of this host to the replicas.
-    #[serde(default)]
-    pub paths: Paths,
-}
-
-/// Paths of a host to the replicas, and what it does for hosts without.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Paths {
-    /// Whether it reaches no replica.
-    pub is_isolated: bool,
-    /// Whether it may need other hosts for its requests.
-    pub wants_detours: bool,
-    /// Requests of other hosts that it takes beyond those that it has.
-    pub room: u16,
 }
 
 /// Rows that fit one datagram; a row takes at most 40 bytes.
@@ -204,7 +201,6 @@
             round: self.round,
             store_failed: self.store_failed,
             store_uptime: self.store_uptime,
-            paths: self.paths,
         };
         let demand = self.demand.chunks(rows).map(|rows| LoadReport {
             demand: rows.to_vec(),
--- a/crates/front/src/message/dispatch.rs
+++ b/crates/front/src/message/dispatch.rs
@@ -46,6 +46,9 @@
     pub account: u32,
     /// Hashes of replicas that must not be chosen.
     pub avoid: Vec<ReplicaKey>,
+    /// Hash of the replica that its host has chosen.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub only: Option<ReplicaKey>,
 }
 
 /// Dispatcher's decision.
--- a/crates/front/src/message/status.rs
+++ b/crates/front/src/message/status.rs
@@ -36,16 +36,10 @@
     /// Period for which the hosts have been in contact with the store.
     pub store_uptime: Option<Ages>,
     /// Hosts that give out the places of services.
-    #[serde(default)]
-    pub dispatchers: Vec<Assignment>,
-    /// Hosts that take requests of those without paths to the replicas.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub detours: Vec<Detour>,
+    pub dispatchers: Vec<Assignment>,
 }
 
-/// Host that takes requests of others: its address, its hall, and how many more it takes.
-pub type Detour = (SocketAddr, Name, u16);
-
 impl PlannerStatus {
     /// Splits the status so that each part fits one datagram. There is always a first part.
     pub fn split(self) -> Vec<PlannerStatus> {
@@ -55,7 +49,6 @@
             ..PlannerStatus::default()
         });
         parts.append(self.dispatchers, |part| &mut part.dispatchers);
-        parts.append(self.detours, |part| &mut part.detours);
         parts.append(self.readers, |part| &mut part.readers);
         parts.append(self.direct_hosts, |part| &mut part.direct_hosts);
         parts.append(self.unreachable, |part| &mut part.unreachable);
@@ -72,7 +65,6 @@
         self.unloading.extend(part.unloading);
         self.unreachable.extend(part.unreachable);
         self.dispatchers.extend(part.dispatchers);
-        self.detours.extend(part.detours);
         self.readers.extend(part.readers);
         self.direct_hosts.extend(part.direct_hosts);
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,10 +5,11 @@
 //! exchange loads directly, which is faster. A lost datagram only delays an update, and reports expire.
 //!
 //! `inbox` holds the reports that the leader received and `totals` their sums, `quota` requests and grants units of fleet-wide quotas,
-//! `limits` exchanges rate limits of replicas, `departures` replicas that are leaving, `load_reports` sends the loads
+//! `limits` exchanges rate limits of replicas, `conditions` isolated hosts and brittle replicas, `departures` replicas that are leaving, `load_reports` sends the loads
 //! of this host, `fanout` chooses relays, `quarantine` reports crashes and requests trials, and `pending` matches
 //! responses to requests. The datagrams are defined in [`message`].
 
+mod conditions;
 mod departures;
 pub mod fanout;
 mod inbox;
@@ -33,7 +34,6 @@
 use parking_lot::Mutex;
 use pending::PendingRequests;
 use quota::QuotaState;
-use route::detour::Candidate;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -179,6 +179,10 @@
             Message::TrialResponse(number, response) => self.trials.complete(number, response),
             Message::QuarantineList(list) if self.is_from_earlier_term(list.term) => {}
             Message::QuarantineList(list) => self.state.quarantine.apply_listing(list, now),
+            Message::HostConditions(conditions) => self.inbox.record_conditions(conditions, now),
+            Message::Detours(term, _) | Message::Brittle(term, _) if self.is_from_earlier_term(term) => {}
+            Message::Detours(_, listed) => self.assign_detours(listed, now),
+            Message::Brittle(_, rows) => self.state.table.lock().merge_brittle(&rows, now),
             Message::Forward(_) | Message::QuotaRequest(_) | Message::TrialRequest(..) | Message::Dispatch(_) => self.state.log.rate_limited(|| {
                 tracing::warn!(target: "peers", event = "malformed", from = %from, "forwarded datagram holds a message that is not for all hosts")
             }),
@@ -237,12 +241,6 @@
             if let Some(ages) = status.store_uptime {
                 table.view.contact.merge(ages, now);
             }
-            let detours = status.detours.into_iter();
-            let detours = detours.filter(|(addr, ..)| *addr != own);
-            let to_candidate = |(addr, hall, room)| Candidate { addr, hall, room };
-            self.state
-                .detours
-                .assign(detours.map(to_candidate).collect(), now);
             table.set_unreachable(status.unreachable, now);
             table.set_model_etas(&status.loading, now);
             table.set_loaded(status.loaded, now);
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -2,8 +2,11 @@
 
 use super::totals::Totals;
 use crate::contact::{self, Ages};
+use crate::detour;
+use crate::message::conditions::MAX_DETOURS;
 use crate::message::{
-    AdapterRequest, AdapterUse, Demand, Load, LoadReport, ModelRequest, PackedLoad, status,
+    AdapterRequest, AdapterUse, Brittle, Demand, Detour, HostConditions, Load, LoadReport,
+    ModelRequest, PackedLoad,
 };
 use crate::readers::Candidate;
 use crate::rounds;
@@ -25,9 +28,6 @@
 /// Minimum number of hosts that must find a replica unreachable before all hosts avoid it.
 const MIN_UNREACHABLE_VOTES: usize = 2;
 
-/// Most hosts that are listed for requests of others.
-const MAX_DETOURS: usize = 64;
-
 /// Least number of unreachable replicas from which their share of all tells anything.
 const MIN_UNREACHABLE: usize = 3;
 
@@ -57,6 +57,8 @@
     by_name: HashMap<Name, HostState>,
     /// Sum of the loads in the reports.
     totals: Totals,
+    /// Tolerances of brittle replicas, and when each was last reported.
+    brittle: HashMap<u32, (u16, Time)>,
 }
 
 struct HostState {
@@ -69,9 +71,28 @@
     reported_at: Time,
     /// When it last reported that the store failed it.
     store_failed_at: Option<Time>,
+    /// Exceptional conditions that it reported, and when.
+    conditions: Option<(HostConditions, Time)>,
+}
+
+impl HostState {
+    /// Exceptional conditions, if it has reported any lately.
+    fn conditions(&self, max_age: Span, now: Time) -> Option<&HostConditions> {
+        let (conditions, at) = self.conditions.as_ref()?;
+        (now.since(*at) <= max_age).then_some(conditions)
+    }
+
+    fn is_isolated(&self, max_age: Span, now: Time) -> bool {
+        self.conditions(max_age, now).is_some_and(|c| c.is_isolated)
+    }
 }
 
 impl Hosts {
+    /// Time without a report after which a host counts as silent.
+    fn silent_after(&self) -> Span {
+        rounds::at_least_rounds(MIN_SILENT_AFTER, SILENT_ROUNDS, self.by_name.len())
+    }
+
     /// Drops reports that have expired, with their loads.
     fn expire(&mut self, now: Time) {
         let max_age = rounds::max_age(self.by_name.len());
@@ -113,8 +134,7 @@
     /// Candidates for reading the store and for relaying.
     pub fn candidates(&self, now: Time) -> Vec<Candidate> {
         let hosts = self.hosts.lock();
-        let silent_after =
-            rounds::at_least_rounds(MIN_SILENT_AFTER, SILENT_ROUNDS, hosts.by_name.len());
+        let silent_after = hosts.silent_after();
         let candidates = hosts.by_name.values().map(|host| Candidate {
             hall: host.report.hall.clone(),
             addr: host.from,
@@ -123,6 +143,7 @@
                 .store_failed_at
                 .is_some_and(|at| now.since(at) < STORE_FAILURE_MAX_AGE),
             silent: now.since(host.reported_at) > silent_after,
+            is_isolated: host.is_isolated(silent_after, now),
         });
         candidates.collect()
     }
@@ -152,6 +173,7 @@
                 from,
                 reported_at: now,
                 store_failed_at: report.store_failed.then_some(now),
+                conditions: None,
                 report,
             };
             hosts.by_name.insert(state.report.host.clone(), state);
@@ -188,7 +210,6 @@
             state.report.loads = report.loads;
         }
         state.report.store_uptime = report.store_uptime;
-        state.report.paths = report.paths;
         state.sequence = Some(report.round);
         state.reported_at = now;
     }
@@ -203,35 +224,65 @@
         self.request_received.notify_one();
     }
 
+    /// Records exceptional conditions of a host.
+    pub fn record_conditions(&self, conditions: HostConditions, now: Time) {
+        let hosts = &mut *self.hosts.lock();
+        let brittle = conditions.brittle.iter();
+        let brittle = brittle.map(|(replica, tolerance)| (*replica, (*tolerance, now)));
+        hosts.brittle.extend(brittle);
+        if let Some(host) = hosts.by_name.get_mut(&conditions.host) {
+            host.conditions = Some((conditions, now));
+        }
+    }
+
+    /// Brittle replicas that any host has reported lately.
+    pub fn brittle(&self, now: Time) -> Vec<Brittle> {
+        let hosts = &mut *self.hosts.lock();
+        let max_age = hosts.silent_after();
+        hosts.brittle.retain(|_, (_, at)| now.since(*at) <= max_age);
+        let rows = hosts.brittle.iter();
+        rows.map(|(replica, (tolerance, _))| (*replica, *tolerance))
+            .collect()
+    }
+
     /// Whether any other host than `own` reaches replicas.
     pub fn is_any_connected(&self, own: &str, now: Time) -> bool {
         let mut hosts = self.hosts.lock();
-        hosts
-            .current(now)
-            .any(|report| *report.host != *own && !report.paths.is_isolated)
+        hosts.expire(now);
+        let max_age = hosts.silent_after();
+        let mut others = hosts.by_name.iter().filter(|(name, _)| ***name != *own);
+        others.any(|(_, host)| !host.is_isolated(max_age, now))
+    }
+
+    /// Whether any host may need others for its requests.
+    pub fn wants_detours(&self, now: Time) -> bool {
+        let hosts = self.hosts.lock();
+        let max_age = hosts.silent_after();
+        let wants = |host: &HostState| {
+            host.conditions(max_age, now)
+                .is_some_and(|c| c.wants_detours)
+        };
+        hosts.by_name.values().any(wants)
     }
 
-    /// Hosts that take requests of those without paths, if any host may need them or the fleet is small.
-    pub fn detours(&self, now: Time) -> Vec<status::Detour> {
+    /// Hosts that take requests of those without paths.
+    pub fn detours(&self, now: Time) -> Vec<Detour> {
         let mut hosts = self.hosts.lock();
         hosts.expire(now);
-        let silent_after =
-            rounds::at_least_rounds(MIN_SILENT_AFTER, SILENT_ROUNDS, hosts.by_name.len());
-        let is_wanted = hosts.by_name.len() <= rounds::MAX_DIRECT_HOSTS
-            || hosts.by_name.values().any(|h| h.report.paths.wants_detours);
-        if !is_wanted {
-            return Vec::new();
-        }
+        let max_age = hosts.silent_after();
         let is_sound = |host: &&HostState| {
-            !host.report.paths.is_isolated && now.since(host.reported_at) <= silent_after
+            !host.is_isolated(max_age, now) && now.since(host.reported_at) <= max_age
         };
         let sound = hosts.by_name.values().filter(is_sound);
         let mut sound: Vec<&HostState> = sound.collect();
         // The same hosts in each round, whatever their room.
         sound.sort_by_key(|host| rendezvous::hash(host.report.host.as_bytes()));
         sound.truncate(MAX_DETOURS);
-        let detour =
-            |host: &HostState| (host.from, host.report.hall.clone(), host.report.paths.room);
+        let detour = |host: &HostState| {
+            let conditions = host.conditions(max_age, now);
+            let room = conditions.map_or_else(|| detour::max_room(host.report.cores), |c| c.room);
+            (host.from, host.report.hall.clone(), room)
+        };
         sound.into_iter().map(detour).collect()
     }
 
@@ -243,11 +294,13 @@
     pub fn unreachable(&self, known: usize, now: Time) -> Vec<u32> {
         let mut hosts = self.hosts.lock();
         let mut votes: HashMap<u32, usize> = HashMap::new();
-        let is_witness = |report: &&LoadReport| {
-            !report.paths.is_isolated && is_witness(report.unreachable.len(), known)
+        hosts.expire(now);
+        let max_age = hosts.silent_after();
+        let is_witness = |host: &&HostState| {
+            !host.is_isolated(max_age, now) && is_witness(host.report.unreachable.len(), known)
         };
-        let witnesses = hosts.current(now).filter(is_witness);
-        for replica in witnesses.flat_map(|report| &report.unreachable) {
+        let witnesses = hosts.by_name.values().filter(is_witness);
+        for replica in witnesses.flat_map(|host| &host.report.unreachable) {
             *votes.entry(*replica).or_default() += 1;
         }
         votes.retain(|_, unreachable| *unreachable >= MIN_UNREACHABLE_VOTES);
--- a/crates/front/src/peers/load_reports.rs
+++ b/crates/front/src/peers/load_reports.rs
@@ -2,9 +2,7 @@
 //! is prefilled.
 
 use super::Peers;
-use crate::detour;
-use crate::message::{Demand, LoadReport, Message, PackedLoad, Paths, replica_hash};
-use crate::paths;
+use crate::message::{Demand, LoadReport, Message, PackedLoad, replica_hash};
 use crate::readers;
 use crate::rounds;
 use std::sync::Arc;
@@ -31,6 +29,7 @@
             tokio::time::sleep(self.report_interval()).await;
             round += 1;
             self.send_report(round).await;
+            self.send_conditions().await;
             self.report_limits().await;
             self.resend_departures().await;
             self.resend_crashes().await;
@@ -161,11 +160,6 @@
             store_failed: readers::store_failed_recently(&self.state),
             store_uptime: store,
             speeds: Vec::new(),
-            paths: Paths {
-                is_isolated: paths::is_isolated(&self.state),
-                wants_detours: detour::is_wanted(&self.state),
-                room: detour::room(&self.state),
-            },
         }
     }
 }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -160,6 +160,7 @@
                 planner.resign_if_isolated();
                 planner.send_digest(round).await;
                 let is_full_round = round.is_multiple_of(digest::FULL_DIGEST_ROUNDS);
+                planner.peers.broadcast_conditions(planner.term.token, is_full_round || round == 1).await;
                 planner.broadcast_listing(is_full_round).await;
                 if is_full_round {
                     planner.peers.broadcast_limits().await;
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -113,7 +113,6 @@
         PlannerStatus {
             unreachable: self.unreachable(now),
             direct_hosts: self.peers.direct_hosts(),
-            detours: inbox.detours(now),
             store_uptime: inbox.store_uptime(heartbeat, now),
             ..planner_status(&self.fleet.lock(), announced_for, now)
         }
@@ -149,8 +148,9 @@
         if !self.term.is_valid() {
             return before;
         }
-        let services = self.state.table.lock().dispatched_services();
-        let stays = |host: &&Candidate| !dispatch.is_withdrawn(host.addr);
+        let now = self.state.now();
+        let services = self.state.table.lock().dispatched_services(now);
+        let stays = |host: &&Candidate| !dispatch.is_withdrawn(host.addr) && !host.is_isolated;
         let staying: Vec<Candidate> = hosts.iter().filter(stays).cloned().collect();
         dispatch::choose(&services, &staying, self.state.settings.peers, &before)
     }
--- a/crates/front/src/readers/selection.rs
+++ b/crates/front/src/readers/selection.rs
@@ -16,6 +16,8 @@
     pub store_failed: bool,
     /// Whether it has not reported for longer than the report interval.
     pub silent: bool,
+    /// Whether it reaches no replica.
+    pub is_isolated: bool,
 }
 
 /// Number of hosts that read the store for all; two, so that one may fail. Each makes about three calls a second.
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -3,7 +3,10 @@
 use super::{Relay, Source};
 use crate::attempt::{Exchange, Failure, Reservation, send};
 use crate::detour;
+use crate::dispatch::Place;
 use crate::grant::Grant;
+use crate::serve;
+use crate::state::State;
 use crate::table::{Choice, Criteria, Unplaceable};
 use crate::{quarantine, rate_limit};
 use route::admission::Standing;
@@ -11,6 +14,12 @@
 use tracing::info;
 use unit::Span;
 
+async fn refund(state: &State, grant: Option<Grant>) {
+    if let Some(grant) = grant {
+        grant.refund(state).await;
+    }
+}
+
 /// Time for which a broken stream waits for capacity: clients abandon a stream after a gap of two
 /// seconds.
 const RESUME_TIMEOUT: Span = Span::from_ms(1_500);
@@ -43,7 +52,7 @@
                 }
                 continue;
             }
-            let (choice, grant) = match self.next_replica().await {
+            let (choice, grant, place) = match self.next_replica().await {
                 Ok(next) => next,
                 Err(Unplaceable::Unreachable(witnesses)) if witnesses.own > 0 => {
                     match detour::choose_for_unreached(&state, &call) {
@@ -61,7 +70,8 @@
                 }
                 return false;
             }
-            let reservation = Reservation::open(&state, &call, &choice);
+            let mut reservation = Reservation::open(&state, &call, &choice);
+            reservation.place = place;
             let result = send(&state, &call, &choice, reservation, last).await;
             if let (Some(grant), Err(failure)) = (grant, &result)
                 && failure.proves_unsent()
@@ -123,7 +133,7 @@
 
     /// Chooses a replica to resume at and claims a unit of its rate limit, if it has one. Waits if
     /// all eligible replicas are without capacity.
-    async fn next_replica(&self) -> Result<(Choice, Option<Grant>), Unplaceable> {
+    async fn next_replica(&self) -> Result<(Choice, Option<Grant>, Option<Place>), Unplaceable> {
         let (state, call) = (&self.state, &self.call);
         let deadline = state.now() + RESUME_TIMEOUT;
         *call.standing.lock() = Standing::Timely;
@@ -136,10 +146,12 @@
             let chosen = state.table.lock().choose(&criteria, now);
             match chosen {
                 Ok(choice) => {
-                    if let Ok(grant) =
-                        rate_limit::admit(state, &self.peers, &criteria, &choice).await
-                    {
-                        return Ok((choice, grant));
+                    let admitted = rate_limit::admit(state, &self.peers, &criteria, &choice);
+                    if let Ok(grant) = admitted.await {
+                        match serve::claim(state, &self.peers, call, &choice).await {
+                            Ok(place) => return Ok((choice, grant, place)),
+                            Err(_) => refund(state, grant).await,
+                        }
                     }
                 }
                 Err(Unplaceable::Saturated(saturation))
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -7,6 +7,7 @@
 mod room;
 mod unavailable;
 
+pub use dispatched::claim;
 pub use read::{Parts, new_call, reserve_memory};
 pub use unavailable::UNREACHABLE;
 
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -108,8 +108,20 @@
             choice,
             reservation,
             waited,
-            place,
+            mut place,
         } = selection;
+        if place.is_none() {
+            place = match dispatched::claim(state, &context.peers, call, &choice).await {
+                Ok(place) => place,
+                Err(dispatched::Full) => {
+                    if let Some(grant) = grant {
+                        grant.refund(state).await;
+                    }
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+            };
+        }
         if attempt == 0 {
             report::sent(state, call, &choice, waited);
         }
--- a/crates/front/src/serve/dispatched.rs
+++ b/crates/front/src/serve/dispatched.rs
@@ -4,6 +4,7 @@
 use crate::attempt::Call;
 use crate::dispatch::{self, Answer, Place, Query};
 use crate::message::replica_hash;
+use crate::peers::Peers;
 use crate::respond::Rejection;
 use crate::state::State;
 use crate::table::Choice;
@@ -55,6 +56,56 @@
     is_dispatched.then(|| state.dispatch.hold_alone(&call.service, &choice.replica))
 }
 
+/// Time after which a host without a place at a brittle replica looks there again, while it does not know what others
+/// have there.
+const UNKNOWN_FOR: Span = Span::from_ms(100);
+
+/// Place at a brittle replica that this host has chosen; `None` if the replica is not brittle, or has no place. Without a
+/// dispatcher the host keeps to its own part of the replica.
+pub async fn claim(
+    state: &State,
+    peers: &Peers,
+    call: &Call,
+    choice: &Choice,
+) -> Result<Option<Place>, Full> {
+    let replica = &choice.replica;
+    let now = state.now();
+    if state.table.lock().tolerance(replica, now).is_none() {
+        return Ok(None);
+    }
+    let query = Query {
+        only: Some(replica_hash(replica)),
+        ..query(call, &[])
+    };
+    let wait = match dispatch::ask(state, peers, query).await {
+        Answer::Granted(place) => return Ok(Some(place)),
+        Answer::Refused(wait) => wait,
+        // The dispatcher may still give out places to others.
+        Answer::Alone if !state.dispatch.is_lost(&call.service) => UNKNOWN_FOR,
+        Answer::Alone => {
+            let table = state.table.lock();
+            let part = table.own_part(replica, &state.settings.name);
+            if table.own_requests(replica) < part {
+                drop(table);
+                return Ok(Some(state.dispatch.hold_alone(&call.service, replica)));
+            }
+            UNKNOWN_FOR
+        }
+    };
+    let until = state.now() + wait;
+    state.table.lock().record_full(replica, until);
+    state
+        .log
+        .metrics
+        .counter("coveford_brittle_kept_back_total", &[])
+        .increment(1);
+    Err(Full)
+}
+
+/// A brittle replica has no place for a request.
+#[derive(Debug)]
+pub struct Full;
+
 fn query(call: &Call, avoid: &[u32]) -> Query {
     let account = call.caller.account.as_ref();
     Query {
@@ -64,6 +115,7 @@
         deadline: call.deadline,
         account: account.map(|account| account.name.clone()),
         avoid: avoid.to_vec(),
+        only: None,
     }
 }
 
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -12,6 +12,7 @@
 mod adapters;
 mod average;
 mod backoff;
+mod brittle;
 mod choose;
 mod demand;
 mod loads;
@@ -86,6 +87,8 @@
     /// Time of the last call that was given one.
     seen_at: Time,
     pauses: Pauses,
+    /// Last tolerance that a brittle replica of each service named, and when.
+    brittle_services: HashMap<Name, (u32, Time)>,
     /// Retry budgets by service.
     retry_budgets: HashMap<Name, WindowedBudget>,
     demand: Demands,
@@ -138,6 +141,7 @@
             speeds: Estimator::default(),
             seen_at: Time(0),
             pauses: Pauses::default(),
+            brittle_services: HashMap::new(),
             retry_budgets: HashMap::new(),
             demand: Demands::default(),
             planner_status: PlannerStatus::default(),
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -289,6 +289,9 @@
         if let Some(wait) = backoff.and_then(|backoff| backoff.wait(now)) {
             return Some(saturation(wait, true));
         }
+        if let Some(wait) = self.full_wait(&entry.id, now) {
+            return Some(saturation(wait, false));
+        }
         let state = self.replicas.get(&entry.id)?;
         Some(saturation(state.limit_wait(criteria, now)?, false))
     }
--- a/crates/front/src/table/places.rs
+++ b/crates/front/src/table/places.rs
@@ -13,15 +13,18 @@
     pub slots: u32,
     /// Whether requests may be sent to it: it is not leaving, asked for no backoff and can be reached.
     pub is_serving: bool,
+    /// Requests that it may turn away within a second, if it is brittle.
+    pub tolerance: Option<u32>,
     /// Requests in flight of all hosts, as far as known.
     pub in_flight: u32,
 }
 
 impl Table {
     /// Services whose places one host gives out.
-    pub fn dispatched_services(&self) -> Vec<Name> {
+    pub fn dispatched_services(&self, now: Time) -> Vec<Name> {
         let services: BTreeSet<&Name> = self.view.all().map(|r| &r.entry.service).collect();
-        let dispatched = services.into_iter().filter(|s| self.is_dispatched(s));
+        let is_dispatched = |s: &&Name| self.is_dispatched(s) || self.is_brittle_service(s, now);
+        let dispatched = services.into_iter().filter(is_dispatched);
         dispatched.cloned().collect()
     }
 
@@ -43,6 +46,7 @@
             Places {
                 key: replica_hash(id),
                 slots: replica.entry.slots,
+                tolerance: self.tolerance(id, now),
                 is_serving,
                 in_flight: load.requests as u32,
             }
--- a/crates/front/src/table/replica.rs
+++ b/crates/front/src/table/replica.rs
@@ -1,6 +1,7 @@
 //! State of one replica, as this host knows it beyond its entry in the store.
 
 use super::average::Average;
+use super::brittle::Word;
 use super::choose::{max_tokens, priority_level};
 use super::loads::LoadSource;
 use super::pace::Pace;
@@ -40,6 +41,8 @@
     pub(super) fleet: Load,
     /// Load of each other host as it sent it directly, and when.
     pub(super) by_host: BTreeMap<Name, (Load, Time)>,
+    /// What is known of its brittleness, if it ever was brittle.
+    pub(super) brittle: Option<Word>,
     /// Rate limit, if the replica has advertised one.
     pub(super) limit: Option<LimitState>,
     /// Fraction of its answers that failed.
@@ -66,6 +69,8 @@
             reported_before: previous.reported_before,
             fleet: previous.fleet,
             by_host: previous.by_host,
+            // The replicas of a service are brittle together, also after a restart.
+            brittle: previous.brittle,
             ..State::default()
         };
     }
--- a/crates/front/tests/dispatch.rs
+++ b/crates/front/tests/dispatch.rs
@@ -197,6 +197,7 @@
         cores,
         store_failed: false,
         silent,
+        is_isolated: false,
     };
     let hosts = [
         host(1, 0.5, false),
--- a/crates/front/tests/fanout.rs
+++ b/crates/front/tests/fanout.rs
@@ -26,6 +26,7 @@
         cores,
         store_failed: false,
         silent,
+        is_isolated: false,
     }
 }
 
--- a/crates/front/tests/readers.rs
+++ b/crates/front/tests/readers.rs
@@ -387,6 +387,7 @@
         cores,
         store_failed: false,
         silent: false,
+        is_isolated: false,
     }
 }
 
--- a/crates/front/tests/unreachable.rs
+++ b/crates/front/tests/unreachable.rs
@@ -3,7 +3,7 @@
 
 mod site;
 
-use front::message::{LoadReport, replica_hash};
+use front::message::{HostConditions, LoadReport, replica_hash};
 use front::peers::Inbox;
 use front::table::{Criteria, Table};
 use platform::ingress::Metadata;
@@ -256,9 +256,14 @@
     let inbox = Inbox::default();
     let addr = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
     for n in 1..=3 {
-        let mut report = report_of_unreachable(&format!("h{n}"), 2);
-        report.paths.is_isolated = true;
-        inbox.record_report(report, addr(n), at(0));
+        let host = format!("h{n}");
+        inbox.record_report(report_of_unreachable(&host, 2), addr(n), at(0));
+        let conditions = HostConditions {
+            host: host.as_str().into(),
+            is_isolated: true,
+            ..HostConditions::default()
+        };
+        inbox.record_conditions(conditions, at(5));
     }
     assert!(inbox.unreachable(21, at(10)).is_empty());
 }
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -5,7 +5,8 @@
 //! all that waits. Its state is soft: two dispatchers at once, or lost and late messages, cost a worse choice, since a
 //! replica still refuses what it cannot hold.
 //!
-//! `event` defines what it is told and what it decides; `replica` holds the places of one replica and its service time,
+//! `event` defines what it is told and what it decides; `replica` holds the places of one replica and its service time, `room` what a
+//! brittle one takes,
 //! `grants` the requests that hold places, `waiting` the order of the requests that wait,
 //! `account` the shares of client accounts, and `forecast` when a request would start and when a refused one may
 //! return.
@@ -15,6 +16,7 @@
 mod forecast;
 mod grants;
 mod replica;
+mod room;
 mod waiting;
 
 pub use event::{Ask, Decision, Notice, Outcome, ReplicaKey, Ticket};
@@ -32,6 +34,9 @@
 /// Time without a repeated ask after which a waiting request counts as gone.
 const WAIT_SILENCE: Span = Span::from_ms(400);
 
+/// Time after which a host may ask again for a replica without a free place.
+const FULL_FOR: Span = Span::from_ms(50);
+
 /// Requests at the head of the waiting list that are considered for a place that the first of them avoids.
 const MAX_SCANNED: usize = 16;
 
@@ -92,6 +97,9 @@
         if self.waiting.touch(&ticket, now) {
             return notice(Decision::Wait);
         }
+        if let Some(key) = ask.only {
+            return notice(self.ask_for(key, &ask, now));
+        }
         if !self.can_serve(&ask.avoid) {
             return notice(Decision::Unable);
         }
@@ -113,11 +121,34 @@
         notices
     }
 
+    /// Decides on a request that only one replica is to take: it gets a place now or is refused, and never waits, since
+    /// its host may choose another replica.
+    fn ask_for(&mut self, key: ReplicaKey, ask: &Ask, now: Time) -> Decision {
+        match self.replicas.get(&key) {
+            None => Decision::Unable,
+            Some(replica) if !self.is_free(replica, now) => Decision::Refuse(FULL_FOR),
+            Some(_) => {
+                self.grant(ask, key, now);
+                Decision::Grant(key)
+            }
+        }
+    }
+
+    /// Sets which replicas are brittle, each with the requests that it may turn away within a second.
+    pub fn set_tolerances(&mut self, tolerances: &[(ReplicaKey, Option<u32>)]) {
+        for (key, tolerance) in tolerances {
+            if let Some(replica) = self.replicas.get_mut(key) {
+                let held = replica.granted;
+                replica.room.set_tolerance(*tolerance, held);
+            }
+        }
+    }
+
     /// Records that a request has ended, or that its host gave it up or hands its grant back.
     pub fn end(&mut self, ticket: Ticket, outcome: Outcome, now: Time) -> Vec<Notice> {
         self.waiting.remove(&ticket);
         if let Some(grant) = self.grants.end(ticket, now) {
-            self.release(grant.replica, outcome, now);
+            self.release(&grant, outcome, now);
         }
         self.assign(now)
     }
@@ -198,13 +229,13 @@
 
     fn release_unused(&mut self, grants: Vec<Grant>, now: Time) {
         for grant in grants {
-            self.release(grant.replica, Outcome::Unused, now);
+            self.release(&grant, Outcome::Unused, now);
         }
     }
 
-    fn release(&mut self, replica: ReplicaKey, outcome: Outcome, now: Time) {
-        if let Some(replica) = self.replicas.get_mut(&replica) {
-            replica.release(outcome, now);
+    fn release(&mut self, grant: &Grant, outcome: Outcome, now: Time) {
+        if let Some(replica) = self.replicas.get_mut(&grant.replica) {
+            replica.release(grant.granted_at, outcome, now);
         }
     }
 
@@ -225,19 +256,19 @@
             let Some(waiting) = self.waiting.remove(&ticket) else {
                 break;
             };
-            self.grant(&waiting, key, now);
+            self.grant(&waiting.ask, key, now);
             let decision = Decision::Grant(key);
             notices.push(Notice { ticket, decision });
         }
         notices
     }
 
-    fn grant(&mut self, waiting: &Waiting, key: ReplicaKey, now: Time) {
-        let deadline = Some(waiting.ask.deadline);
-        self.grants.add(waiting.ask.ticket, key, deadline, now);
+    fn grant(&mut self, ask: &Ask, key: ReplicaKey, now: Time) {
+        self.grants.add(ask.ticket, key, Some(ask.deadline), now);
         if let Some(replica) = self.replicas.get_mut(&key) {
             replica.granted += 1;
             replica.granted_at = now;
+            replica.room.record_grant(replica.granted, now);
         }
     }
 
--- a/crates/route/src/dispatch/event.rs
+++ b/crates/route/src/dispatch/event.rs
@@ -29,6 +29,8 @@
     pub account: u32,
     /// Replicas that must not be chosen.
     pub avoid: Vec<ReplicaKey>,
+    /// Replica that its host has chosen.
+    pub only: Option<ReplicaKey>,
 }
 
 /// What a host is told about a request.
--- a/crates/route/src/dispatch/grants.rs
+++ b/crates/route/src/dispatch/grants.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Grant {
     pub(super) replica: ReplicaKey,
-    granted_at: Time,
+    pub(super) granted_at: Time,
     /// When its host last spoke of it.
     heard_at: Time,
     /// When its client stops waiting, if known.
--- a/crates/route/src/dispatch/replica.rs
+++ b/crates/route/src/dispatch/replica.rs
@@ -1,6 +1,7 @@
 //! Places of one replica and its service time.
 
 use super::Outcome;
+use super::room::Room;
 use std::cmp::Ordering;
 use unit::{Span, Time};
 
@@ -71,6 +72,8 @@
     paused_until: Time,
     /// Time until which it gets no more requests than slots.
     no_queue_until: Time,
+    /// Room, if it is brittle.
+    pub(super) room: Room,
 }
 
 impl Replica {
@@ -80,7 +83,7 @@
 
     /// Places, including those of its own queue.
     pub(super) fn places(&self, policy: Policy, now: Time) -> u32 {
-        match now < self.no_queue_until {
+        match now < self.no_queue_until || self.room.is_brittle() {
             true => self.slots,
             false => self.slots + policy.queue,
         }
@@ -107,7 +110,11 @@
             true => self.assumed.0,
             false => 0,
         };
-        self.is_serving() && now >= self.paused_until && self.granted.max(assumed) < places
+        let held = self.granted.max(assumed);
+        self.is_serving()
+            && now >= self.paused_until
+            && held < places
+            && self.room.admits(held, places, now)
     }
 
     pub(super) fn assume(&mut self, requests: u32, now: Time) {
@@ -138,8 +145,13 @@
         share * self.service_time().secs() * (1.0 + (FAILURE_COST - 1.0) * self.failures(now))
     }
 
-    /// Frees a place and learns from how the request ended.
-    pub(super) fn release(&mut self, outcome: Outcome, now: Time) {
+    /// Frees the place that was granted at a time, and learns from how the request ended.
+    pub(super) fn release(&mut self, granted_at: Time, outcome: Outcome, now: Time) {
+        match outcome {
+            Outcome::Served(_) | Outcome::Failed => self.room.record_taken(granted_at),
+            Outcome::Unused => self.room.record_unused(granted_at),
+            Outcome::TurnedAway => self.room.record_turned_away(granted_at, self.granted, now),
+        }
         match outcome {
             Outcome::Served(took) => self.record_served(took, now),
             Outcome::Failed => self.record_failure(1.0, now),
--- a/crates/route/tests/dispatch.rs
+++ b/crates/route/tests/dispatch.rs
@@ -92,6 +92,7 @@
             deadline: now + Span::from_ms(1_500),
             account: 0,
             avoid: Vec::new(),
+            only: None,
         };
         notices.extend(dispatcher.ask(ask, now));
         for Notice { ticket, decision } in notices.drain(..) {
@@ -188,6 +189,7 @@
                         deadline: now + Span::from_ms(target_ms * 10),
                         account: 0,
                         avoid: if avoid { vec![1] } else { Vec::new() },
+                        only: None,
                     };
                     asked.push(ask.clone());
                     waiting.insert(ask.ticket, ask.clone());
--- a/crates/route/tests/dispatch/fleet.rs
+++ b/crates/route/tests/dispatch/fleet.rs
@@ -232,6 +232,7 @@
                     deadline: arrived + DEADLINE,
                     account: 0,
                     avoid: Vec::new(),
+                    only: None,
                 };
                 let notices = self.dispatcher.ask(ask, self.now);
                 self.tell(notices);
