Requests in flight are given up only after a second without paths

A sound replica may be silent for a second and go on. With the paths of a host probed after 300 ms of silence, requests in flight were given up 700 ms after it found itself isolated, or at the first look at a silent stream; where all replicas that it knows are silent together, such as one service of few, that is less than the silence that is allowed. Now a second after, 1.6 s of silence in all; the streams that callers would leave after two seconds are still resumed.

Evidence: a_silence_of_a_second_costs_no_request_in_flight (1.25 s, all kinds, one host and three): each runs once and is answered.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -155,7 +155,7 @@
     let answered = tokio::select! {
         biased;
         answered = answer => answered,
-        () = paths_lost(state), if call.route.kind.is_idempotent() => {
+        () = paths::lost(state), if call.route.kind.is_idempotent() => {
             reservation.record_bad_answer();
             return Err(Failure::Lost("this host reaches no replica any more".into()));
         }
@@ -185,21 +185,6 @@
     classify(state, call, reservation, line, response).await
 }
 
-/// Time without paths after which the answer to a repeatable request is given up: a replica may also be silent for a
-/// moment and go on.
-const PATHS_LOST_AFTER: Duration = Duration::from_millis(700);
-
-/// Waits until this host has reached no replica for a time.
-pub async fn paths_lost(state: &State) {
-    loop {
-        paths::isolated(state).await;
-        tokio::time::sleep(PATHS_LOST_AFTER).await;
-        if paths::is_isolated(state) {
-            return;
-        }
-    }
-}
-
 /// Counts a send that got no answer, by whether its connection had carried another request before.
 fn count_failure(state: &State, is_pooled: bool) {
     let connection = if is_pooled { "kept" } else { "new" };
--- a/crates/front/src/paths.rs
+++ b/crates/front/src/paths.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 use tracing::{info, warn};
-use unit::{Name, Time};
+use unit::{Name, Span, Time};
 
 /// Paths of this host to the replicas.
 pub struct Paths {
     detector: Mutex<Detector>,
     reach: watch::Sender<Reach>,
+    /// When this host last found itself isolated.
+    isolated_at: Mutex<Time>,
 }
 
 impl Default for Paths {
@@ -19,6 +21,7 @@
         Paths {
             detector: Mutex::default(),
             reach: watch::Sender::new(Reach::Sound),
+            isolated_at: Mutex::default(),
         }
     }
 }
@@ -74,11 +77,27 @@
     reach(state) == Reach::Isolated
 }
 
-/// Waits until no replica is reached.
-pub async fn isolated(state: &State) {
+/// Time without paths after which requests in flight are given up that may be repeated. Replicas may be silent for a
+/// second and go on, and callers leave a stream that pauses for two.
+const LOST_AFTER: Span = Span::from_ms(1_000);
+
+/// Whether the paths have been lost for so long that requests in flight are given up.
+pub fn are_lost(state: &State) -> bool {
+    let isolated_at = *state.paths.isolated_at.lock();
+    is_isolated(state) && state.now().since(isolated_at) >= LOST_AFTER
+}
+
+/// Waits until the paths have been lost for so long that requests in flight are given up.
+pub async fn lost(state: &State) {
     let mut reach = state.paths.reach.subscribe();
-    // The sender lives as long as the state.
-    let _ = reach.wait_for(|reach| *reach == Reach::Isolated).await;
+    loop {
+        // The sender lives as long as the state.
+        let _ = reach.wait_for(|reach| *reach == Reach::Isolated).await;
+        tokio::time::sleep(LOST_AFTER.std()).await;
+        if are_lost(state) {
+            return;
+        }
+    }
 }
 
 fn replica_count(state: &State) -> usize {
@@ -98,6 +117,7 @@
     }
     match (before, reach) {
         (_, Reach::Isolated) => {
+            *state.paths.isolated_at.lock() = now;
             warn!(target: "paths", event = "isolated", known, "this host reaches no replica; requests go by way of other hosts")
         }
         (Reach::Isolated, _) => {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -6,7 +6,7 @@
 
 mod resume;
 
-use crate::attempt::{Call, Exchange, Failure, History, Origin, paths_lost};
+use crate::attempt::{Call, Exchange, Failure, History, Origin};
 use crate::events::Splitter;
 use crate::paths;
 use crate::peers::Peers;
@@ -34,6 +34,9 @@
 /// Time without data of a resumable stream after which its replica is checked.
 const SILENCE_CHECK: Span = Span::from_ms(1_000);
 
+/// Interval of further checks while it stays silent.
+const SILENCE_INTERVAL: Span = Span::from_ms(250);
+
 /// Fraction of the longest allowed pause from which a pause counts as long.
 const LONG_PAUSE_FRACTION: f64 = 0.7;
 
@@ -58,7 +61,7 @@
     let read = tokio::select! {
         biased;
         read = read => read,
-        () = paths_lost(state), if call.route.kind.is_idempotent() && origin.replica().is_some() => {
+        () = paths::lost(state), if call.route.kind.is_idempotent() && origin.replica().is_some() => {
             let failure = Failure::Lost("this host reaches no replica any more".into());
             origin.record_failure(call, &failure);
             return Err(failure);
@@ -322,14 +325,15 @@
         let Some(source) = &mut self.source else {
             return Ok(None);
         };
+        let mut silence = SILENCE_CHECK;
         loop {
-            let silence = clock.now() + SILENCE_CHECK;
+            let silent_until = clock.now() + silence;
             let until = match is_resumable {
-                true => deadline.min(silence),
+                true => deadline.min(silent_until),
                 false => deadline,
             };
             let frame = clock.timeout_at(until, source.body.frame()).await;
-            let is_isolated = paths::is_isolated(&self.state);
+            silence = SILENCE_INTERVAL;
             match frame {
                 Ok(frame) => {
                     if source.origin.replica().is_some() {
@@ -341,7 +345,7 @@
                 }
                 Err(_) if until == deadline => return Err(Failure::TimedOut),
                 // Silence alone is no failure: the replica may be slow.
-                Err(_) if is_isolated && source.origin.replica().is_some() => {
+                Err(_) if source.origin.replica().is_some() && paths::are_lost(&self.state) => {
                     let why = "this host reaches no replica any more";
                     return Err(Failure::Lost(why.into()));
                 }
--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -401,3 +401,54 @@
     assert_eq!(pretended.status(), 404);
     assert!(host.in_flight() == 0);
 }
+
+/// Time for which sound replicas may be silent.
+const SILENCE: Duration = Duration::from_millis(1_250);
+
+/// Guards against a replica that is silent for a second and goes on: a request that was given up meanwhile would fail or
+/// run twice.
+#[rstest]
+#[case::alone(1)]
+#[case::beside_others(3)]
+#[tokio::test]
+async fn a_silence_of_a_second_costs_no_request_in_flight(#[case] count: usize) {
+    let mut site = site(count).await;
+    let options = |id: &str, service: &str, models: &[&str], delay| Options {
+        id: id.into(),
+        service: service.into(),
+        models: models.iter().map(|m| (*m).to_owned()).collect(),
+        events: 20,
+        delay: Duration::from_millis(delay),
+        ..Options::default()
+    };
+    let slow = [
+        options("e-slow", "llm", &["m9"], 30),
+        options("w-slow", "web", &[], 500),
+    ];
+    for options in slow {
+        let replica = replica::spawn(&site.store, options).await.unwrap();
+        site.replicas.push(replica);
+    }
+    for replica in &site.replicas[..2] {
+        replica.remove_entry();
+    }
+    let knows = |(host, _): &(Daemon, Links)| {
+        let table = host.state().table.lock();
+        table.view.all().count() == 4 && table.view.get("w-slow").is_some()
+    };
+    until(|| site.hosts.iter().all(knows)).await;
+    let mut answers = JoinSet::new();
+    for n in 0..12 {
+        let path = ["/once/x", "/again/x", "/resume/x", "/stream/x"][n % 4];
+        let model = (n % 4 > 1).then_some("m9");
+        answers.spawn(send_to(site.callers(0), request(path, model)));
+    }
+    until(|| site.running() == 12).await;
+    sleep(Duration::from_millis(150)).await;
+    site.set_links(&[0], Mode::Hang);
+    sleep(SILENCE).await;
+    site.set_links(&[0], Mode::Up);
+    for (id, answer) in answers.join_all().await {
+        assert_eq!((answer.status(), site.runs(&id)), (200, 1), "{id}");
+    }
+}
