Soak: hosts lose their links to replicas, and services are brittle for a time

Each host has links of its own (platform_standin::link), of which one host's, most or all hang, are reset, or open no new connection. Replicas know the host that a caller asked, so signals sent while that host is cut off are not attributed to it: another one may have sent the request.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -1,6 +1,7 @@
 //! Checks of the daemons' guarantees, from what callers and replicas recorded.
 
 use crate::accounts::{self, Caller};
+use crate::brittle;
 use crate::client::{Outcome, REQUEST_TIMEOUT, TIMEOUT_TOLERANCE};
 use crate::signals;
 use crate::site::Site;
@@ -46,6 +47,7 @@
     violations.extend(check_fencing_tokens(replicas));
     violations.extend(accounts::check(outcomes, replicas, &site.config_written));
     violations.extend(check_crashes(replicas, settled_at));
+    violations.extend(brittle::check(replicas, settled_at));
     violations.extend(check_recovery(outcomes, settled_at));
     violations
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,9 +1,11 @@
 //! Injects overlapping faults into a site, in an order derived from a seed.
 
+use crate::brittle;
 use crate::error::Error;
 use crate::signals;
 use crate::site::{Pause, Site};
 use nix::sys::signal::Signal;
+use platform_standin::link::Mode as LinkMode;
 use platform_standin::proxy::Mode as ProxyMode;
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Mode;
@@ -51,6 +53,9 @@
     let mut restart_rng = SmallRng::seed_from_u64(!seed);
     let mut rate_limit_rng = SmallRng::seed_from_u64(seed.rotate_left(32));
     let mut signal_rng = SmallRng::seed_from_u64(seed.rotate_left(16));
+    let mut link_rng = SmallRng::seed_from_u64(seed.rotate_left(48));
+    let mut brittle_rng = SmallRng::seed_from_u64(!seed.rotate_left(48));
+    let mut brittle_phase = None;
     let end = Instant::now() + duration;
     let mut undos: Vec<Undo> = Vec::new();
     let mut faults = 0;
@@ -68,12 +73,16 @@
         if let Some(replica) = signals::change(site, &mut signal_rng) {
             replace(site, replica).await?;
         }
+        change_links(site, &mut link_rng);
+        brittle::change(site, &mut brittle_phase, &mut brittle_rng);
         faults += 1;
     }
+    brittle::end(site, &mut brittle_phase);
     undo_due(site, &mut undos, true).await?;
     for host in &mut site.hosts {
         host.signal(Signal::SIGCONT);
         host.store_proxy.set(ProxyMode::Pass);
+        host.set_links(LinkMode::Up);
     }
     site.store.set_mode(Mode::Up);
     let restart_began = Instant::now();
@@ -86,6 +95,7 @@
     }
     signals::clear_backoffs(site);
     set_final_rate_limits(site).await;
+    brittle::set_final(site);
     Ok(faults)
 }
 
@@ -166,6 +176,29 @@
     }
 }
 
+/// Average number of steps between two changes of the links of a host.
+const STEPS_PER_LINK_CHANGE: u32 = 5;
+
+/// Randomly cuts hosts off from the replicas, one, most or all of them, or restores their links.
+///
+/// It counts as a disturbance of these hosts.
+fn change_links(site: &mut Site, rng: &mut SmallRng) {
+    let first = rng.random_range(0..site.hosts.len());
+    let count = rng.random_range(1..=site.hosts.len());
+    let modes = [LinkMode::Hang, LinkMode::Reset, LinkMode::RefuseNew];
+    let mode = match rng.random_ratio(1, 2) {
+        true => LinkMode::Up,
+        false => modes[rng.random_range(0..modes.len())],
+    };
+    if !rng.random_ratio(1, STEPS_PER_LINK_CHANGE) {
+        return;
+    }
+    let total = site.hosts.len();
+    for n in first..first + count {
+        site.hosts[n % total].set_links(mode);
+    }
+}
+
 /// Average number of steps between two changes of a replica's rate limit.
 const STEPS_PER_RATE_LIMIT: u32 = 5;
 
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -4,13 +4,16 @@
 use crate::error::{Error, StartSnafu, SystemSnafu};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use platform_standin::link::{self, Links, Mode as LinkMode};
 use platform_standin::ports;
 use platform_standin::proxy::{self, Proxy};
+use platform_standin::store::Store;
 use snafu::ResultExt;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Daemon that the soak has started.
@@ -18,25 +21,29 @@
     pub name: String,
     /// Address on which it serves callers.
     pub caller_addr: SocketAddr,
+    /// Links between it and the replicas.
+    links: Links,
     /// Proxy between it and the store.
     pub store_proxy: Proxy,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     process: Option<Child>,
-    /// Times at which its process was started or sent a signal.
+    /// Times at which its process was started or sent a signal, or its links changed.
     pub disturbances: Vec<Instant>,
+    /// Changes of its links to the replicas.
+    link_changes: Vec<(Instant, LinkMode)>,
 }
 
+/// Time after its links are back in which a host may still pass requests on.
+const RECONNECT_TIME: Duration = Duration::from_secs(3);
+
 /// Starts a daemon with its settings and log in `dir`.
-pub async fn spawn(
-    program: &Path,
-    dir: &Path,
-    name: &str,
-    store: SocketAddr,
-) -> Result<Host, Error> {
+pub async fn spawn(program: &Path, dir: &Path, name: &str, store: &Store) -> Result<Host, Error> {
+    let resource = "links";
+    let links = link::spawn(store).await.context(SystemSnafu { resource })?;
     let resource = "a proxy";
-    let store_proxy = proxy::spawn(store)
+    let store_proxy = proxy::spawn(links.store)
         .await
         .context(SystemSnafu { resource })?;
     let caller_addr = ports::free();
@@ -60,12 +67,14 @@
     let mut host = Host {
         name: name.to_owned(),
         caller_addr,
+        links,
         store_proxy,
         program: program.to_owned(),
         log: dir.join(format!("{name}.log")),
         settings,
         process: None,
         disturbances: Vec::new(),
+        link_changes: Vec::new(),
     };
     host.start()?;
     Ok(host)
@@ -97,6 +106,21 @@
         Ok(())
     }
 
+    /// Changes its links to the replicas.
+    pub fn set_links(&mut self, mode: LinkMode) {
+        self.links.set(mode);
+        let now = Instant::now();
+        self.disturbances.push(now);
+        self.link_changes.push((now, mode));
+    }
+
+    /// Whether another host may have sent its requests at a time.
+    pub fn was_cut(&self, at: Instant) -> bool {
+        let changes = self.link_changes.iter();
+        let last = changes.rev().find(|(changed, _)| *changed <= at);
+        last.is_some_and(|(changed, mode)| *mode != LinkMode::Up || at - *changed < RECONNECT_TIME)
+    }
+
     pub fn is_running(&mut self) -> bool {
         match &mut self.process {
             Some(process) => matches!(process.try_wait(), Ok(None)),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,6 +2,7 @@
 //! checks what callers and replicas see.
 
 pub mod accounts;
+mod brittle;
 pub mod check;
 pub mod client;
 pub mod error;
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -71,9 +71,10 @@
         let sent_signals = replica.sent_signals();
         for host in &site.hosts {
             let name = host.caller_addr.to_string();
+            // Replicas know the host that a caller asked, not the one that sent its request in its place.
             let sent_signals: Vec<&SentSignal> = sent_signals
                 .iter()
-                .filter(|sent| sent.host == name)
+                .filter(|sent| sent.host == name && !host.was_cut(sent.at))
                 .collect();
             violations.extend(check_departure(replica, host, &sent_signals));
             violations.extend(
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -127,7 +127,7 @@
     }
     for n in 1..=options.hosts {
         let name = format!("h{n}");
-        let host = host::spawn(&options.program, dir, &name, site.store.addr).await?;
+        let host = host::spawn(&options.program, dir, &name, &site.store).await?;
         site.hosts.push(host);
     }
     Ok(site)
