--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -142,10 +142,29 @@
                 self.text("tried")
             ),
             ("request", "continued") => format!(
-                "Its stream broke ({why}) and was taken up at {replica} behind event {}: {}.",
+                "Its stream broke ({why}) and was taken up at {} behind event {}: {}.",
+                if replica.is_empty() {
+                    "another host"
+                } else {
+                    replica
+                },
                 self.number_or_zero("last"),
                 self.text("outcome")
             ),
+            ("request", "passed_on") => format!(
+                "It was passed on to the host at {}, since this one does not reach the replicas: {}, {ms:.0} ms after it came.",
+                self.text("host_addr"),
+                self.text("outcome")
+            ),
+            ("request", "taken_over") => format!(
+                "It was taken over from {}, which does not reach the replicas.",
+                self.text("from")
+            ),
+            ("paths", "isolated") => format!(
+                "This host reaches none of the {} replicas that it knows; requests go by way of other hosts.",
+                self.number_or_zero("known")
+            ),
+            ("paths", "connected") => "This host reaches replicas again.".to_owned(),
             ("request", "cancelled") => {
                 format!("Its client left after {ms:.0} ms; the connection to {replica} was closed.")
             }
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -108,3 +108,22 @@
 fn an_unknown_request_has_no_timeline() {
     assert!(build("nobody", &parse(LOG)).is_empty());
 }
+
+/// Guards against a request whose way over two hosts cannot be followed from their logs.
+#[test]
+fn a_request_over_two_hosts_is_told_as_one() {
+    let lines = [
+        r#"{"host":"d1","timestamp":"2026-05-25T07:26:40.000Z","target":"paths","event":"isolated","message":"","known":21}"#,
+        r#"{"host":"d2","timestamp":"2026-05-25T07:26:40.102Z","target":"request","event":"taken_over","message":"","id":"r1","from":"d1"}"#,
+        r#"{"host":"d2","timestamp":"2026-05-25T07:26:40.103Z","target":"request","event":"sent","message":"","id":"r1","replica":"i-1","candidates":3,"expected_ms":40,"ms":3}"#,
+        r#"{"host":"d1","timestamp":"2026-05-25T07:26:40.150Z","target":"request","event":"passed_on","message":"","id":"r1","host_addr":"10.0.0.2:8700","outcome":"status 200 OK","ms":50}"#,
+    ];
+    let told = build("r1", &parse(&lines.join("\n")));
+    let expected = [
+        "   -102 ms  d1: This host reaches none of the 21 replicas that it knows; requests go by way of other hosts.",
+        "     +0 ms  d2: It was taken over from d1, which does not reach the replicas.",
+        "     +1 ms  d2: It was sent to i-1, one of 3 candidates, 3 ms after it came; its first token was expected in 40 ms.",
+        "    +48 ms  d1: It was passed on to the host at 10.0.0.2:8700, since this one does not reach the replicas: status 200 OK, 50 ms after it came.",
+    ];
+    assert_eq!(told, expected);
+}
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -1,6 +1,7 @@
 //! Gauges, updated when the metrics are read.
 
 use crate::accounts;
+use crate::paths;
 use crate::peers::Peers;
 use crate::queue::Held;
 use crate::state::State;
@@ -97,6 +98,10 @@
         );
     }
     set("coveford_in_flight", &[], state.in_flight() as f64);
+    let is_isolated = f64::from(u8::from(paths::is_isolated(state)));
+    set("coveford_isolated", &[], is_isolated);
+    let taken = state.detours.taken(&state.settings.limits);
+    set("coveford_detours_in_progress", &[], taken as f64);
     set("coveford_leads", &[], f64::from(u8::from(state.leads())));
     let (suspected, quarantined) = state.quarantine.counts(state.now());
     set("coveford_requests_suspected", &[], suspected as f64);
