--- a/crates/front/src/attempt/origin.rs
+++ b/crates/front/src/attempt/origin.rs
@@ -20,6 +20,11 @@
         self.reservation().map(|reservation| &reservation.replica)
     }
 
+    /// Version of the replica's software, by its entry when the request was placed.
+    pub fn software(&self) -> Option<&Name> {
+        self.reservation()?.software.as_ref()
+    }
+
     /// Ratio of the expected time to first token to the real one, where the former is known.
     pub fn forecast_ratio(&self) -> Option<f64> {
         self.reservation()?.forecast_ratio
--- a/crates/front/src/attempt/reservation.rs
+++ b/crates/front/src/attempt/reservation.rs
@@ -19,9 +19,11 @@
     pub replica: Name,
     /// Incarnation of the replica when the request was placed.
     pub incarnation: Incarnation,
+    /// Version of its software by the entry of that incarnation.
+    pub software: Option<Name>,
     /// Contribution to the replica's load.
     footprint: Footprint,
-    service: Name,
+    pub service: Name,
     model: Option<Name>,
     /// Whether the request names no adapter.
     without_adapter: bool,
@@ -50,6 +52,7 @@
         let footprint = table.begin(&choice.replica, &criteria, now);
         let listed = table.view.get(&choice.replica);
         let incarnation = listed.and_then(|s| s.entry.incarnation);
+        let software = listed.map(|s| s.entry.software.clone());
         drop(table);
         state.load_added.notify_one();
         Reservation {
@@ -57,6 +60,7 @@
             state: state.clone(),
             replica: choice.replica.clone(),
             incarnation,
+            software,
             footprint,
             service: call.service.clone(),
             model: call.metadata.model.clone(),
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -26,7 +26,7 @@
 use std::io;
 use std::sync::Arc;
 use tracing::info;
-use unit::{Span, Time};
+use unit::{Name, Span, Time};
 
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -111,6 +111,8 @@
     longest_pause: Pause,
     /// Pauses between the first events.
     pauses: Vec<Span>,
+    /// Replica at which the stream broke off last, and the version of its software.
+    broken_at: Option<(Name, Name)>,
     _in_flight: InFlight,
 }
 
@@ -161,6 +163,7 @@
         forecast_ratio: None,
         longest_pause: Pause::default(),
         pauses: Vec::new(),
+        broken_at: None,
         _in_flight: state.enter(),
     };
     relay.read_first_event().await?;
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -30,7 +30,10 @@
 impl Relay {
     /// Resumes the stream at another replica; returns whether that succeeded.
     pub(super) async fn resume(&mut self, cause: &Failure) -> bool {
+        self.broken_at = None;
         if let Some(source) = self.source.take() {
+            let software = source.origin.software().cloned();
+            self.broken_at = source.origin.replica().cloned().zip(software);
             source.origin.record_failure(&self.call, cause);
             source.origin.close_idle(&self.state);
         }
@@ -79,7 +82,7 @@
                 grant.refund(&state).await;
             }
             self.history.record(&choice.replica, &result);
-            self.log_resumption(Some(&choice.replica), last, cause, &result);
+            self.log_resumption(Some(&choice), last, cause, &result);
             match result {
                 Ok(exchange) if exchange.response.status().is_success() => {
                     self.source = Some(Source::from(exchange));
@@ -116,7 +119,7 @@
 
     fn log_resumption(
         &self,
-        replica: Option<&str>,
+        choice: Option<&Choice>,
         last: Option<u64>,
         cause: &Failure,
         result: &Result<Exchange, Failure>,
@@ -127,7 +130,9 @@
                 Ok(exchange) => format!("status {}", exchange.response.status()),
                 Err(failure) => failure.to_string(),
             };
-            info!(target: "request", event = "continued", id = &**id, replica, last, why = %cause, outcome, "resuming a broken stream at another replica")
+            let (replica, software) = choice.map(|c| (&*c.replica, &*c.software)).unzip();
+            let (from, from_software) = self.broken_at.as_ref().map(|(r, s)| (&**r, &**s)).unzip();
+            info!(target: "request", event = "continued", id = &**id, replica, software, from, from_software, last, why = %cause, outcome, "resuming a broken stream at another replica")
         });
     }
 
--- a/crates/front/src/serve/report.rs
+++ b/crates/front/src/serve/report.rs
@@ -42,7 +42,7 @@
         let harm_ms = choice.pause.map(|p| p.harm.ms());
         let room_ms = choice.pause.and_then(|p| p.room).map(Span::ms);
         let streams = choice.pause.map(|p| p.streams);
-        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, model = call.metadata.model.as_deref(), adapter = call.metadata.adapter.as_deref(), replica = &*choice.replica, candidates = choice.candidate_count, expected_ms = choice.ttft.ms(), paced = choice.fits_prefill_limit, waited, standing, ms, entry = choice.revision, missing_ms, pause_ms, harm_ms, room_ms, streams, "request sent to the replica with the lowest cost")
+        info!(target: "request", event = "sent", id = &*call.id, route = &*call.route.name, model = call.metadata.model.as_deref(), adapter = call.metadata.adapter.as_deref(), resumes = call.metadata.resumes.as_deref(), last_event = call.metadata.last_event, replica = &*choice.replica, software = &*choice.software, candidates = choice.candidate_count, expected_ms = choice.ttft.ms(), paced = choice.fits_prefill_limit, waited, standing, ms, entry = choice.revision, missing_ms, pause_ms, harm_ms, room_ms, streams, "request sent to the replica with the lowest cost")
     });
 }
 
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -34,6 +34,8 @@
     pub replica: Name,
     /// Address of the replica.
     pub addr: SocketAddr,
+    /// Version of its software.
+    pub software: Name,
     /// Expected time to first token.
     pub ttft: Span,
     /// Whether the prompt can be prefilled now without stalling the streams that run there.
@@ -199,6 +201,7 @@
         Ok(Choice {
             replica: eligible[index].entry.id.clone(),
             addr: eligible[index].entry.addr,
+            software: eligible[index].entry.software.clone(),
             ttft,
             fits_prefill_limit: candidates[index].fits_prefill_limit(&request),
             exceeds_prefill_limit: candidates[index].exceeds_prefill_limit(&request),
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -168,6 +168,7 @@
         service: "web".into(),
         addr: "127.0.0.1:1".parse().unwrap(),
         hall: "a".into(),
+        software: "v1".into(),
         slots: 8,
         leaving: false,
         departs_in: None,
--- a/crates/standin/src/experiment/fleet.rs
+++ b/crates/standin/src/experiment/fleet.rs
@@ -162,6 +162,7 @@
         service: "llm".into(),
         addr: ([127, 0, 0, 1], 80).into(),
         hall: "a".into(),
+        software: "v1".into(),
         slots: 12,
         leaving: false,
         departs_in: None,
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -54,6 +54,7 @@
         service: "llm".into(),
         addr: ([127, 0, 0, 1], 80).into(),
         hall: "a".into(),
+        software: "v1".into(),
         slots: 32,
         leaving: false,
         departs_in: None,
