Failing tests: streams that go on at another software version

Resumed within the answer, and taken up by the client with Last-Event-Id and Resumes at the same host, at another one, and at another one after the first has died, they go on at the other version; so does a stream that no host knows. The stand-in's replicas have a software version, which their events name.

--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -15,6 +15,7 @@
 use platform_standin::store::{self, Store};
 use platform_standin::{Account, Route, ports};
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -360,6 +361,14 @@
         ids.map(|id| id.parse().unwrap()).collect()
     }
 
+    /// Versions of the software that wrote the events in the body, without repetitions.
+    pub fn versions(&self) -> BTreeSet<String> {
+        let text = self.text();
+        let lines = text.lines().filter(|l| l.starts_with("data: "));
+        let versions = lines.filter_map(|l| Some(l.rsplit_once(" by ")?.1.to_owned()));
+        versions.collect()
+    }
+
     pub fn header(&self, name: &str) -> Option<String> {
         let reply = self.0.as_ref().ok()?;
         let value = reply.headers.get(name)?;
--- /dev/null
+++ b/crates/front/tests/versions.rs
@@ -0,0 +1,187 @@
+//! Replicas of several software versions side by side: a stream goes on only at the version that began it.
+
+mod site;
+
+use conn::Connection;
+use front::Daemon;
+use http_body_util::BodyExt;
+use hyper::Request;
+use platform_standin::replica::{self, Fault, Options, Replica};
+use platform_standin::store::Store;
+use rstest::rstest;
+use site::{WAIT_LIMIT, hosts, request, store, until};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Path of a stream that may be resumed.
+const PATH: &str = "/resume/x";
+
+/// Time within which a request that cannot be served has to be refused.
+const AT_ONCE: Duration = Duration::from_millis(600);
+
+/// Starts two replicas of each version that hold model `m1`.
+async fn replicas(store: &Store, versions: &[&str]) -> Vec<Replica> {
+    let mut started = Vec::new();
+    for version in versions {
+        for n in 1..=2 {
+            let options = Options {
+                id: format!("i-{version}-{n}"),
+                version: (*version).into(),
+                ..Options::default()
+            };
+            started.push(replica::spawn(store, options).await.unwrap());
+        }
+    }
+    started
+}
+
+/// Starts hosts that know all replicas.
+async fn hosts_of(store: &Store, count: usize, replicas: &[Replica]) -> Vec<Daemon> {
+    let hosts = hosts(store, count).await;
+    let knows = |host: &Daemon| {
+        let table = host.state().table.lock();
+        let mut all = replicas.iter();
+        all.all(|r| table.view.get(&r.options.id).is_some())
+    };
+    until(|| hosts.iter().all(knows)).await;
+    hosts
+}
+
+/// What a client received of one attempt.
+#[derive(Debug, Default, Clone)]
+struct Received {
+    id: String,
+    status: u16,
+    /// Numbers of the events.
+    events: Vec<u64>,
+    /// Versions of the software that wrote them.
+    versions: BTreeSet<String>,
+    /// Whether the answer ended properly.
+    is_complete: bool,
+    took: Duration,
+}
+
+/// Sends a request and reads the answer until it ends or breaks off.
+async fn receive(callers: SocketAddr, (id, request): (String, Request<conn::Body>)) -> Received {
+    let sent = Instant::now();
+    let mut received = Received {
+        id,
+        ..Received::default()
+    };
+    let mut line = Connection::open(callers, WAIT_LIMIT).await.unwrap();
+    let Ok(response) = line.send(request, WAIT_LIMIT).await else {
+        return received;
+    };
+    received.status = response.status().as_u16();
+    let (mut body, mut text) = (response.into_body(), Vec::new());
+    received.is_complete = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => text.extend(frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    for line in String::from_utf8(text).unwrap().lines() {
+        let event = line.strip_prefix("id: ").map(|n| n.parse::<u64>().unwrap());
+        received.events.extend(event);
+        let version = line.rsplit_once(" by ").map(|(_, v)| v.to_owned());
+        received.versions.extend(version);
+    }
+    received.took = sent.elapsed();
+    received
+}
+
+/// Request that takes up a stream after its second event.
+fn resumption(first: &str) -> (String, Request<conn::Body>) {
+    let (id, mut request) = request(PATH, Some("m1"));
+    let headers = request.headers_mut();
+    headers.insert("last-event-id", 2.into());
+    headers.insert("resumes", first.parse().unwrap());
+    (id, request)
+}
+
+fn set_fault(replicas: &[Replica], fault: Fault) {
+    replicas.iter().for_each(|replica| replica.set_fault(fault));
+}
+
+/// Streams that broke off after their second event, begun at all replicas by turns.
+async fn broken_streams(host: &Daemon, replicas: &[Replica], count: usize) -> Vec<Received> {
+    set_fault(replicas, Fault::TruncateEvent);
+    let mut streams = JoinSet::new();
+    for _ in 0..count {
+        streams.spawn(receive(host.callers(), request(PATH, Some("m1"))));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let streams = streams.join_all().await;
+    set_fault(replicas, Fault::None);
+    let broken = |s: &Received| s.events == [1, 2] && !s.is_complete;
+    let broken: Vec<Received> = streams.into_iter().filter(broken).collect();
+    assert!(broken.len() > count / 2, "{}", broken.len());
+    broken
+}
+
+/// Guards against a stream that is resumed within one answer at a replica of another version.
+#[tokio::test]
+async fn a_stream_resumed_within_an_answer_keeps_its_version() {
+    let store = store().await;
+    let replicas = replicas(&store, &["v1", "v2"]).await;
+    let hosts = hosts_of(&store, 3, &replicas).await;
+    replicas[0].set_fault(Fault::TruncateEvent);
+    replicas[2].set_fault(Fault::TruncateEvent);
+    let (mut resumed, mut mixed, mut whole) = (0, 0, 0);
+    for n in 0..60 {
+        let received = receive(hosts[n % 3].callers(), request(PATH, Some("m1"))).await;
+        let runs = |r: &Replica| r.request_log(&received.id).runs;
+        resumed += u32::from(replicas.iter().map(runs).sum::<u32>() > 1);
+        mixed += u32::from(received.versions.len() > 1);
+        whole += usize::from(received.is_complete && received.events == [1, 2, 3, 4, 5]);
+    }
+    assert!(resumed > 3, "{resumed} streams were resumed");
+    assert_eq!(mixed, 0, "of {resumed} resumed streams");
+    assert_eq!(whole, 60);
+}
+
+/// Guards against a stream that a client takes up, here or at another host, and that goes on at another version; and
+/// against hosts that do not know which version began it.
+#[rstest]
+#[case::at_the_same_host(false, false)]
+#[case::at_another_host(true, false)]
+#[case::at_another_host_after_the_first_died(true, true)]
+#[tokio::test]
+async fn a_stream_taken_up_by_its_client_keeps_its_version(
+    #[case] is_elsewhere: bool,
+    #[case] dies: bool,
+) {
+    let store = store().await;
+    let replicas = replicas(&store, &["v1", "v2"]).await;
+    let mut hosts = hosts_of(&store, 4, &replicas).await;
+    let broken = broken_streams(&hosts[0], &replicas, 40).await;
+    let callers = hosts[usize::from(is_elsewhere)].callers();
+    if dies {
+        drop(hosts.remove(0));
+    }
+    let (mut whole, mut mixed) = (0, 0);
+    for stream in &broken {
+        let received = receive(callers, resumption(&stream.id)).await;
+        let all: BTreeSet<_> = stream.versions.union(&received.versions).collect();
+        mixed += usize::from(all.len() > 1);
+        whole += usize::from(received.events == [3, 4, 5] && received.is_complete);
+    }
+    assert_eq!(mixed, 0, "of {} streams", broken.len());
+    assert_eq!(whole, broken.len());
+}
+
+/// Guards against a guess, and against a wait, where no host knows which version began a stream.
+#[tokio::test]
+async fn a_stream_that_no_host_knows_is_refused_at_once() {
+    let store = store().await;
+    let replicas = replicas(&store, &["v1", "v2"]).await;
+    let hosts = hosts_of(&store, 3, &replicas).await;
+    let received = receive(hosts[0].callers(), resumption("r-unknown")).await;
+    assert_eq!(received.status, 503);
+    assert!(received.took < AT_ONCE, "{:?}", received.took);
+    let runs = |r: &Replica| r.request_log(&received.id).runs;
+    assert_eq!(replicas.iter().map(runs).sum::<u32>(), 0);
+}
