A stream goes on only at the software version that began it

Cause: a stream was bound to nothing; a resumption within the answer, by way of another host or by the client was placed like a new request, and no host remembered which version began a stream.

Now the first event binds the stream to the version that gave it, before the event is passed on: by the entry of the incarnation that the request was placed at; if the replica has restarted with other software meanwhile, the version is unknown. Every placement of the call, queues and dispatchers included, takes replicas of that version alone. The host that begins a stream keeps its run and tells two others by the hash of the attempt's identity; a client that takes a stream up is bound by what its host or the others know, or by the fact that the service has run one version for longer than a stream lasts. What nobody knows is refused at once with 503. An answer by way of another host names its run.

--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -10,6 +10,7 @@
 use platform::config::Route;
 use platform::ingress::Metadata;
 use route::admission::{self, Standing};
+use route::streams::Run;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -53,6 +54,8 @@
     pub passed_on_by: Option<Name>,
     /// Hosts that this one passed it on to.
     pub detours: Mutex<Vec<SocketAddr>>,
+    /// Run that gave the first event of the stream, once it has one; none if it is not certain which software ran it.
+    pub run: OnceLock<Option<Run>>,
     /// Trial run, if the request is suspected of crashing replicas.
     pub trial: OnceLock<Trial>,
 }
@@ -83,6 +86,11 @@
         account.map_or(&self.route.name, |account| &account.name)
     }
 
+    /// Version of the software that began the stream, once that is known.
+    pub fn software(&self) -> Option<&Name> {
+        Some(&self.run.get()?.as_ref()?.software)
+    }
+
     /// What the request requires of a replica, without those `excluded`.
     pub fn criteria<'a>(&'a self, excluded: &'a [Name]) -> Criteria<'a> {
         let pause = admission::pause_fraction(*self.standing.lock());
@@ -92,6 +100,7 @@
             priority: self.replica_priority(),
             max_gap: self.route.max_gap.map(|gap| Span::from(gap) * pause),
             excluded,
+            software: self.software(),
             is_resumption: false,
         }
     }
--- a/crates/front/src/attempt/origin.rs
+++ b/crates/front/src/attempt/origin.rs
@@ -3,8 +3,10 @@
 use super::{Call, Failure, Reservation};
 use crate::detour::Hop;
 use crate::state::State;
+use crate::streams;
 use conn::Connection;
 use platform::response::Feedback;
+use route::streams::Run;
 use unit::{Name, Span};
 
 pub enum Origin {
@@ -20,6 +22,14 @@
         self.reservation().map(|reservation| &reservation.replica)
     }
 
+    /// Run that answers; none if it is not certain which software runs it.
+    pub fn run(&self, state: &State) -> Option<Run> {
+        match self {
+            Origin::Replica(reservation) => streams::run_at(state, reservation),
+            Origin::Host(hop) => hop.run.clone(),
+        }
+    }
+
     /// Version of the replica's software, by its entry when the request was placed.
     pub fn software(&self) -> Option<&Name> {
         self.reservation()?.software.as_ref()
--- a/crates/front/src/detour/client.rs
+++ b/crates/front/src/detour/client.rs
@@ -1,6 +1,6 @@
 //! Passes a request on to another host, and takes what comes back.
 
-use super::message::{ANSWERED, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, Refusal};
+use super::message::{ANSWERED, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, RUN, Refusal};
 use crate::attempt::{Call, Exchange, Failure, History, Origin};
 use crate::clock::Elapsed;
 use crate::quarantine;
@@ -12,6 +12,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use platform::response;
+use route::streams::Run;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
 pub struct Hop {
     state: Arc<State>,
     addr: SocketAddr,
+    /// Run that began the answered stream, as the host says.
+    pub run: Option<Run>,
 }
 
 impl Hop {
@@ -76,6 +79,7 @@
     let hop = Hop {
         state: state.clone(),
         addr,
+        run: None,
     };
     let result = exchange(call, hop, history, last_event).await;
     let outcome = match &result {
@@ -167,13 +171,15 @@
 /// Separates the answer of a replica from a rejection by the host.
 async fn classify(
     call: &Call,
-    hop: Hop,
+    mut hop: Hop,
     line: Connection,
     mut response: Response<Incoming>,
     history: &mut History,
     runs: u32,
 ) -> Result<Exchange, Failure> {
     let outcome = response.headers_mut().remove(&OUTCOME);
+    let run = response.headers_mut().remove(&RUN);
+    hop.run = run.and_then(|run| serde_json::from_slice(run.as_bytes()).ok());
     let outcome = outcome.as_ref().and_then(|value| value.to_str().ok());
     let feedback = response::parse(response.status(), response.headers());
     match outcome {
@@ -262,6 +268,7 @@
         attempted: history.attempted.clone(),
         may_have_run: history.may_have_run.clone(),
         unnamed_runs: history.unnamed_runs,
+        run: call.run.get().cloned().flatten(),
         reserved_runs: limit.saturating_sub(used + history.runs_for_detour(limit)),
     };
     let body = rmp_serde::to_vec(&envelope).expect("a request is serializable");
--- a/crates/front/src/detour/message.rs
+++ b/crates/front/src/detour/message.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderName;
 use platform::account::Key;
+use route::streams::Run;
 use serde::{Deserialize, Serialize};
 use unit::{Name, Span};
 
@@ -14,6 +15,9 @@
 /// Header field that says what a response is: [`ANSWERED`] or [`REJECTED`].
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("coveford-detour");
 
+/// Header field that names the run that began the answered stream, as JSON.
+pub(super) const RUN: HeaderName = HeaderName::from_static("coveford-run");
+
 /// The response is that of a replica.
 pub(super) const ANSWERED: &str = "answered";
 
@@ -57,6 +61,8 @@
     pub(super) unnamed_runs: u32,
     /// Runs that the receiver must leave to the sender.
     pub(super) reserved_runs: u32,
+    /// Run that began the stream, if it is to go on.
+    pub(super) run: Option<Run>,
 }
 
 /// Rejection of a request by the second host.
@@ -101,7 +107,7 @@
 }
 
 /// Reasons of rejections that keep their series in the metrics.
-const REASONS: [&str; 16] = [
+const REASONS: [&str; 17] = [
     "overloaded",
     "no_model",
     "model_loading",
@@ -118,6 +124,7 @@
     "suspected",
     "lost",
     "late",
+    "other_software",
 ];
 
 /// Reason under which a rejection by another host is counted.
--- a/crates/front/src/detour/server.rs
+++ b/crates/front/src/detour/server.rs
@@ -1,11 +1,11 @@
 //! Takes requests that other hosts pass on, and sends them to replicas.
 
-use super::message::{ANSWERED, Envelope, MAX_HEAD, OUTCOME, REJECTED, Refusal};
+use super::message::{ANSWERED, Envelope, MAX_HEAD, OUTCOME, REJECTED, RUN, Refusal};
 use crate::attempt::{Call, History};
 use crate::respond::{Body, Rejection, full_body};
-use crate::serve::{self, Context};
+use crate::serve::{self, Context, resumption};
 use crate::state::State;
-use crate::{paths, quarantine};
+use crate::{paths, quarantine, streams};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -68,6 +68,7 @@
     let admitted = quarantine::admit(state, &context.peers, &call).await;
     admitted.map_err(|rejection| Refusal::new(rejection, false))?;
     let sent = serve::send_with_retries(context, &call, history).await;
+    let sent = sent.map(|response| with_run(&call, response));
     sent.map_err(|unanswered| {
         let history = unanswered.history;
         let is_unreachable = unanswered.rejection.reason == serve::UNREACHABLE;
@@ -79,6 +80,16 @@
     })
 }
 
+/// Adds the run that began a stream to its answer.
+fn with_run(call: &Call, mut response: Response<Body>) -> Response<Body> {
+    let run = call.run.get().and_then(Option::as_ref);
+    let text = run.and_then(|run| serde_json::to_string(run).ok());
+    if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        response.headers_mut().insert(RUN, value);
+    }
+    response
+}
+
 /// Takes a slot, if this host takes requests of others now.
 fn admit(state: &State) -> Result<OwnedSemaphorePermit, Refusal> {
     if state.is_draining() {
@@ -151,6 +162,13 @@
     let call = serve::new_call(&routes, route, caller, parts);
     let mut call = call.map_err(|rejection| Refusal::new(rejection, true))?;
     call.metadata.last_event = envelope.last_event;
+    let is_bound = envelope
+        .run
+        .is_some_and(|run| resumption::take(&mut call, run));
+    if streams::is_resumption(&call) && !is_bound {
+        let message = "The other host cannot resume the stream at the version that began it.";
+        return Err(not_taken("other_software", message));
+    }
     call.passed_on_by = Some(envelope.host);
     call.permits.extend([permits.0, permits.1]);
     Ok(call)
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -3,7 +3,7 @@
 use crate::log::Topic;
 use crate::state::{self, State};
 use crate::view::Update;
-use crate::{leader, quarantine, routes};
+use crate::{leader, quarantine, routes, streams};
 use platform::names;
 use platform::store::{Change, Item, Listing};
 use platform::{config, replica};
@@ -167,6 +167,9 @@
             Update::Missing(id) => ("missing", id),
             Update::Removed(id) => ("gone", id),
         };
+        if let Update::Added(id) | Update::Restarted(id) = &update {
+            streams::record_incarnation(state, id);
+        }
         match &update {
             Update::Removed(_) | Update::Restarted(_) => {
                 state.pool.close_all(id);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod settings;
 pub mod shares;
 pub mod state;
+pub mod streams;
 pub mod table;
 pub mod view;
 
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -7,6 +7,7 @@
 mod quarantine;
 mod quota;
 pub mod status;
+pub mod streams;
 
 pub use conditions::{Brittle, Detour, HostConditions};
 pub use departures::Departures;
@@ -99,6 +100,8 @@
     Detours(u64, Vec<Detour>),
     /// Brittle replicas, sent by the leader of this term.
     Brittle(u64, Vec<Brittle>),
+    /// Exchange about the runs that began streams.
+    Streams(streams::Streams),
     /// Datagram of the leader that the relay handles and forwards to its fan-out group.
     #[serde(rename = "Pass")]
     Forward(Bytes),
@@ -138,6 +141,8 @@
             Message::HostConditions(_) => "conditions",
             Message::Detours(..) => "detours",
             Message::Brittle(..) => "brittle",
+            Message::Streams(streams::Streams::Keep(_)) => "streams_keep",
+            Message::Streams(_) => "streams_ask",
             Message::Forward(_) => "pass",
         }
     }
--- a/crates/front/src/message/status.rs
+++ b/crates/front/src/message/status.rs
@@ -35,6 +35,9 @@
     pub direct_hosts: Vec<SocketAddr>,
     /// Period for which the hosts have been in contact with the store.
     pub store_uptime: Option<Ages>,
+    /// Hosts that keep the runs of streams in a fleet that is too large for direct exchange.
+    #[serde(default)]
+    pub stream_hosts: Vec<SocketAddr>,
     /// Hosts that give out the places of services.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub dispatchers: Vec<Assignment>,
@@ -51,6 +54,7 @@
         parts.append(self.dispatchers, |part| &mut part.dispatchers);
         parts.append(self.readers, |part| &mut part.readers);
         parts.append(self.direct_hosts, |part| &mut part.direct_hosts);
+        parts.append(self.stream_hosts, |part| &mut part.stream_hosts);
         parts.append(self.unreachable, |part| &mut part.unreachable);
         parts.append(self.loading, |part| &mut part.loading);
         parts.append(self.unloading, |part| &mut part.unloading);
@@ -67,6 +71,7 @@
         self.dispatchers.extend(part.dispatchers);
         self.readers.extend(part.readers);
         self.direct_hosts.extend(part.direct_hosts);
+        self.stream_hosts.extend(part.stream_hosts);
     }
 }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,8 +6,8 @@
 //!
 //! `inbox` holds the reports that the leader received and `totals` their sums, `quota` requests and grants units of fleet-wide quotas,
 //! `limits` exchanges rate limits of replicas, `conditions` isolated hosts and brittle replicas, `departures` replicas that are leaving, `load_reports` sends the loads
-//! of this host, `fanout` chooses relays, `quarantine` reports crashes and requests trials, and `pending` matches
-//! responses to requests. The datagrams are defined in [`message`].
+//! of this host, `fanout` chooses relays, `quarantine` reports crashes and requests trials, `streams` exchanges the runs
+//! that began streams, and `pending` matches responses to requests. The datagrams are defined in [`message`].
 
 mod conditions;
 mod departures;
@@ -18,6 +18,7 @@
 mod pending;
 mod quarantine;
 pub mod quota;
+mod streams;
 mod totals;
 
 pub use inbox::{Inbox, is_witness};
@@ -34,6 +35,7 @@
 use parking_lot::Mutex;
 use pending::PendingRequests;
 use quota::QuotaState;
+use route::streams::Run;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -69,6 +71,8 @@
     new_hosts: Mutex<Vec<SocketAddr>>,
     /// Trial requests that wait for a response.
     trials: PendingRequests<TrialResponse>,
+    /// Questions for the runs of streams that wait for an answer.
+    runs: PendingRequests<Option<Run>>,
     /// Parts of the planner's status that have arrived.
     assembly: Mutex<status::Assembly>,
     /// Hosts that this one forwards digests to, and when the leader assigned them.
@@ -88,6 +92,7 @@
         quota: QuotaState::default(),
         new_hosts: Mutex::default(),
         trials: PendingRequests::default(),
+        runs: PendingRequests::default(),
         assembly: Mutex::default(),
         fanout_members: Mutex::default(),
     })
@@ -117,6 +122,7 @@
                 Ok(Message::TrialRequest(number, fingerprint, request_id)) => {
                     self.answer_trial(number, fingerprint, request_id, from).await
                 }
+                Ok(Message::Streams(message)) => self.handle_streams(message, from).await,
                 Ok(Message::Dispatch(message)) => dispatch::handle(&self.state, &self, message, from).await,
                 Ok(message) => self.handle(message, from),
                 Err(why) => self.state.log.rate_limited(|| {
@@ -183,7 +189,7 @@
             Message::Detours(term, _) | Message::Brittle(term, _) if self.is_from_earlier_term(term) => {}
             Message::Detours(_, listed) => self.assign_detours(listed, now),
             Message::Brittle(_, rows) => self.state.table.lock().merge_brittle(&rows, now),
-            Message::Forward(_) | Message::QuotaRequest(_) | Message::TrialRequest(..) | Message::Dispatch(_) => self.state.log.rate_limited(|| {
+            Message::Forward(_) | Message::QuotaRequest(_) | Message::TrialRequest(..) | Message::Dispatch(_) | Message::Streams(_) => self.state.log.rate_limited(|| {
                 tracing::warn!(target: "peers", event = "malformed", from = %from, "forwarded datagram holds a message that is not for all hosts")
             }),
         }
@@ -234,6 +240,11 @@
         let status = part.and_then(|part| self.assembly.lock().add(digest.term, part));
         if let Some(status) = status {
             let own = self.state.settings.peers;
+            let keepers = match status.direct_hosts.is_empty() {
+                true => status.stream_hosts,
+                false => status.direct_hosts.clone(),
+            };
+            self.state.streams.assign(keepers, own, now);
             let others = status.direct_hosts.into_iter().filter(|p| *p != own);
             *self.direct_hosts.lock() = others.collect();
             self.state.readers.assign(status.readers, own);
--- a/crates/front/src/peers/inbox.rs
+++ b/crates/front/src/peers/inbox.rs
@@ -31,6 +31,9 @@
 /// Least number of unreachable replicas from which their share of all tells anything.
 const MIN_UNREACHABLE: usize = 3;
 
+/// Hosts of a large fleet that keep the runs of streams.
+const MAX_STREAM_HOSTS: usize = 32;
+
 /// Whether a host that cannot reach `unreachable` of `known` replicas is a witness against them, rather than at fault
 /// itself.
 pub fn is_witness(unreachable: usize, known: usize) -> bool {
@@ -286,6 +289,18 @@
         sound.into_iter().map(detour).collect()
     }
 
+    /// Hosts that keep the runs of streams: the same ones in each round, as long as they report.
+    pub fn stream_hosts(&self, now: Time) -> Vec<SocketAddr> {
+        let hosts = self.hosts.lock();
+        let max_age = hosts.silent_after();
+        let current = hosts.by_name.iter();
+        let current = current.filter(|(_, host)| now.since(host.reported_at) <= max_age);
+        let mut current: Vec<_> = current.collect();
+        current.sort_by_key(|(name, _)| rendezvous::hash(name.as_bytes()));
+        current.truncate(MAX_STREAM_HOSTS);
+        current.into_iter().map(|(_, host)| host.from).collect()
+    }
+
     /// Hashes of replicas that several hosts could not reach and that fewer hosts have requests on. `known` is the number
     /// of replicas.
     ///
--- a/crates/front/src/planner/digest.rs
+++ b/crates/front/src/planner/digest.rs
@@ -113,6 +113,7 @@
         PlannerStatus {
             unreachable: self.unreachable(now),
             direct_hosts: self.peers.direct_hosts(),
+            stream_hosts: self.peers.stream_hosts(now),
             store_uptime: inbox.store_uptime(heartbeat, now),
             ..planner_status(&self.fleet.lock(), announced_for, now)
         }
--- a/crates/front/src/queue.rs
+++ b/crates/front/src/queue.rs
@@ -40,8 +40,8 @@
 /// Distance between the ticket priorities of standings: more than aging adds within a deadline.
 const STANDING_STEP: u8 = 20;
 
-/// Service, model and adapter that the requests of one queue need.
-type Key = (Name, Option<Name>, Option<Name>);
+/// Service, model, adapter and software version that the requests of one queue need.
+type Key = (Name, Option<Name>, Option<Name>, Option<Name>);
 
 /// Replica chosen for a queued request, and the reservation there.
 pub type Placement = (Choice, Reservation);
@@ -90,6 +90,7 @@
         call.service.clone(),
         metadata.model.clone(),
         metadata.adapter.clone(),
+        call.software().cloned(),
     )
 }
 
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::respond::{Body, full_body};
 use crate::state::{InFlight, State};
+use crate::streams;
 use bytes::Bytes;
 use conn::Connection;
 use futures::stream;
@@ -205,6 +206,7 @@
             }
         };
         self.last_event_at = self.state.now();
+        self.record_run()?;
         if let Some(source) = &mut self.source {
             source.origin.record_first_token();
             self.forecast_ratio = source.origin.forecast_ratio();
@@ -217,6 +219,24 @@
         Ok(())
     }
 
+    /// Records which software gave the first event, before the client gets it; fails if the stream needs other software.
+    fn record_run(&mut self) -> Result<(), Failure> {
+        if !streams::is_resumable(&self.call) || self.first_chunk.is_none() {
+            return Ok(());
+        }
+        let run = self.source.as_ref().and_then(|s| s.origin.run(&self.state));
+        let (needed, actual) = (self.call.software(), run.as_ref().map(|r| &r.software));
+        if needed.is_some() && actual.is_some() && needed != actual {
+            let failure = Failure::Lost("other software answered than began the stream".into());
+            if let Some(source) = self.source.take() {
+                source.origin.record_failure(&self.call, &failure);
+            }
+            return Err(failure);
+        }
+        streams::record_first_event(&self.state, &self.call, run);
+        Ok(())
+    }
+
     /// Next data for the client; `None` at the end of the stream.
     async fn next_chunk(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
         if let Some(first) = self.first_chunk.take() {
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -5,7 +5,7 @@
 use crate::detour;
 use crate::dispatch::Place;
 use crate::grant::Grant;
-use crate::serve;
+use crate::serve::{self, resumption};
 use crate::state::State;
 use crate::table::{Choice, Criteria, Unplaceable};
 use crate::{quarantine, rate_limit};
@@ -38,6 +38,9 @@
             source.origin.close_idle(&self.state);
         }
         let (state, call) = (self.state.clone(), self.call.clone());
+        if !self.may_go_on() {
+            return false;
+        }
         let is_idempotent = call.route.kind.is_idempotent();
         if *cause == Failure::TimedOut || !is_idempotent || !quarantine::may_retry(&state, &call) {
             return false;
@@ -64,7 +67,12 @@
                         None => return false,
                     }
                 }
-                Err(_) => return false,
+                Err(reason) => {
+                    if reason == Unplaceable::OtherSoftware {
+                        resumption::count_failure(&state, "no_replica");
+                    }
+                    return false;
+                }
             };
             let now = state.now();
             if !state.table.lock().spend_retry(&call.service, now) {
@@ -95,6 +103,17 @@
         false
     }
 
+    /// Whether it is known which software began the stream, so that another replica may take it up.
+    fn may_go_on(&self) -> bool {
+        let began_at = self.call.arrived + self.ttft;
+        let run = self.call.run.get().and_then(Option::as_ref);
+        let is_known = run.is_some_and(|run| self.state.streams.is_certain(run, began_at));
+        if !is_known && self.call.route.kind.is_idempotent() {
+            resumption::count_failure(&self.state, "unknown");
+        }
+        is_known
+    }
+
     /// Resumes the stream by way of another host; returns whether that succeeded.
     async fn resume_by_host(
         &mut self,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -188,6 +188,7 @@
     tasks.spawn(peers.clone().forward_quarantine_reports(reports));
     tasks.spawn(peers.clone().send_limit_changes());
     tasks.spawn(peers.clone().send_departures());
+    tasks.spawn(peers.clone().send_runs());
     tasks.spawn(upkeep(state.clone()));
     tasks.spawn(expire_missing(state.clone()));
     tasks.spawn(probe::run(state.clone()));
@@ -269,6 +270,7 @@
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
         expire_due(&state);
+        state.table.lock().record_software(state.now());
         state.pool.close_expired(state.now());
         state.log.metrics.run_upkeep();
         state.log.log_omitted();
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,6 +4,7 @@
 mod dispatched;
 mod read;
 mod report;
+pub mod resumption;
 mod room;
 mod unavailable;
 
@@ -80,8 +81,13 @@
         Rejection::not_run("no_configuration", message, RETRY_AFTER_DEFAULT)
     })?;
     let route = read::route(state, &routes, &request)?;
-    let call = Arc::new(read::call(state, &routes, route, request, arrived).await?);
-    let result = admit_and_send(context, &call).await;
+    let mut call = read::call(state, &routes, route, request, arrived).await?;
+    let bound = resumption::bind(context, &mut call).await;
+    let call = Arc::new(call);
+    let result = match bound {
+        Ok(()) => admit_and_send(context, &call).await,
+        Err(rejection) => Err(rejection),
+    };
     match &result {
         Ok(response) => report::answered(state, &call, response),
         Err(rejection) => report::rejected(state, &call, rejection),
--- a/crates/front/src/serve/dispatched.rs
+++ b/crates/front/src/serve/dispatched.rs
@@ -28,6 +28,7 @@
         return Ok(None);
     }
     let mut avoid: Vec<u32> = excluded.iter().map(|id| replica_hash(id)).collect();
+    avoid.extend(of_other_software(state, call));
     for _ in 0..=MAX_HANDED_BACK {
         let asked = dispatch::ask(state, &context.peers, query(call, &avoid));
         let answer = tokio::select! {
@@ -50,6 +51,17 @@
     Ok(None)
 }
 
+/// Replicas of the request's service that run other software than its stream needs.
+fn of_other_software(state: &State, call: &Call) -> Vec<u32> {
+    let Some(software) = call.software() else {
+        return Vec::new();
+    };
+    let table = state.table.lock();
+    let entries = table.view.all().map(|replica| &replica.entry);
+    let others = entries.filter(|e| e.service == call.service && e.software != *software);
+    others.map(|entry| replica_hash(&entry.id)).collect()
+}
+
 /// Records a request at a replica that this host chose alone, so that the dispatcher learns of it.
 pub(super) fn record_alone(state: &State, call: &Call, choice: &Choice) -> Option<Place> {
     let is_dispatched = state.table.lock().is_dispatched(&call.service);
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -144,6 +144,7 @@
         exceeds_share: OnceLock::new(),
         passed_on_by: None,
         detours: Mutex::default(),
+        run: OnceLock::new(),
         trial: OnceLock::new(),
     })
 }
--- a/crates/front/src/serve/unavailable.rs
+++ b/crates/front/src/serve/unavailable.rs
@@ -1,7 +1,7 @@
 //! Requests that no replica can take now: how long each may wait, and how it is rejected after
 //! that.
 
-use super::{RETRY_AFTER_DEFAULT, RETRY_AFTER_RANGE};
+use super::{RETRY_AFTER_DEFAULT, RETRY_AFTER_RANGE, resumption};
 use crate::attempt::Call;
 use crate::detour;
 use crate::message::{AdapterRequest, ModelRequest};
@@ -92,6 +92,12 @@
 ) -> (Time, Rejection) {
     let target = Span::from(call.route.target_latency);
     match reason {
+        Unplaceable::OtherSoftware => {
+            resumption::count_failure(state, "no_replica");
+            let message = "No replica runs the software version that began the stream.";
+            let rejection = Rejection::not_run("other_software", message, RETRY_AFTER_DEFAULT);
+            (now, rejection)
+        }
         Unplaceable::NoModel(Some(eta))
             if now.since(call.arrived) + eta < target * MODEL_WAIT_FRACTION =>
         {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -11,6 +11,7 @@
 use crate::readers::Readers;
 use crate::settings::Settings;
 use crate::shares::{self, Shares};
+use crate::streams::{self, Streams};
 use crate::table::Table;
 use parking_lot::Mutex;
 use platform::store::Store;
@@ -50,6 +51,8 @@
     pub dispatch: Arc<Dispatch>,
     /// Requests that are passed on between hosts.
     pub detours: Detours,
+    /// Software versions that began streams.
+    pub streams: Streams,
     /// Connections to replicas.
     pub pool: Pool,
     /// Whether this host reaches the replicas.
@@ -121,6 +124,7 @@
         shares: shares::open(&settings.bounds),
         dispatch: dispatch::open(clock.clone(), settings.peers),
         detours: detour::open(&settings.limits, seed),
+        streams: streams::open(&settings.limits),
         pool: Pool::default(),
         paths: Paths::default(),
         log,
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -5,7 +5,7 @@
 //! moving `average`s of failures and stalls; `backoff` the times for which replicas take no
 //! requests from this host; `adapters` where adapters are loaded; `pace` the prefill speed and
 //! decode time of models, and `speeds` those of each replica; `pauses` the pauses of streams beside prompts; `demand`
-//! the arrival rate by model; `planner_status` what the leader
+//! the arrival rate by model; `software` the versions that replicas run; `planner_status` what the leader
 //! sends about its plans. `choose` picks a replica by all of these, and `loads` exchanges loads
 //! with other hosts.
 
@@ -25,6 +25,7 @@
 mod rate_limit;
 mod reachability;
 mod replica;
+mod software;
 mod speeds;
 
 pub use backoff::BackoffUpdate;
@@ -93,6 +94,7 @@
     retry_budgets: HashMap<Name, WindowedBudget>,
     demand: Demands,
     planner_status: PlannerStatus,
+    versions: software::Versions,
     /// Replicas to probe, now or later.
     to_probe: BTreeSet<Name>,
     reported_unreachable: Reported,
@@ -120,10 +122,20 @@
     pub max_gap: Option<Span>,
     /// Replicas that must not be chosen.
     pub excluded: &'a [Name],
+    /// Version of the software that the replica must run, if a stream goes on.
+    pub software: Option<&'a Name>,
     /// Whether a broken stream is resumed; such requests leave no units of a rate limit to others.
     pub is_resumption: bool,
 }
 
+impl Criteria<'_> {
+    /// Whether a replica runs the software that the request needs.
+    fn allows_software(&self, entry: &Entry) -> bool {
+        self.software
+            .is_none_or(|software| *software == entry.software)
+    }
+}
+
 impl Table {
     /// Creates an empty table. `seed` makes hosts break ties differently; `heartbeat` is the
     /// interval at which replicas write their entries.
@@ -145,6 +157,7 @@
             retry_budgets: HashMap::new(),
             demand: Demands::default(),
             planner_status: PlannerStatus::default(),
+            versions: software::Versions::default(),
             to_probe: BTreeSet::new(),
             reported_unreachable: Reported::new(),
             rotated_at: Time(0),
@@ -255,7 +268,8 @@
         for replica in self.view.all() {
             let entry = &replica.entry;
             let holds = model.is_none_or(|m| self.holds_model(entry, m, now));
-            if entry.service == *criteria.service && !entry.leaving && holds {
+            let fits = criteria.allows_software(entry) && holds;
+            if entry.service == *criteria.service && !entry.leaving && fits {
                 let state = self.replicas.get(&entry.id);
                 // Replicas that limit or refuse requests have no slots to offer.
                 let is_limited = state.is_some_and(|s| s.active_limit(now).is_some());
--- a/crates/front/src/table/choose.rs
+++ b/crates/front/src/table/choose.rs
@@ -62,6 +62,8 @@
 pub enum Unplaceable {
     /// The service has no replica.
     NoReplica,
+    /// No replica runs the software that the stream needs.
+    OtherSoftware,
     /// All replicas of the service are leaving.
     Leaving,
     /// No replica holds the model; the time until one is expected to, if known.
@@ -99,6 +101,8 @@
 enum Fit {
     /// Of another service, or excluded.
     Excluded,
+    /// Runs other software than the stream needs.
+    OtherSoftware,
     /// Leaving.
     Leaving,
     /// Does not hold the model.
@@ -247,6 +251,9 @@
         if entry.service != *criteria.service || criteria.excluded.contains(&entry.id) {
             return Fit::Excluded;
         }
+        if !criteria.allows_software(entry) {
+            return Fit::OtherSoftware;
+        }
         if entry.leaving {
             return Fit::Leaving;
         }
@@ -309,6 +316,7 @@
     ) -> Unplaceable {
         match best_fit {
             Fit::Excluded => Unplaceable::NoReplica,
+            Fit::OtherSoftware => Unplaceable::OtherSoftware,
             Fit::Leaving => Unplaceable::Leaving,
             Fit::NoModel => {
                 Unplaceable::NoModel(model.and_then(|m| self.planner_status.model_eta(m, now)))
--- a/crates/front/tests/load_exchange.rs
+++ b/crates/front/tests/load_exchange.rs
@@ -20,6 +20,7 @@
         priority: 0,
         max_gap: None,
         excluded: &[],
+        software: None,
         is_resumption: false,
     };
     for _ in 0..2 {
--- a/crates/front/tests/pauses.rs
+++ b/crates/front/tests/pauses.rs
@@ -49,6 +49,7 @@
         priority: 1,
         max_gap: Some(Span::from_ms(300)),
         excluded: &[],
+        software: None,
         is_resumption: false,
     };
     table.choose(&criteria, at(10)).unwrap()
--- a/crates/front/tests/unreachable.rs
+++ b/crates/front/tests/unreachable.rs
@@ -283,6 +283,7 @@
             priority: 1,
             max_gap: None,
             excluded: &[],
+            software: None,
             is_resumption: false,
         };
         let chosen = table.choose(&criteria, at(10));
--- a/crates/front/tests/versions.rs
+++ b/crates/front/tests/versions.rs
@@ -93,9 +93,16 @@
     received
 }
 
+/// Request for a stream. Each has another body: a broken stream counts against requests with the same one.
+fn stream() -> (String, Request<conn::Body>) {
+    let (id, mut request) = request(PATH, Some("m1"));
+    *request.body_mut() = conn::Body::new(id.clone().into());
+    (id, request)
+}
+
 /// Request that takes up a stream after its second event.
 fn resumption(first: &str) -> (String, Request<conn::Body>) {
-    let (id, mut request) = request(PATH, Some("m1"));
+    let (id, mut request) = stream();
     let headers = request.headers_mut();
     headers.insert("last-event-id", 2.into());
     headers.insert("resumes", first.parse().unwrap());
@@ -106,12 +113,22 @@
     replicas.iter().for_each(|replica| replica.set_fault(fault));
 }
 
+/// Sends streams that succeed, so that the retry budget covers the resumptions of a test.
+async fn earn_retries(hosts: &[Daemon]) {
+    let mut streams = JoinSet::new();
+    for n in 0..150 {
+        streams.spawn(receive(hosts[n % hosts.len()].callers(), stream()));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    streams.join_all().await;
+}
+
 /// Streams that broke off after their second event, begun at all replicas by turns.
 async fn broken_streams(host: &Daemon, replicas: &[Replica], count: usize) -> Vec<Received> {
     set_fault(replicas, Fault::TruncateEvent);
     let mut streams = JoinSet::new();
     for _ in 0..count {
-        streams.spawn(receive(host.callers(), request(PATH, Some("m1"))));
+        streams.spawn(receive(host.callers(), stream()));
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     let streams = streams.join_all().await;
@@ -128,11 +145,12 @@
     let store = store().await;
     let replicas = replicas(&store, &["v1", "v2"]).await;
     let hosts = hosts_of(&store, 3, &replicas).await;
+    earn_retries(&hosts).await;
     replicas[0].set_fault(Fault::TruncateEvent);
     replicas[2].set_fault(Fault::TruncateEvent);
     let (mut resumed, mut mixed, mut whole) = (0, 0, 0);
     for n in 0..60 {
-        let received = receive(hosts[n % 3].callers(), request(PATH, Some("m1"))).await;
+        let received = receive(hosts[n % 3].callers(), stream()).await;
         let runs = |r: &Replica| r.request_log(&received.id).runs;
         resumed += u32::from(replicas.iter().map(runs).sum::<u32>() > 1);
         mixed += u32::from(received.versions.len() > 1);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod routing;
 pub mod service_time;
 pub mod speed;
+pub mod streams;
 pub mod surge;
 pub mod windowed_budget;
--- a/crates/standin/src/experiment/platform.rs
+++ b/crates/standin/src/experiment/platform.rs
@@ -95,6 +95,7 @@
         priority: 1,
         max_gap: Some(Span::from_ms(300)),
         excluded: &[],
+        software: None,
         is_resumption: false,
     };
     let took = each(|| {
