--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -289,6 +289,57 @@
     assert!(site.runs(&id) <= 2);
 }
 
+/// Guards against a stream that is passed on to another host, and goes on at another software version when that host dies.
+#[tokio::test]
+async fn streams_of_a_host_that_dies_keep_their_version() {
+    let mut site = Site::partitioned(4).await;
+    for (id, version) in [
+        ("e-1-a", "v1"),
+        ("e-1-b", "v1"),
+        ("e-2-a", "v2"),
+        ("e-2-b", "v2"),
+    ] {
+        let slow = Options {
+            id: id.into(),
+            version: version.into(),
+            models: vec!["m9".into()],
+            events: 100,
+            delay: Duration::from_millis(10),
+            ..Options::default()
+        };
+        site.replicas
+            .push(replica::spawn(&site.store, slow).await.unwrap());
+    }
+    let knows = |(host, _): &(Daemon, Links)| {
+        let table = host.state().table.lock();
+        table
+            .view
+            .all()
+            .filter(|r| r.entry.id.ends_with(['a', 'b']))
+            .count()
+            == 4
+    };
+    until(|| site.hosts.iter().all(knows)).await;
+    let mut answers = JoinSet::new();
+    for _ in 0..8 {
+        let (id, mut prepared) = request("/resume/x", Some("m9"));
+        *prepared.body_mut() = conn::Body::new(id.clone().into());
+        answers.spawn(send_to(site.callers(1), (id, prepared)));
+    }
+    until(|| site.running() == 8).await;
+    sleep(Duration::from_millis(300)).await;
+    let carries = |host: &(Daemon, Links)| host.0.state().in_flight() > 0;
+    let dying = [0, 2, 3].into_iter().find(|n| carries(&site.hosts[*n]));
+    drop(site.hosts.remove(dying.unwrap()));
+    let mut resumed = 0;
+    for (id, answer) in answers.join_all().await {
+        assert_eq!(answer.events(), (1..=100).collect::<Vec<_>>());
+        assert_eq!(answer.versions().len(), 1, "{id}: {:?}", answer.versions());
+        resumed += u32::from(site.runs(&id) > 1);
+    }
+    assert!(resumed > 0);
+}
+
 /// Guards against requests of other hosts that a stopping host cuts off.
 #[tokio::test]
 async fn a_host_that_stops_ends_the_requests_that_it_took_over() {
