--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -141,13 +141,22 @@
                 self.number_or_zero("last"),
                 self.text("tried")
             ),
+            ("request", "bound") => format!(
+                "Its client takes up the stream of {} behind event {}, which began at version {} of {} by the word of {}.",
+                self.text("resumes"),
+                self.number_or_zero("last_event"),
+                self.text("software"),
+                self.text("service"),
+                match self.text("source") {
+                    "own" => "this host",
+                    "host" => self.text("host"),
+                    _ => "all replicas",
+                }
+            ),
             ("request", "continued") => format!(
-                "Its stream broke ({why}) and was taken up at {} behind event {}: {}.",
-                if replica.is_empty() {
-                    "another host"
-                } else {
-                    replica
-                },
+                "Its stream broke at {} ({why}) and was taken up at {} behind event {}: {}.",
+                self.describe_replica(self.text("from"), self.text("from_software")),
+                self.describe_replica(replica, self.text("software")),
                 self.number_or_zero("last"),
                 self.text("outcome")
             ),
@@ -201,6 +210,15 @@
         }
     }
 
+    /// Replica with the version of its software; none is another host.
+    fn describe_replica(&self, replica: &str, software: &str) -> String {
+        match (replica, software) {
+            ("", _) => "another host".to_owned(),
+            (replica, "") => replica.to_owned(),
+            (replica, software) => format!("{replica} of version {software}"),
+        }
+    }
+
     fn describe_retry(&self) -> String {
         match self.number("retry_after_ms") {
             Some(ms) => {
