--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,6 +1,7 @@
 //! Clients with persistent connections, and the outcomes of their requests.
 
 use crate::accounts::Caller;
+use crate::resumption::Stream;
 use crate::signals;
 use conn::{Connection, Reply};
 use hyper::Request;
@@ -9,6 +10,7 @@
 use platform_standin::replica;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -93,6 +95,8 @@
     /// Caller addresses of the hosts.
     pub hosts: Vec<SocketAddr>,
     pub outcomes: Mutex<Vec<Outcome>>,
+    /// Streams of the clients that take up broken ones.
+    pub streams: Mutex<Vec<Stream>>,
     /// Clients stop when this is false.
     pub running: AtomicBool,
     next_id: AtomicU64,
@@ -102,11 +106,19 @@
     Arc::new(Workload {
         hosts,
         outcomes: Mutex::default(),
+        streams: Mutex::default(),
         running: AtomicBool::new(true),
         next_id: AtomicU64::new(1),
     })
 }
 
+impl Workload {
+    /// Next request ID.
+    pub fn next_id(&self) -> String {
+        format!("s-{}", self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// Sends requests one after the other until the workload is stopped.
 pub async fn run(workload: Arc<Workload>, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -146,7 +158,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     while workload.running.load(Ordering::Relaxed) {
         let host = workload.hosts[rng.random_range(0..workload.hosts.len())];
-        let id = format!("s-{}", workload.next_id.fetch_add(1, Ordering::Relaxed));
+        let id = workload.next_id();
         let mut request = request(Kind::Once, Caller::Steady, "", &id);
         *request.body_mut() = conn::Body::new(FATAL_BODY.into());
         if let Ok(mut connection) = Connection::open(host, REQUEST_TIMEOUT).await {
@@ -165,7 +177,7 @@
     host: usize,
     reusable: Option<Connection>,
 ) -> Option<(usize, Connection)> {
-    let id = format!("s-{}", workload.next_id.fetch_add(1, Ordering::Relaxed));
+    let id = workload.next_id();
     let sent = Instant::now();
     let mut request = request(kind, caller, model, &id);
     let sender = signals::host_header(workload.hosts[host]);
@@ -212,7 +224,8 @@
     Some(reply.status.as_u16())
 }
 
-fn request(kind: Kind, caller: Caller, model: &str, id: &str) -> Request<conn::Body> {
+/// Builds a request.
+pub fn request(kind: Kind, caller: Caller, model: &str, id: &str) -> Request<conn::Body> {
     let mut builder = Request::builder()
         .method("POST")
         .uri(kind.path())
@@ -243,6 +256,13 @@
         let is_own = text.contains(&format!(" answers {id} at {}", kind.path()));
         return (!is_own).then(|| format!("the response to another request: {text}"));
     }
+    let versions: BTreeSet<&str> = text
+        .lines()
+        .filter_map(|l| Some(l.rsplit_once(" by ")?.1))
+        .collect();
+    if versions.len() > 1 {
+        return Some(format!("a stream with events of versions {versions:?}"));
+    }
     let ids = text.lines().filter_map(|l| l.strip_prefix("id: "));
     let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
     let expected: Vec<u64> = (1..=EVENTS_PER_STREAM).collect();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod host;
 pub mod options;
+pub mod resumption;
 pub mod signals;
 pub mod site;
 
@@ -35,6 +36,7 @@
         "not run",
         "lost",
         "faults",
+        "taken up",
         "violations",
     ]);
     let mut violations = Vec::new();
@@ -47,6 +49,7 @@
             summary.not_run.to_string(),
             summary.failed.to_string(),
             summary.faults.to_string(),
+            summary.taken_up.to_string(),
             summary.violations.len().to_string(),
         ]);
         let found = summary.violations.into_iter();
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -7,6 +7,7 @@
 use crate::faults;
 use crate::host::{self, Host};
 use crate::options::Options;
+use crate::resumption;
 use platform::config::Kind;
 use platform_standin::Route;
 use platform_standin::replica::{self, Options as ReplicaOptions, Replica};
@@ -21,6 +22,9 @@
 /// Number of clients in a run.
 const CLIENTS: u64 = 24;
 
+/// Number of further clients that take up broken streams.
+const TAKING_UP: u64 = 8;
+
 /// Time for the site to start, and to recover once all faults are over.
 const SETTLE_TIME: Duration = Duration::from_secs(8);
 
@@ -43,6 +47,8 @@
     pub failed: usize,
     /// Steps in which faults were injected.
     pub faults: usize,
+    /// Streams that clients took up, and that went on.
+    pub taken_up: usize,
     /// Violations found by the checks.
     pub violations: Vec<String>,
 }
@@ -77,6 +83,10 @@
         workload.clone(),
         seed,
     )));
+    for n in 0..TAKING_UP {
+        let seed = !(seed * 1_000 + n);
+        clients.push(tokio::spawn(resumption::run(workload.clone(), seed)));
+    }
     let faults = faults::inject(&mut site, seed, options.duration).await?;
     sleep(SETTLE_TIME).await;
     let config_violations = site.check_active_config().await;
@@ -200,10 +210,12 @@
 
     pub async fn add_replica(&mut self, service: &str, models: &[&str]) -> Result<(), Error> {
         let id = format!("i-{}", self.next_replica);
+        let version = resumption::VERSIONS[self.next_replica as usize % resumption::VERSIONS.len()];
         self.next_replica += 1;
         let options = ReplicaOptions {
             id,
             service: service.into(),
+            version: version.into(),
             models: models.iter().map(|m| (*m).to_owned()).collect(),
             events: client::EVENTS_PER_STREAM,
             delay: Duration::from_millis(15),
@@ -235,7 +247,8 @@
 
 fn summarize(site: &Site, workload: &Workload, settled_at: Instant) -> Summary {
     let outcomes = workload.outcomes.lock();
-    let violations = check::all(&outcomes, site, settled_at);
+    let mut violations = check::all(&outcomes, site, settled_at);
+    violations.extend(resumption::check(&workload.streams.lock()));
     let is_not_run = |t: &client::Outcome| check::NOT_RUN_STATUSES.contains(&t.status);
     Summary {
         requests: outcomes.len(),
@@ -246,6 +259,12 @@
             .filter(|t| t.status != 200 && !is_not_run(t))
             .count(),
         faults: 0,
+        taken_up: workload
+            .streams
+            .lock()
+            .iter()
+            .filter(|s| s.attempts > 1)
+            .count(),
         violations,
     }
 }
