--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -119,12 +119,15 @@
     };
     let version = config.version;
     let count = config.routes.len();
-    if state
+    let known = state.table.lock().routes.clone();
+    let is_new = state
         .table
         .lock()
-        .set_routes(routes::build(config, item.revision))
-    {
+        .set_routes(routes::build(config, item.revision));
+    if is_new {
         info!(target: "config", event = "in_force", version, revision = item.revision, routes = count, "new configuration in force");
+    } else if let Some(known) = known.filter(|known| known.version != version) {
+        info!(target: "config", event = "older", version, revision = item.revision, known_version = known.version, known_revision = known.revision, "the store holds another configuration than the one in force, which stays");
     }
 }
 
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -100,6 +100,7 @@
     set("coveford_in_flight", &[], state.in_flight() as f64);
     let is_isolated = f64::from(u8::from(paths::is_isolated(state)));
     set("coveford_isolated", &[], is_isolated);
+    set("coveford_store_era", &[], state.store.era() as f64);
     set("coveford_stream_runs", &[], state.streams.kept() as f64);
     let taken = state.detours.taken(&state.settings.limits);
     set("coveford_detours_in_progress", &[], taken as f64);
