--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Injects overlapping faults into a site, in an order derived from a seed.
 
 use crate::brittle;
+use crate::copies::Copies;
 use crate::error::Error;
 use crate::signals;
 use crate::site::{Pause, Site};
@@ -55,6 +56,8 @@
     let mut signal_rng = SmallRng::seed_from_u64(seed.rotate_left(16));
     let mut link_rng = SmallRng::seed_from_u64(seed.rotate_left(48));
     let mut brittle_rng = SmallRng::seed_from_u64(!seed.rotate_left(48));
+    let mut copy_rng = SmallRng::seed_from_u64(!seed.rotate_left(16));
+    let mut copies = Copies::default();
     let mut brittle_phase = None;
     let end = Instant::now() + duration;
     let mut undos: Vec<Undo> = Vec::new();
@@ -74,10 +77,12 @@
             replace(site, replica).await?;
         }
         change_links(site, &mut link_rng);
+        copies.change(site, &mut copy_rng);
         brittle::change(site, &mut brittle_phase, &mut brittle_rng);
         faults += 1;
     }
     brittle::end(site, &mut brittle_phase);
+    copies.end(site);
     undo_due(site, &mut undos, true).await?;
     for host in &mut site.hosts {
         host.signal(Signal::SIGCONT);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 mod brittle;
 pub mod check;
 pub mod client;
+mod copies;
 pub mod error;
 pub mod faults;
 pub mod host;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -192,6 +192,12 @@
         self.config_written.push(Instant::now());
     }
 
+    /// Writes the latest configuration again, after the store has lost it.
+    pub fn rewrite_config(&self) {
+        let configuration = configuration(self.version);
+        self.store.put(platform::names::CONFIG, &configuration);
+    }
+
     /// Reports hosts that do not use the latest configuration.
     async fn check_active_config(&self) -> Vec<String> {
         let mut violations = Vec::new();
