--- a/crates/front/tests/view.rs
+++ b/crates/front/tests/view.rs
@@ -267,13 +267,18 @@
     (era << 40) + revision
 }
 
-/// Guards against entries of the past that a store holds after it has come back from a copy.
-#[test]
-fn an_entry_from_a_copy_does_not_go_back() {
+/// Guards against an entry of the past, which a store holds after it has come back from a copy: of the same incarnation, or of
+/// one before that this host has not seen.
+#[rstest]
+#[case::of_the_same_incarnation(2_000, 6)]
+#[case::of_an_earlier_incarnation(1_000, 90)]
+fn an_entry_from_a_copy_does_not_go_back(#[case] started: u64, #[case] beat: u64) {
     let mut view = View::new(HEARTBEAT);
     view.put(incarnation(2_000, 7, true), in_era(1, 50));
-    assert_eq!(view.put(incarnation(2_000, 6, false), in_era(2, 20)), None);
-    assert_eq!(view.put(incarnation(1_000, 90, false), in_era(2, 21)), None);
+    assert_eq!(
+        view.put(incarnation(started, beat, false), in_era(2, 20)),
+        None
+    );
     let replica = &view.get("i-1").unwrap().entry;
     assert_eq!((replica.incarnation, replica.leaving), (Some(2_000), true));
     let restarted = view.put(incarnation(3_000, 1, false), in_era(2, 22));
