Resumptions that no replica of their version can take are refused at once

A stream whose version is on no replica, or whose model no replica of its version holds, waited in a queue, or for a load that may be at another version.

--- a/crates/front/src/queue.rs
+++ b/crates/front/src/queue.rs
@@ -194,7 +194,7 @@
             }
             let choice = match place(state, &call, ticket.deadline, now) {
                 Outlook::Ready(choice) => Some(choice),
-                Outlook::Gone if is_held => None,
+                Outlook::Gone if is_held || call.software().is_some() => None,
                 Outlook::Gone | Outlook::Busy => {
                     let pause = rand::rng().random_range(HELD_INTERVAL_MS);
                     self.retry_at = now + Span::from_ms(pause);
--- a/crates/front/src/serve/unavailable.rs
+++ b/crates/front/src/serve/unavailable.rs
@@ -98,6 +98,13 @@
             let rejection = Rejection::not_run("other_software", message, RETRY_AFTER_DEFAULT);
             (now, rejection)
         }
+        Unplaceable::NoModel(_) if call.software().is_some() => {
+            resumption::count_failure(state, "no_model");
+            let message =
+                "No replica of the software version that began the stream holds the model.";
+            let rejection = Rejection::not_run("no_model", message, RETRY_AFTER_DEFAULT);
+            (now, rejection)
+        }
         Unplaceable::NoModel(Some(eta))
             if now.since(call.arrived) + eta < target * MODEL_WAIT_FRACTION =>
         {
--- a/crates/front/src/table/software.rs
+++ b/crates/front/src/table/software.rs
@@ -28,8 +28,14 @@
         versions.looked_at = now;
         for replica in self.view.all() {
             let entry = &replica.entry;
-            let seen = versions.seen.entry(entry.service.clone()).or_default();
-            seen.insert(entry.software.clone(), now);
+            let seen = versions.seen.get_mut(&entry.service);
+            match seen.and_then(|seen| seen.get_mut(&entry.software)) {
+                Some(at) => *at = now,
+                None => {
+                    let seen = versions.seen.entry(entry.service.clone()).or_default();
+                    seen.insert(entry.software.clone(), now);
+                }
+            }
         }
         versions.seen.retain(|_, seen| {
             seen.retain(|_, at| now.since(*at) < RETENTION);
--- a/crates/front/tests/versions.rs
+++ b/crates/front/tests/versions.rs
@@ -230,3 +230,52 @@
     assert!(served(&received), "{received:?}");
     assert_eq!(received.versions.len(), 1);
 }
+
+/// Guards against a resumption that waits, or goes on elsewhere, although no replica of its version is left.
+#[tokio::test]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let store = store().await;
+    let replicas = replicas(&store, &["v1", "v2"]).await;
+    let hosts = hosts_of(&store, 2, &replicas).await;
+    let broken = broken_streams(&hosts[0], &replicas, 20).await;
+    replicas[2..].iter().for_each(Replica::remove_entry);
+    let knows = |host: &Daemon| host.state().table.lock().view.all().count() == 4;
+    until(|| !hosts.iter().any(knows)).await;
+    let begun_at_v2 = broken.iter().filter(|s| s.versions.contains("v2"));
+    let mut count = 0;
+    for stream in begun_at_v2 {
+        let received = receive(hosts[1].callers(), resumption(&stream.id)).await;
+        assert_eq!(received.status, 503);
+        assert!(received.took < AT_ONCE, "{:?}", received.took);
+        count += 1;
+    }
+    assert!(count > 0);
+}
+
+/// Guards against a version that is taken from an entry, while the replica has already restarted with other software under
+/// its identity, and says so only later.
+#[tokio::test]
+async fn a_stream_of_a_replica_that_restarted_with_other_software_is_not_guessed() {
+    let store = store().await;
+    let replicas = replicas(&store, &["v1"]).await;
+    let hosts = hosts_of(&store, 2, &replicas).await;
+    replicas[0].restart_with("v2");
+    let broken = broken_streams(&hosts[0], &replicas, 20).await;
+    replicas[0].write_entry();
+    let knows = |host: &Daemon| {
+        let table = host.state().table.lock();
+        table
+            .view
+            .get("i-v1-1")
+            .is_some_and(|r| &*r.entry.software == "v2")
+    };
+    until(|| hosts.iter().all(knows)).await;
+    let restarted = broken.iter().filter(|s| s.versions.contains("v2"));
+    let mut count = 0;
+    for stream in restarted {
+        let received = receive(hosts[1].callers(), resumption(&stream.id)).await;
+        assert!(!received.versions.contains("v1"), "{received:?}");
+        count += 1;
+    }
+    assert!(count > 0);
+}
