--- a/crates/front/tests/quarantine.rs
+++ b/crates/front/tests/quarantine.rs
@@ -29,6 +29,19 @@
 /// Interval between repetitions of the request; replicas restart before the third.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Guards against requests that are let on again since the store has come back from a copy, which does not list them yet.
+#[test]
+fn a_copy_of_the_store_lifts_nothing() {
+    let in_era = |era: u64, revision: u64| (era << 40) + revision;
+    let (quarantine, _reports) = front::quarantine::open();
+    let known = [(Fingerprint(1), true), (Fingerprint(2), false)];
+    quarantine.apply_stored(known.into(), in_era(1, 50));
+    quarantine.apply_stored([(Fingerprint(2), false)].into(), in_era(2, 20));
+    assert_eq!(quarantine.counts(unit::Time(0)), (1, 1));
+    quarantine.apply_stored([].into(), in_era(2, 30));
+    assert_eq!(quarantine.counts(unit::Time(0)), (0, 0));
+}
+
 async fn fleet(store: &Store, replicas: usize) -> Vec<Replica> {
     let mut fleet = Vec::new();
     for number in 0..replicas {
--- a/crates/front/tests/readers.rs
+++ b/crates/front/tests/readers.rs
@@ -228,6 +228,49 @@
     assert_eq!(changelog.snapshot().len(), 3);
 }
 
+/// Guards against changes that hosts of a large fleet never get, since the store has come back from a copy: the snapshot is
+/// of an older revision of the store's own.
+#[test]
+fn a_snapshot_of_a_later_era_adds_what_the_store_holds_now() {
+    let in_era = |era: u64, revision: u64| (era << 40) + revision;
+    let mut changelog = Changelog::default();
+    let before = [item("a", in_era(1, 3)), item("b", in_era(1, 5))];
+    changelog.merge_snapshot(&before, in_era(1, 90), at(0));
+    let copy = [item("a", in_era(2, 3))];
+    changelog.merge_snapshot(&copy, in_era(2, 4), at(1));
+    let expected = [
+        Change::Written(item("a", in_era(2, 3))),
+        removed("b", in_era(2, 4)),
+    ];
+    assert_eq!(
+        changelog.since(in_era(1, 90)).as_deref(),
+        Some(&expected[..])
+    );
+    assert_eq!(changelog.age(at(1)), Span::ZERO);
+}
+
+/// Guards against the same for hosts that follow a reader.
+#[tokio::test]
+async fn a_follower_gets_changes_after_a_return_from_a_copy() {
+    let store = store().await;
+    let reader = daemon(&store, "d1").await;
+    until(|| reader.state().leads()).await;
+    let follower = daemon(&store, "d2").await;
+    let _assigning = keep_assigning(&follower, &[&reader]);
+    let _assigning_reader = keep_assigning(&reader, &[&reader]);
+    sleep(Duration::from_millis(1_800)).await;
+    let copy = store.copy();
+    changed_within(&store, &follower, 2, Duration::from_secs(2)).await;
+    for n in 0..60 {
+        store.put("op/other", &n.into());
+    }
+    changed_within(&store, &follower, 3, Duration::from_secs(2)).await;
+    store.restore(&copy);
+    sleep(Duration::from_millis(300)).await;
+    store.put("op/config", &configuration(3));
+    changed_within(&store, &follower, 4, Duration::from_secs(2)).await;
+}
+
 /// Keys written after an older snapshot was read are not removals.
 #[test]
 fn an_older_snapshot_removes_nothing_newer() {
