Streams are known by their content too, for clients that do not name the attempt that began them

Clients of before take streams up with Last-Event-Id alone. A run is recorded under a hash of the request's content as well; where equal requests began at several versions it stays unknown. Under one identity, too, several versions make it unknown now, where the first one stayed.

--- a/crates/front/src/serve/resumption.rs
+++ b/crates/front/src/serve/resumption.rs
@@ -6,7 +6,7 @@
 use crate::respond::Rejection;
 use crate::state::State;
 use crate::streams;
-use route::streams::{Run, key};
+use route::streams::{Run, content_key, key};
 use tracing::info;
 
 /// By whose word a run is known.
@@ -70,14 +70,13 @@
 
 async fn find(context: &Context, call: &Call) -> Option<(Run, Source)> {
     let state = &context.state;
-    if let Some(first) = &call.metadata.resumes {
-        let key = key(first);
-        if let Some(run) = state.streams.find(key, state.now()) {
-            return Some((run, Source::Own));
-        }
-        if let Some((run, host)) = context.peers.find_run(key).await {
-            return Some((run, Source::Host(host.to_string())));
-        }
+    let first = call.metadata.resumes.as_ref();
+    let key = first.map_or_else(|| content_key(call.fingerprint()), |first| key(first));
+    if let Some(run) = state.streams.find(key, state.now()) {
+        return Some((run, Source::Own));
+    }
+    if let Some((run, host)) = context.peers.find_run(key).await {
+        return Some((run, Source::Host(host.to_string())));
     }
     let software = state.table.lock().sole_software(&call.service, state.now());
     let run = Run {
--- a/crates/front/src/streams.rs
+++ b/crates/front/src/streams.rs
@@ -13,7 +13,7 @@
 use crate::state::State;
 use parking_lot::Mutex;
 use platform::config::Kind;
-use route::streams::{Hosts, Registry, Run};
+use route::streams::{Hosts, Registry, Run, content_key, key};
 use std::net::SocketAddr;
 use tokio::sync::Notify;
 use unit::{Name, Span, Time};
@@ -117,9 +117,11 @@
         return;
     }
     if let Some(run) = &run {
-        state
-            .streams
-            .begin(route::streams::key(&call.id), run.clone(), state.now());
+        let now = state.now();
+        state.streams.begin(key(&call.id), run.clone(), now);
+        // Clients of before do not name the attempt that began their stream.
+        let content = content_key(call.fingerprint());
+        state.streams.begin(content, run.clone(), now);
     }
     // A resumption keeps the run that began its stream.
     let _ = call.run.set(run);
--- a/crates/route/src/streams.rs
+++ b/crates/route/src/streams.rs
@@ -1,4 +1,4 @@
-//! Runs that gave the first events of streams, by client attempt: a stream may go on only at the software version that
+//! Runs that gave the first events of streams, by client attempt and by content: a stream may go on only at the software version that
 //! began it.
 //!
 //! A replica may restart under its identity with other software, and its new entry comes some time later. A run that
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
-use unit::{Name, Span, Time, rendezvous};
+use unit::{Fingerprint, Name, Span, Time, rendezvous};
 
 /// Time for which a run is kept: longer than a client comes back for a stream.
 pub const RETENTION: Span = Span::from_secs(60);
@@ -47,7 +47,8 @@
 #[derive(Debug)]
 pub struct Registry {
     capacity: usize,
-    runs: HashMap<u64, (Run, Time)>,
+    /// Runs, or none where several versions gave first events under one key, and when each was recorded.
+    runs: HashMap<u64, (Option<Run>, Time)>,
     /// Keys of `runs`, oldest first.
     order: VecDeque<(Time, u64)>,
     /// Restarts of each replica, oldest first.
@@ -56,11 +57,16 @@
     names: HashSet<Name>,
 }
 
-/// Key of a client attempt.
+/// Key of a client attempt, by its identity.
 pub fn key(request: &str) -> u64 {
     rendezvous::hash(request.as_bytes())
 }
 
+/// Key of all attempts with the same content, for clients that do not name the attempt that began their stream.
+pub fn content_key(fingerprint: Fingerprint) -> u64 {
+    rendezvous::hash(&fingerprint.0.to_be_bytes())
+}
+
 impl Registry {
     /// Opens a registry that keeps at most so many runs.
     pub fn open(capacity: usize) -> Registry {
@@ -82,15 +88,18 @@
         self.runs.is_empty()
     }
 
-    /// Records the run of a client attempt; the first one stays.
+    /// Records a run under a key. Runs of several versions under one key make it unknown.
     pub fn record(&mut self, key: u64, mut run: Run, now: Time) {
         self.expire(now);
-        if self.runs.contains_key(&key) {
+        if let Some((known, _)) = self.runs.get_mut(&key) {
+            known.take_if(|known| {
+                (&known.service, &known.software) != (&run.service, &run.software)
+            });
             return;
         }
         run.service = self.share(run.service);
         run.software = self.share(run.software);
-        self.runs.insert(key, (run, now));
+        self.runs.insert(key, (Some(run), now));
         self.order.push_back((now, key));
         if self.runs.len() > self.capacity
             && let Some((_, oldest)) = self.order.pop_front()
@@ -99,9 +108,10 @@
         }
     }
 
-    /// Run of a client attempt, if it is known and not doubtful.
+    /// Run under a key, if it is known and not doubtful.
     pub fn find(&self, key: u64, now: Time) -> Option<&Run> {
         let (run, recorded_at) = self.runs.get(&key)?;
+        let run = run.as_ref()?;
         let is_kept = now.since(*recorded_at) < RETENTION;
         (is_kept && self.is_certain(run, *recorded_at)).then_some(run)
     }
