--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -231,7 +231,7 @@
         Created::Confirmed(token) => (token, is_first),
         Created::ReadBack(token) => (token, false),
         Created::Failed => {
-            let _ = state.store.revoke(lease.id).await;
+            let _ = state.store.revoke(&lease).await;
             return None;
         }
     };
@@ -293,6 +293,7 @@
         expected: vec![(KEY.into(), expected)],
         writes: vec![(KEY.into(), value, lease.id)],
         removals: Vec::new(),
+        lease: Some(*lease),
     };
     if is_first && expected == 0 {
         txn.expected.push((FIRST_TERM_KEY.into(), 0));
@@ -331,7 +332,7 @@
         let until = term.validity.lock().until;
         match state
             .clock
-            .timeout_at(until, state.store.renew(lease.id))
+            .timeout_at(until, state.store.renew(lease))
             .await
         {
             Ok(Ok(ttl)) => {
@@ -375,7 +376,7 @@
 
 /// Renews a lease if the leader's entry still exists under it; returns `None` if either is gone.
 async fn renew(state: &State, lease: &Lease) -> Result<Option<Duration>, platform::Error> {
-    let ttl = match state.store.renew(lease.id).await {
+    let ttl = match state.store.renew(lease).await {
         Ok(ttl) => ttl,
         Err(platform::Error::LeaseEnded { .. }) => return Ok(None),
         Err(why) => return Err(why),
@@ -388,7 +389,7 @@
 async fn step_down(state: &State, lease: Lease, term: &Term) {
     term.end();
     warn!(target: "leader", event = "lost", term = term.token, "this host is no longer the leader");
-    let _ = state.store.revoke(lease.id).await;
+    let _ = state.store.revoke(&lease).await;
     let mut leader = state.leader.lock();
     if leader.as_ref().is_some_and(|l| l.term == term.token) {
         *leader = None;
--- a/crates/front/src/planner/quarantine.rs
+++ b/crates/front/src/planner/quarantine.rs
@@ -53,6 +53,7 @@
             expected: vec![(leader::KEY.into(), entry), (KEY.into(), revision)],
             writes: vec![(KEY.into(), value.clone(), 0)],
             removals: Vec::new(),
+            lease: None,
         };
         match self.state.store.commit(&txn).await {
             Ok(CommitOutcome::Applied(revision)) => {
