--- a/crates/front/tests/store_copy.rs
+++ b/crates/front/tests/store_copy.rs
@@ -4,12 +4,13 @@
 mod site;
 
 use front::Daemon;
+use platform_standin::proxy;
 use platform_standin::replica::Replica;
 use platform_standin::store::{Copy, Mode, Store};
 use rstest::rstest;
 use site::{
-    account, ask, ask_with, configuration, engine, hosts, send_load, store, until, web,
-    with_accounts,
+    account, ask, ask_with, configuration, daemon, daemon_behind_proxy, engine, hosts, send_load,
+    store, until, web, with_accounts,
 };
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -293,3 +294,58 @@
         assert!(tokens.is_sorted(), "{orders:?}");
     }
 }
+
+/// Guards against hosts that are cut off from the store while it comes back from a copy, and then take what they know of
+/// before for newer; and against a leader among them that goes on beside the next one.
+#[tokio::test]
+async fn a_leader_cut_off_through_the_return_follows_the_store_again() {
+    let store = store().await;
+    let replicas = [
+        engine(&store, "e-1", &["m1"]).await,
+        engine(&store, "e-2", &["m1"]).await,
+    ];
+    let (cut_off, proxy) = daemon_behind_proxy(&store, "d1").await;
+    until(|| cut_off.state().leads()).await;
+    let site = Site {
+        hosts: hosts_beside(&store, 2).await,
+        store: store.clone(),
+        replicas: replicas.to_vec(),
+    };
+    let copy = store.copy();
+    site.make_changes(60);
+    store.put("op/config", &configuration(10));
+    assert!(within(BOUND, || site.versions() == [10, 10]).await);
+    proxy.set(proxy::Mode::Reset);
+    site.come_back(&copy).await;
+    store.put("op/config", &configuration(10));
+    site.write_again(&site.all()).await;
+    let leads = |host: &Daemon| host.state().leads();
+    until(|| site.hosts.iter().any(leads)).await;
+    store.put("op/config", &configuration(11));
+    proxy.set(proxy::Mode::Pass);
+    let version = || {
+        let table = cut_off.state().table.lock();
+        table.routes.as_ref().map(|r| r.version)
+    };
+    assert!(
+        within(BOUND, || version() == Some(11)).await,
+        "{:?}",
+        version()
+    );
+    sleep(Duration::from_millis(500)).await;
+    assert!(!cut_off.state().leads());
+    for replica in &site.replicas {
+        let orders = replica.orders();
+        let tokens = orders.iter().map(|o| o["fencing_token"].as_u64().unwrap());
+        assert!(tokens.is_sorted(), "{orders:?}");
+    }
+}
+
+/// Starts hosts beside one that runs.
+async fn hosts_beside(store: &Store, count: usize) -> Vec<Daemon> {
+    let mut hosts = Vec::new();
+    for n in 2..2 + count {
+        hosts.push(daemon(store, &format!("d{n}")).await);
+    }
+    hosts
+}
