The quarantine's list is written again after a return from a copy only

A list that a conflicting write found missing was written again too, which could undo an operator's removal that had not been heard of yet.

--- a/crates/front/src/quarantine/registry.rs
+++ b/crates/front/src/quarantine/registry.rs
@@ -47,6 +47,8 @@
     revision: u64,
     /// Whether the store holds a list.
     is_present: bool,
+    /// Whether it has lost the list, since it came back from a copy.
+    is_lost: bool,
     listed: BTreeMap<Fingerprint, bool>,
 }
 
@@ -228,8 +230,7 @@
             true => self.stored.revision,
             false => 0,
         };
-        let is_lost = !self.stored.is_present && !self.stored.listed.is_empty();
-        (is_lost || listed != self.stored.listed)
+        (self.stored.is_lost || listed != self.stored.listed)
             .then(|| (stored::encode(&listed), expected_revision))
     }
 
@@ -244,6 +245,7 @@
             self.stored = Stored {
                 revision,
                 is_present: true,
+                is_lost: false,
                 listed,
             };
         }
@@ -260,6 +262,7 @@
         if self.is_of_later_era(revision) {
             self.stored.revision = revision;
             self.stored.is_present = false;
+            self.stored.is_lost = !self.stored.listed.is_empty();
         } else if revision >= self.stored.revision {
             self.stored = Stored {
                 revision,
@@ -286,6 +289,7 @@
         }
         self.stored.revision = revision;
         self.stored.is_present = false;
+        self.stored.is_lost = false;
         true
     }
 
