Runs of streams: no work that grows with the fleet, and no doubt about streams taken up

A stream that its client took up was checked again by the time of its new attempt, so that a later restart of the first replica made it doubtful: it was bound for good when it was taken up (read in the diff; no test).

--- a/crates/front/src/detour/server.rs
+++ b/crates/front/src/detour/server.rs
@@ -164,7 +164,7 @@
     call.metadata.last_event = envelope.last_event;
     let is_bound = envelope
         .run
-        .is_some_and(|run| resumption::take(&mut call, run));
+        .is_some_and(|run| resumption::bind_to(&mut call, run));
     if streams::is_resumption(&call) && !is_bound {
         let message = "The other host cannot resume the stream at the version that began it.";
         return Err(not_taken("other_software", message));
--- a/crates/front/src/message/streams.rs
+++ b/crates/front/src/message/streams.rs
@@ -3,7 +3,7 @@
 use route::streams::Run;
 use serde::{Deserialize, Serialize};
 
-/// Most runs of a datagram; a run takes some 60 bytes.
+/// Most runs of a datagram; a run takes some 60 bytes with usual names.
 pub const MAX_RUNS: usize = 16;
 
 /// Exchange about the runs of streams. A client attempt is named by its [`route::streams::key`].
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -7,6 +7,7 @@
 use crate::grant::Grant;
 use crate::serve::{self, resumption};
 use crate::state::State;
+use crate::streams;
 use crate::table::{Choice, Criteria, Unplaceable};
 use crate::{quarantine, rate_limit};
 use route::admission::Standing;
@@ -110,7 +111,11 @@
     fn may_go_on(&self) -> bool {
         let began_at = self.call.arrived + self.ttft;
         let run = self.call.run.get().and_then(Option::as_ref);
-        let is_known = run.is_some_and(|run| self.state.streams.is_certain(run, began_at));
+        // A stream that its client took up was bound for good then.
+        let is_certain = |run| {
+            streams::is_resumption(&self.call) || self.state.streams.is_certain(run, began_at)
+        };
+        let is_known = run.is_some_and(is_certain);
         if !is_known && self.call.route.kind.is_idempotent() {
             resumption::count_failure(&self.state, "unknown");
         }
--- a/crates/front/src/serve/resumption.rs
+++ b/crates/front/src/serve/resumption.rs
@@ -35,7 +35,7 @@
         ));
     };
     log_bound(state, call, &run, &source);
-    if !take(call, run) {
+    if !bind_to(call, run) {
         count_failure(state, "other_service");
         let message = "The route no longer leads to the service that began the stream.";
         return Err(Rejection::not_run(
@@ -48,7 +48,7 @@
 }
 
 /// Binds a call to a run; false if its route does not lead to the service of the run.
-pub fn take(call: &mut Call, run: Run) -> bool {
+pub fn bind_to(call: &mut Call, run: Run) -> bool {
     let mut services = call.route.services.iter();
     if !services.any(|(service, _)| *service == run.service) {
         return false;
--- a/crates/route/src/streams.rs
+++ b/crates/route/src/streams.rs
@@ -1,5 +1,5 @@
-//! Runs that gave the first events of streams, by client attempt and by content: a stream may go on only at the software version that
-//! began it.
+//! Runs that gave the first events of streams, by client attempt and by content: a stream may go on only at the software
+//! version that began it.
 //!
 //! A replica may restart under its identity with other software, and its new entry comes some time later. A run that
 //! began shortly before that is of either version, so that it is not named any more.
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use unit::{Fingerprint, Name, Span, Time, rendezvous};
 
 /// Time for which a run is kept: longer than a client comes back for a stream.
@@ -53,6 +54,8 @@
     order: VecDeque<(Time, u64)>,
     /// Restarts of each replica, oldest first.
     restarts: HashMap<u32, Vec<Restart>>,
+    /// When old restarts were last dropped.
+    pruned_at: Time,
     /// Names that the runs share.
     names: HashSet<Name>,
 }
@@ -75,6 +78,7 @@
             runs: HashMap::new(),
             order: VecDeque::new(),
             restarts: HashMap::new(),
+            pruned_at: Time(0),
             names: HashSet::new(),
         }
     }
@@ -143,7 +147,7 @@
         self.restarts.entry(replica).or_default().push(restart);
     }
 
-    /// Drops runs and restarts that are no longer needed.
+    /// Drops runs that are too old, and from time to time what else is no longer needed.
     fn expire(&mut self, now: Time) {
         while let Some((recorded_at, key)) = self.order.front()
             && now.since(*recorded_at) >= RETENTION
@@ -151,14 +155,21 @@
             self.runs.remove(key);
             self.order.pop_front();
         }
+        // All replicas are looked at, so that this is not done for each run.
+        if now.since(self.pruned_at) >= RETENTION {
+            self.prune(now);
+        }
+    }
+
+    /// Drops restarts that make no run doubtful any more, and names that only this registry holds.
+    fn prune(&mut self, now: Time) {
+        self.pruned_at = now;
         let is_old = |restart: &Restart| now.since(restart.learnt_at) >= RETENTION * 2.0;
         self.restarts.retain(|_, restarts| {
             restarts.retain(|restart| !is_old(restart));
             !restarts.is_empty()
         });
-        if self.runs.is_empty() {
-            self.names.clear();
-        }
+        self.names.retain(|name| Arc::strong_count(name) > 1);
     }
 
     /// The name, with the memory of an equal one.
--- a/crates/route/tests/streams.rs
+++ b/crates/route/tests/streams.rs
@@ -91,6 +91,21 @@
     assert_eq!(registry.find(1, at(50)), None);
 }
 
+/// Guards against work for each run that grows with the replicas of the fleet.
+#[test]
+fn runs_are_recorded_at_once_beside_many_replicas() {
+    let mut registry = Registry::open(16_384);
+    for replica in 0..20_000 {
+        registry.record_incarnation(replica, Some(1), "v1".into(), at(0));
+    }
+    let began = std::time::Instant::now();
+    for n in 0..20_000 {
+        registry.record(n, run("v1", 1), at(n / 10));
+    }
+    let took = began.elapsed();
+    assert!(took < std::time::Duration::from_secs(1), "{took:?}");
+}
+
 /// Guards against hosts that ask others than those that were told, while the list of hosts changes.
 #[test]
 fn those_that_keep_a_run_are_asked_first() {
