--- a/crates/soak/src/copies.rs
+++ b/crates/soak/src/copies.rs
@@ -52,11 +52,13 @@
 
     /// Completes the last copy, whatever its time.
     pub fn end(&mut self, site: &mut Site) {
-        let far = Instant::now() + LAPSE_TIME * 10;
+        let mut time = Instant::now();
         while let Some(phase) = self.phase.take() {
+            // Each phase ends after the one before.
+            time += LAPSE_TIME * 2;
             self.phase = match phase {
                 Phase::Taken(..) => None,
-                phase => self.advance(site, phase, far, Duration::ZERO),
+                phase => self.advance(site, phase, time, Duration::ZERO),
             };
         }
     }
