A departure that stands in an entry holds for the incarnation, and is told to all hosts

Cause: what an entry says was kept with the entry. It was forgotten when the entry went, so that a copy of the store that lists the replica again brought it back; and nobody told it, so that hosts whose readers the store turns away saw the removal only, and took it for a lapse. Departures said in answers were kept and told already.

--- a/crates/front/src/feedback.rs
+++ b/crates/front/src/feedback.rs
@@ -119,7 +119,7 @@
     state.departure_heard.notify_one();
     state.changed.notify_waiters();
     state.log.rate_limited(|| {
-        info!(target: "replica", event = "leaving", replica = &**replica, id, by = &**by, "replica announced its departure in an answer")
+        info!(target: "replica", event = "leaving", replica = &**replica, id, by = &**by, "replica announced its departure")
     });
 }
 
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -2,9 +2,10 @@
 
 use crate::log::Topic;
 use crate::state::{self, State};
-use crate::view::Update;
+use crate::view::{Origin, Update};
 use crate::{leader, quarantine, routes, streams};
 use platform::names;
+use platform::replica::Entry;
 use platform::store::{Change, Item, Listing};
 use platform::{config, replica};
 use std::sync::atomic::Ordering;
@@ -62,14 +63,7 @@
         apply_configuration(state, &item);
     } else if item.key.starts_with(names::REPLICAS) {
         match replica::decode(&item.key, &item.value) {
-            Ok(entry) => {
-                let mut table = state.table.lock();
-                let updates: Vec<Update> =
-                    table.view.put(entry, item.revision).into_iter().collect();
-                table.apply(&updates);
-                drop(table);
-                report_updates(state, updates, item.revision);
-            }
+            Ok(entry) => apply_entry(state, entry, item.revision),
             Err(why) => {
                 state.log.rate_limited(|| {
                     error!(target: "view", event = "malformed", key = &*item.key, revision = item.revision, why = %why, "malformed replica entry; the replica gets no requests")
@@ -91,6 +85,24 @@
     }
 }
 
+/// Applies the entry of a replica. Its word that it leaves holds for the incarnation, also once the entry has gone.
+fn apply_entry(state: &State, entry: Entry, revision: u64) {
+    let now = state.now();
+    let departure = entry.leaving.then(|| (entry.id.clone(), entry.incarnation));
+    let mut table = state.table.lock();
+    let updates: Vec<Update> = table.view.put(entry, revision).into_iter().collect();
+    table.apply(&updates);
+    let is_new_departure = departure.is_some_and(|(id, incarnation)| {
+        let view = &mut table.view;
+        view.record_departure(&id, incarnation, Origin::Entry, now)
+    });
+    drop(table);
+    if is_new_departure {
+        state.departure_heard.notify_one();
+    }
+    report_updates(state, updates, revision);
+}
+
 /// Applies a removal.
 fn apply_removed(state: &State, key: &str, revision: u64) {
     if key.starts_with(names::REPLICAS) {
@@ -184,8 +196,9 @@
             Update::Missing(_) => state.entry_missing.notify_one(),
             _ => {}
         }
+        let leaves = state.table.lock().view.leaves(id);
         state.log.rate_limited_by(Topic::Replicas,
-            || info!(target: "view", event, replica = &**id, revision, store_back_ms, "replica changed"),
+            || info!(target: "view", event, replica = &**id, revision, leaves, store_back_ms, "replica changed"),
         );
     }
 }
--- a/crates/front/src/peers/departures.rs
+++ b/crates/front/src/peers/departures.rs
@@ -1,10 +1,11 @@
-//! Spreads departures of replicas: only one host receives the announcement, and each other host would otherwise have
-//! to send the replica a request to learn of it.
+//! Spreads departures of replicas. An announcement in an answer reaches one host only, and one in the store does not reach
+//! hosts that the store turns away, or that start after the entry has gone.
 
 use super::Peers;
 use crate::feedback;
 use crate::message::departures::MAX_DEPARTURES;
 use crate::message::{Departures, Message};
+use crate::readers;
 use platform::replica::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +26,11 @@
         loop {
             self.state.departure_heard.notified().await;
             tokio::time::sleep(BATCH_DELAY).await;
-            let unannounced = self.state.table.lock().view.take_unannounced_departures();
+            let tells_entries = self.tells_entries();
+            let unannounced = {
+                let view = &mut self.state.table.lock().view;
+                view.take_unannounced_departures(tells_entries)
+            };
             if self.state.leads() {
                 self.broadcast_departure_list(&unannounced).await;
                 continue;
@@ -42,6 +47,13 @@
         }
     }
 
+    /// Whether this host passes on what it reads in the store: in a large fleet only the leader and the hosts that read for
+    /// others do, since all hear of a departure at once.
+    fn tells_entries(&self) -> bool {
+        let is_direct = !self.direct_hosts.lock().is_empty();
+        self.state.leads() || is_direct || readers::serves_others(&self.state)
+    }
+
     /// Sends departures to the leader again: all that are known to a new one, which may have started after they were
     /// announced, and else those that this host received recently.
     pub(super) async fn resend_departures(&self) {
@@ -52,10 +64,11 @@
             return;
         }
         let is_new = self.take_send_to(term);
+        let tells_entries = self.tells_entries();
         let departures = {
             let view = &self.state.table.lock().view;
             match is_new {
-                true => view.departures(),
+                true => view.departures(tells_entries),
                 false => view.recent_departures(RESEND_FOR, self.state.now()),
             }
         };
@@ -77,7 +90,7 @@
 
     /// Sends all departures of known replicas to all hosts; called by the leader.
     pub async fn broadcast_departures(&self) {
-        let known = self.state.table.lock().view.departures();
+        let known = self.state.table.lock().view.departures(true);
         self.broadcast_departure_list(&known).await;
     }
 
@@ -98,7 +111,7 @@
         replicas.chunks(MAX_DEPARTURES).map(message).collect()
     }
 
-    /// Merges departures that another host received.
+    /// Merges departures that another host knows.
     pub(super) fn merge_departures(&self, departures: &Departures) {
         for (replica, incarnation) in &departures.replicas {
             feedback::record_reported_departure(
--- a/crates/front/src/readers.rs
+++ b/crates/front/src/readers.rs
@@ -144,6 +144,11 @@
     state.readers.role(state.settings.peers) == Role::Reader
 }
 
+/// Whether other hosts may poll this one for changes of the store.
+pub fn serves_others(state: &State) -> bool {
+    state.readers.role(state.settings.peers) != Role::Follower
+}
+
 /// Whether other hosts are assigned to read the store for this one.
 pub fn is_follower(state: &State) -> bool {
     let readers = &state.readers;
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -178,7 +178,9 @@
 fn update_replica_states(state: &State) {
     let (leaving, backoffs) = {
         let table = state.table.lock();
-        (table.view.departures().len(), table.backoffs(state.now()))
+        let view = &table.view;
+        let leaving = view.all().filter(|r| view.leaves(&r.entry.id)).count();
+        (leaving, table.backoffs(state.now()))
     };
     let metrics = &state.log.metrics;
     let count = |name, count: usize| metrics.gauge(name, &[]).set(count as f64);
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -26,7 +26,7 @@
     removed: BTreeMap<Name, Removal>,
     /// Entries of removed replicas that a copy of the store lists again.
     doubtful: BTreeMap<Name, Doubtful>,
-    /// Replicas that announced in an answer that they leave; kept while their entries come and go.
+    /// Replicas that said that they leave, in an answer or in their entries; kept while their entries come and go.
     departures: BTreeMap<Name, Departure>,
     /// Reachability of the store.
     pub contact: Contact,
@@ -57,7 +57,7 @@
     since: Option<Time>,
 }
 
-/// Departure that a replica announced in an answer.
+/// Departure that a replica announced.
 #[derive(Debug, Clone, Copy)]
 struct Departure {
     incarnation: Incarnation,
@@ -73,6 +73,8 @@
 pub enum Origin {
     /// By an answer of the replica.
     Answer,
+    /// By its entry in the store.
+    Entry,
     /// By another host, which told this one as the leader.
     Host,
     /// By the leader, which tells all hosts.
@@ -233,7 +235,7 @@
         replica.is_some_and(|replica| replica.entry.incarnation != incarnation)
     }
 
-    /// Whether an incarnation has announced its departure in an answer.
+    /// Whether an incarnation has announced its departure.
     pub fn has_departure(&self, id: &str, incarnation: Incarnation) -> bool {
         let departure = self.departures.get(id);
         departure.is_some_and(|departure| departure.incarnation == incarnation)
@@ -265,14 +267,17 @@
         true
     }
 
-    /// Returns the departures that this host has to pass on, and marks them as passed on.
-    pub fn take_unannounced_departures(&mut self) -> Vec<(Name, Incarnation)> {
-        let unannounced = self.departures.iter_mut().filter(|(_, d)| !d.is_announced);
-        let taken = unannounced.map(|(id, departure)| {
-            departure.is_announced = true;
-            (id.clone(), departure.incarnation)
-        });
-        taken.collect()
+    /// Returns the departures that this host has to pass on, and marks all as passed on; with those that stand in entries
+    /// if it is to tell them.
+    pub fn take_unannounced_departures(&mut self, tells_entries: bool) -> Vec<(Name, Incarnation)> {
+        let mut taken = Vec::new();
+        for (id, departure) in &mut self.departures {
+            let is_new = !std::mem::replace(&mut departure.is_announced, true);
+            if is_new && (tells_entries || departure.origin != Origin::Entry) {
+                taken.push((id.clone(), departure.incarnation));
+            }
+        }
+        taken
     }
 
     /// Departures that replicas announced to this host within the last `time`.
@@ -282,12 +287,21 @@
         own.map(|(id, d)| (id.clone(), d.incarnation)).collect()
     }
 
-    /// Departures of replicas that are listed.
-    pub fn departures(&self) -> Vec<(Name, Incarnation)> {
-        let leaves =
-            |replica: &&Replica| self.has_departure(&replica.entry.id, replica.entry.incarnation);
-        let entries = self.all().filter(leaves).map(|replica| &replica.entry);
-        entries.map(|e| (e.id.clone(), e.incarnation)).collect()
+    /// Departures of replicas that are listed, or were until lately: a host may still know one that has gone, or read it
+    /// from a copy of the store. With those that stand in entries if this host is to tell them.
+    pub fn departures(&self, tells_entries: bool) -> Vec<(Name, Incarnation)> {
+        let is_told = |d: &Departure| tells_entries || d.origin != Origin::Entry;
+        let told = self.departures.iter().filter(|(_, d)| is_told(d));
+        let current = told.filter(|(id, _)| self.leaves(id));
+        current.map(|(id, d)| (id.clone(), d.incarnation)).collect()
+    }
+
+    /// Whether the last known incarnation of a replica, which may be gone by now, has announced its departure.
+    pub fn leaves(&self, id: &str) -> bool {
+        let listed = self.replicas.get(id).map(|r| r.entry.incarnation);
+        let removed = || self.removed.get(id).map(|r| r.incarnation);
+        let incarnation = listed.or_else(removed);
+        incarnation.is_some_and(|incarnation| self.has_departure(id, incarnation))
     }
 
     /// Applies an entry written at a revision; older ones change nothing.
