Readers keep the last write before a removal

Cause: a reader keeps the newest change of each key, so a host that follows it and polls once for several seconds sees that an entry has gone, not that its replica had said there that it leaves.

a_removal_follows_the_last_write_of_its_key failed before, passes.

--- a/crates/front/src/changelog.rs
+++ b/crates/front/src/changelog.rs
@@ -12,8 +12,7 @@
 /// Newest change of each key in the store, as far as this host has read.
 #[derive(Debug, Default)]
 pub struct Changelog {
-    /// Newest change of each key, and when the store was known to be past it.
-    changes: HashMap<Name, (Change, Time)>,
+    changes: HashMap<Name, Kept>,
     /// Revision since which no change is missing.
     compacted_revision: u64,
     /// Revision up to which changes are included.
@@ -22,6 +21,16 @@
     confirmed_at: Time,
 }
 
+/// Newest change of a key.
+#[derive(Debug)]
+struct Kept {
+    change: Change,
+    /// When the store was known to be past it.
+    confirmed_at: Time,
+    /// Last write before it, if it is a removal: a replica may have said there that it leaves.
+    last_write: Option<Change>,
+}
+
 impl Changelog {
     /// Adds the whole store, as read at a revision. After the first time this adds the difference, so that hosts that
     /// follow this one need not read the whole store whenever it has to.
@@ -35,7 +44,7 @@
                 && known.revision() < revision
                 && !present.contains(known.key())
         };
-        let known = self.changes.values().map(|(change, _)| change);
+        let known = self.changes.values().map(|kept| &kept.change);
         let removed: Vec<Change> = known
             .filter(|known| is_gone(known))
             .map(|known| Change::Removed {
@@ -55,11 +64,7 @@
         confirmed: Time,
     ) {
         for change in changes {
-            let is_newer = |(known, _): &(Change, Time)| known.revision() < change.revision();
-            if self.changes.get(change.key()).is_none_or(is_newer) {
-                self.changes
-                    .insert(change.key().clone(), (change, confirmed));
-            }
+            self.add(change, confirmed);
         }
         // A host that is behind confirms nothing about newer revisions.
         if revision >= self.revision {
@@ -69,6 +74,28 @@
         self.compact(confirmed);
     }
 
+    /// Adds a change, unless a newer one of its key is known.
+    fn add(&mut self, change: Change, confirmed_at: Time) {
+        let known = self.changes.get(change.key());
+        if known.is_some_and(|kept| kept.change.revision() >= change.revision()) {
+            return;
+        }
+        let known = self.changes.remove(change.key());
+        let last_write = match (&change, known) {
+            (Change::Written(_), _) | (_, None) => None,
+            (_, Some(kept)) => match kept.change {
+                Change::Written(_) => Some(kept.change),
+                Change::Removed { .. } => kept.last_write,
+            },
+        };
+        let kept = Kept {
+            confirmed_at,
+            last_write,
+            change,
+        };
+        self.changes.insert(kept.change.key().clone(), kept);
+    }
+
     /// Adds items that are newer than the revision up to which changes are included, and leaves that revision as it is.
     /// Before the first snapshot nothing is added, since there are no changes to add them to.
     pub fn add_ahead(&mut self, items: &[Item]) {
@@ -81,11 +108,11 @@
     /// Drops old removals; changes since before them are no longer returned.
     fn compact(&mut self, now: Time) {
         let compacted_revision = &mut self.compacted_revision;
-        self.changes.retain(|_, (change, at)| {
-            let is_kept =
-                matches!(change, Change::Written(_)) || now.since(*at) < REMOVAL_RETENTION;
+        self.changes.retain(|_, kept| {
+            let is_kept = matches!(kept.change, Change::Written(_))
+                || now.since(kept.confirmed_at) < REMOVAL_RETENTION;
             if !is_kept {
-                *compacted_revision = (*compacted_revision).max(change.revision());
+                *compacted_revision = (*compacted_revision).max(kept.change.revision());
             }
             is_kept
         });
@@ -103,17 +130,19 @@
 
     /// Newest write of every key that exists.
     pub fn snapshot(&self) -> Vec<Change> {
-        let changes = self.changes.values().map(|(change, _)| change);
+        let changes = self.changes.values().map(|kept| &kept.change);
         let existing = changes.filter(|change| matches!(change, Change::Written(_)));
         existing.cloned().collect()
     }
 
-    /// Changes after a revision, oldest first; `None` if some may be missing here.
+    /// Changes after a revision, oldest first: the newest of each key, and the last write before a removal. `None` if some may
+    /// be missing here.
     pub fn since(&self, after: u64) -> Option<Vec<Change>> {
         if after < self.compacted_revision {
             return None;
         }
-        let changes = self.changes.values().map(|(change, _)| change);
+        let kept = self.changes.values();
+        let changes = kept.flat_map(|kept| kept.last_write.iter().chain([&kept.change]));
         let mut found: Vec<Change> = changes.filter(|c| c.revision() > after).cloned().collect();
         found.sort_by_key(Change::revision);
         Some(found)
--- a/crates/front/tests/readers.rs
+++ b/crates/front/tests/readers.rs
@@ -271,6 +271,21 @@
     changed_within(&store, &follower, 4, Duration::from_secs(2)).await;
 }
 
+/// Guards against a removal that hides the write before it, in which a replica says that it leaves.
+#[test]
+fn a_removal_follows_the_last_write_of_its_key() {
+    let mut changelog = Changelog::default();
+    changelog.merge_snapshot(&[item("a", 3), item("b", 5)], 6, at(0));
+    changelog.extend([Change::Written(item("a", 7))], 7, at(1));
+    changelog.extend([removed("a", 9)], 9, at(1));
+    changelog.merge_snapshot(&[], 12, at(2));
+    let written = Change::Written(item("a", 7));
+    let both = [written, removed("a", 9), removed("b", 12)];
+    assert_eq!(changelog.since(6).as_deref(), Some(&both[..]));
+    assert_eq!(changelog.since(7).as_deref(), Some(&both[1..]));
+    assert_eq!(changelog.snapshot().len(), 0);
+}
+
 /// Keys written after an older snapshot was read are not removals.
 #[test]
 fn an_older_snapshot_removes_nothing_newer() {
