Once the store fails two readers, all others read it; a new root calls it at once

The leader names one new root after the other; each first ends its poll of an old root and then waits half a second in a watch before it finds out that the store fails it too: 0.96 s and 0.69 s for two of them in a row.

Now the leader names as many more roots as readers have failed, once two have, and a new root drops its poll and calls the store without waiting for a change.

all_readers_become_roots_once_the_store_fails_both and a_new_root_reads_the_store_at_once failed before, pass.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -143,7 +143,13 @@
 
 /// Reads from a reader if there is one, otherwise from the store.
 async fn fetch(state: &State, position: Position) -> Next {
-    if let Some(next) = fetch_from_reader(state, position.revision).await {
+    let promoted = state.readers.promoted.notified();
+    let relayed = tokio::select! {
+        relayed = fetch_from_reader(state, position.revision) => relayed,
+        // The roots of before may have lost the store.
+        _ = promoted => None,
+    };
+    if let Some(next) = relayed {
         return next;
     }
     match position.needs_snapshot() {
@@ -208,9 +214,9 @@
 }
 
 /// Time that a watch of this host waits for a change. Zero after a recent failure, so that the recovery is seen at
-/// once.
+/// once, and for the first one of a root, which may find that the store fails it as well.
 fn watch_wait(state: &State) -> Duration {
-    if readers::store_failed_recently(state) {
+    if readers::store_failed_recently(state) || state.readers.take_newly_root() {
         return Duration::ZERO;
     }
     let fraction = match readers::is_root(state) {
--- a/crates/front/src/readers.rs
+++ b/crates/front/src/readers.rs
@@ -25,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::Notify;
 use unit::{Name, Span, Time, rendezvous};
 
@@ -46,6 +47,8 @@
     pub updated: Notify,
     /// Notified when this host becomes a root.
     pub promoted: Notify,
+    /// Whether it has become a root and not called the store since.
+    newly_root: AtomicBool,
     /// Readers of all halls, as last assigned by the leader.
     assignment: Mutex<Vec<Reader>>,
     /// When a failed reader, or the store, may be used again, by address.
@@ -88,10 +91,16 @@
         let before = self.role(own);
         *self.assignment.lock() = readers;
         if before != Role::Root && self.role(own) == Role::Root {
+            self.newly_root.store(true, Ordering::Relaxed);
             self.promoted.notify_waiters();
         }
     }
 
+    /// Whether this host has become a root since the last call.
+    pub fn take_newly_root(&self) -> bool {
+        self.newly_root.swap(false, Ordering::Relaxed)
+    }
+
     /// Avoids a reader, or the store, for `FAILURE_RETRY`.
     pub fn mark_failed(&self, addr: SocketAddr, now: Time) {
         self.failed_until.lock().insert(addr, now + FAILURE_RETRY);
--- a/crates/front/src/readers/selection.rs
+++ b/crates/front/src/readers/selection.rs
@@ -23,6 +23,10 @@
 /// Number of hosts that read the store for all; two, so that one may fail. Each makes about three calls a second.
 const ROOTS: usize = 2;
 
+/// Maximum number of roots while the store fails several of them: if it turns away many hosts, trying the others one after
+/// the other would take longer than a change may.
+const MAX_ROOTS: usize = 8;
+
 /// Hosts of a hall per reader. Each polls about twice a second, which takes 1% of a core on the reader.
 const HOSTS_PER_READER: usize = 24;
 
@@ -71,5 +75,19 @@
             .then(b.cores.total_cmp(&a.cores))
             .then(a.addr.cmp(&b.addr))
     });
-    ranked.iter().take(ROOTS).map(|r| r.addr).collect()
+    ranked
+        .iter()
+        .take(root_count(readers))
+        .map(|r| r.addr)
+        .collect()
+}
+
+/// Number of roots: if the store fails as many readers as there usually are roots, as many more, but none that it fails.
+fn root_count(readers: &[&Candidate]) -> usize {
+    let failed = readers.iter().filter(|r| r.store_failed).count();
+    let answered = readers.len() - failed;
+    match failed < ROOTS {
+        true => ROOTS,
+        false => (ROOTS + failed).min(MAX_ROOTS).min(answered).max(ROOTS),
+    }
 }
--- a/crates/front/tests/readers.rs
+++ b/crates/front/tests/readers.rs
@@ -500,6 +500,55 @@
     );
 }
 
+/// Guards against changes that a fleet misses while the store turns many hosts away, since its leader tries one root after
+/// the other.
+#[test]
+fn all_readers_become_roots_once_the_store_fails_both() {
+    let hosts = || -> Vec<Candidate> {
+        let halls = ["a", "b", "c"].into_iter().zip([1, 3, 5]);
+        let hosts =
+            halls.flat_map(|(hall, port)| [port, port + 1].map(|p| candidate(hall, p, 0.5)));
+        hosts.collect()
+    };
+    let roots = |failed: &[u16]| {
+        let mut hosts = hosts();
+        for host in &mut hosts {
+            host.store_failed = failed.contains(&host.addr.port());
+        }
+        let readers = readers::choose(hosts, ([127, 0, 0, 1], 1).into());
+        ports(readers.iter().filter(|r| r.root))
+    };
+    assert_eq!(roots(&[]), [1, 3]);
+    assert_eq!(roots(&[1]).len(), 2);
+    assert_eq!(roots(&[1, 3]), [2, 4, 5, 6]);
+    assert_eq!(roots(&[1, 3, 4, 5]), [2, 6]);
+    assert_eq!(roots(&[1, 2, 3, 4, 5, 6]).len(), 2);
+}
+
+/// Guards against a new root that first waits for an old one, or for a change, and so takes long to find out that the store
+/// fails it as well.
+#[tokio::test]
+async fn a_new_root_reads_the_store_at_once() {
+    let store = store().await;
+    let reader = daemon(&store, "d1").await;
+    let mut settings = site::settings(&store, "d2");
+    settings.bounds.configuration = Duration::from_secs(12);
+    let host = front::spawn(settings).await.unwrap();
+    until(|| host.state().is_ready()).await;
+    let following = keep_assigning(&host, &[&reader]);
+    sleep(Duration::from_millis(2_500)).await;
+    let before = watches(&host);
+    following.abort();
+    let promoted_at = host.state().now();
+    let _assigning = keep_assigning(&host, &[&reader, &host]);
+    sleep(Duration::from_millis(300)).await;
+    let state = host.state();
+    let now = state.now();
+    let age = state.readers.changelog.lock().age(now);
+    assert!(watches(&host) > before, "the host has not read the store");
+    assert!(age <= now.since(promoted_at), "its data is {age} old");
+}
+
 /// Guards against hosts that keep an old configuration while the store loses its history: watches hear nothing of the
 /// new one, then all are cut, and both roots have to read the whole store at once, which takes long.
 #[tokio::test]
