A host that is short of processor time closes new connections unread

Cause: nothing in accept or read knows how much work the process has.

Now the delay from a connection's acceptance to its first run tells how much work is ahead of it. The rest is closed unread, so that the client's next try meets another host at once.

Weighed: 503 after reading (a failed try), passing requests on (the processor that is short reads and writes them twice), leaving connections in the queue (clients wait up to a second), not being ready (the balancer needs two seconds, and favors another host then).

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod pool;
 mod server;
+pub mod shedding;
 mod write_timeout;
 
 use hyper::header::{self, HeaderName};
--- a/crates/conn/src/server.rs
+++ b/crates/conn/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server with graceful shutdown.
 
+use crate::shedding::Shedding;
 use crate::write_timeout::WriteTimeout;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -15,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout};
+use unit::Time;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
@@ -83,6 +85,8 @@
     accepting: AtomicBool,
     connections: AtomicUsize,
     ended: Notify,
+    /// Which new connections are closed unread, if any are.
+    shedding: Option<Arc<Shedding>>,
 }
 
 /// Serves requests on `listener` with `handler`, and with up to `max_connections` connections.
@@ -101,14 +105,17 @@
     serve_with_bounds(
         listener,
         Bounds::with_max_connections(max_connections),
+        None,
         handler,
     )
 }
 
-/// Serves requests on `listener` with `handler`, within `bounds`.
+/// Serves requests on `listener` with `handler`, within `bounds`. New connections that `shedding` does not accept are closed
+/// unread.
 pub fn serve_with_bounds<F, R, B>(
     listener: TcpListener,
     bounds: Bounds,
+    shedding: Option<Arc<Shedding>>,
     handler: F,
 ) -> std::io::Result<Server>
 where
@@ -126,6 +133,7 @@
         accepting: AtomicBool::new(true),
         connections: AtomicUsize::new(0),
         ended: Notify::new(),
+        shedding,
     });
     let accepting = state.clone();
     tokio::spawn(async move {
@@ -167,7 +175,8 @@
     }
 }
 
-/// Serves a connection, or closes it if there are too many or the server refuses connections.
+/// Serves a connection, or closes it if there are too many, the process is short of processor time, or the server refuses
+/// connections.
 fn admit<F, R, B>(stream: TcpStream, bounds: Bounds, handler: &F, state: &Arc<State>)
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
@@ -180,23 +189,37 @@
     if is_full || state.refusing.load(Ordering::SeqCst) {
         return;
     }
+    let shedding = state.shedding.as_ref();
+    let accepted_at = match shedding.map(|shedding| shedding.accept()) {
+        Some(None) if *state.phase.borrow() == Phase::Open => return,
+        accepted_at => accepted_at.flatten(),
+    };
     state.connections.fetch_add(1, Ordering::SeqCst);
     tokio::spawn(serve_connection(
         stream,
         bounds,
         handler.clone(),
         state.clone(),
+        accepted_at,
     ));
 }
 
-async fn serve_connection<F, R, B>(stream: TcpStream, bounds: Bounds, handler: F, state: Arc<State>)
-where
+async fn serve_connection<F, R, B>(
+    stream: TcpStream,
+    bounds: Bounds,
+    handler: F,
+    state: Arc<State>,
+    accepted_at: Option<Time>,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<B>, Abort>> + Send + 'static,
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    if let (Some(shedding), Some(accepted_at)) = (&state.shedding, accepted_at) {
+        shedding.record_start(accepted_at);
+    }
     let _ = stream.set_nodelay(true);
     let has_request = Arc::new(AtomicBool::new(false));
     let service = {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -213,12 +213,13 @@
         head_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
     };
-    let context = context.clone();
+    let handling = context.clone();
     let respond = move |request| {
-        let context = context.clone();
+        let context = handling.clone();
         async move { Ok(serve::handle(context, request).await) }
     };
-    conn::serve_with_bounds(listener, bounds, respond).context(RuntimeSnafu)
+    let shedding = Some(context.state.shedding.clone());
+    conn::serve_with_bounds(listener, bounds, shedding, respond).context(RuntimeSnafu)
 }
 
 fn serve_readiness(state: &Arc<State>, listener: TcpListener) -> Result<Server, Error> {
@@ -267,8 +268,10 @@
 
 /// Closes idle connections, expires replica states, and logs how many lines were suppressed.
 async fn upkeep(state: Arc<State>) {
+    let mut closed = 0;
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
+        log_shedding(&state, &mut closed);
         expire_due(&state);
         state.table.lock().record_software(state.now());
         state.pool.close_expired(state.now());
@@ -277,6 +280,18 @@
     }
 }
 
+/// Logs how many connections were closed unread since the last call; `closed` counts those before.
+fn log_shedding(state: &State, closed: &mut u64) {
+    let status = state.shedding.status();
+    let count = status.closed - std::mem::replace(closed, status.closed);
+    if count > 0 {
+        let delay_ms = status.delay.ms();
+        state.log.rate_limited(|| {
+            warn!(target: "daemon", event = "shedding", count, accepted_share = status.accepted_share, delay_ms, "new connections are closed unread, since the processor is busy; delay_ms is the time that accepted ones wait for it")
+        });
+    }
+}
+
 /// Removes replicas whose entries vanished as soon as the entries can no longer come back.
 async fn expire_missing(state: Arc<State>) {
     loop {
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -98,6 +98,22 @@
         );
     }
     set("coveford_in_flight", &[], state.in_flight() as f64);
+    let shedding = state.shedding.status();
+    set(
+        "coveford_connections_closed_unread",
+        &[],
+        shedding.closed as f64,
+    );
+    set(
+        "coveford_connections_accepted_share",
+        &[],
+        shedding.accepted_share,
+    );
+    set(
+        "coveford_processor_wait_seconds",
+        &[],
+        shedding.delay.secs(),
+    );
     let is_isolated = f64::from(u8::from(paths::is_isolated(state)));
     set("coveford_isolated", &[], is_isolated);
     set("coveford_store_era", &[], state.store.era() as f64);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -13,6 +13,7 @@
 use crate::shares::{self, Shares};
 use crate::streams::{self, Streams};
 use crate::table::Table;
+use conn::shedding::{self, Shedding};
 use parking_lot::Mutex;
 use platform::store::Store;
 use std::net::SocketAddr;
@@ -57,6 +58,8 @@
     pub pool: Pool,
     /// Whether this host reaches the replicas.
     pub paths: Paths,
+    /// Which new connections of callers are closed unread.
+    pub shedding: Arc<Shedding>,
     pub log: Log,
     /// Memory for request bodies, in KB.
     pub body_memory: Arc<Semaphore>,
@@ -127,6 +130,7 @@
         streams: streams::open(&settings.limits),
         pool: Pool::default(),
         paths: Paths::default(),
+        shedding: Arc::new(shedding::open()),
         log,
         body_memory: Arc::new(Semaphore::new(bodies)),
         knows_replicas: AtomicBool::new(false),
