A replica that had gone is used after a return from a copy only once its lapse would have been heard of

Cause: hosts take a removed replica back if a copy of the store still lists it after 3.5 heartbeats. Its entry lapses after three, and a host may hear of that as late as the propagation bound allows, which is longer than half a heartbeat: for the time between it is used.

Now a host waits for three heartbeats and the propagation bound.

--- a/crates/front/src/contact.rs
+++ b/crates/front/src/contact.rs
@@ -16,8 +16,11 @@
 /// ones, and the last may have come up to one before the silence.
 const MIN_LAPSE_HEARTBEATS: f64 = 2.0;
 
-/// Heartbeats after which the entry of a silent replica has gone, and half of one more.
-const LAPSE_HEARTBEATS: f64 = 3.5;
+/// Heartbeats after which the entry of a silent replica has gone.
+const LAPSE_HEARTBEATS: f64 = 3.0;
+
+/// Propagation bound unless the settings name another.
+const DEFAULT_PROPAGATION: Span = Span::from_ms(2_000);
 
 /// Longest assumed transit of another host's ages, by which its uptime appears too young. A link on
 /// which packets wait longer counts as impaired.
@@ -92,6 +95,8 @@
 pub struct Contact {
     /// Interval at which replicas write their entries.
     heartbeat: Span,
+    /// Time within which this host hears of a change.
+    propagation: Span,
     /// Last uptime as this host heard it, directly or through another host.
     own: Option<Uptime>,
     /// Whether a longer silence preceded it.
@@ -109,6 +114,7 @@
     pub fn new(heartbeat: Span) -> Contact {
         Contact {
             heartbeat,
+            propagation: DEFAULT_PROPAGATION,
             own: None,
             after_outage: false,
             unreachable: false,
@@ -117,6 +123,11 @@
         }
     }
 
+    /// Sets the time within which this host hears of a change.
+    pub fn set_propagation(&mut self, propagation: Span) {
+        self.propagation = propagation;
+    }
+
     /// Records that the store answered a call that was made at `asked`. For an answer through
     /// another host, both times are when the store answered that host.
     pub fn answered(&mut self, asked: Time, now: Time) {
@@ -194,8 +205,9 @@
             || self.came_back_within(REAPPEAR_WITHIN, now)
     }
 
-    /// Time after which an entry that is still listed belongs to a replica that writes.
+    /// Time after which an entry that is still listed belongs to a replica that writes: this host would have heard that it
+    /// has lapsed.
     pub fn lapse_time(&self) -> Span {
-        self.heartbeat * LAPSE_HEARTBEATS
+        self.heartbeat * LAPSE_HEARTBEATS + self.propagation
     }
 }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -112,6 +112,8 @@
     let (quarantine, reports) = quarantine::open();
     let heartbeat = settings.bounds.heartbeat.into();
     let mut table = Table::new(settings.hall.clone(), seed, heartbeat);
+    let propagation = settings.bounds.propagation().into();
+    table.view.contact.set_propagation(propagation);
     table.scheduling = settings.scheduling;
     let clock = Arc::new(clock::start());
     let state = State {
--- a/crates/front/tests/unseen_departures.rs
+++ b/crates/front/tests/unseen_departures.rs
@@ -151,6 +151,35 @@
     assert_eq!(site.late_arrivals(cut, mode, entry).await, 0);
 }
 
+/// Guards against requests to a replica that leaves without a word but that its entry goes, from hosts that the store turns
+/// away meanwhile.
+#[rstest]
+#[case::leader_silent(Cut::Leader, Mode::DropToTarget)]
+#[case::leader_reset(Cut::Leader, Mode::Reset)]
+#[case::most_silent(Cut::AllButLeader, Mode::DropFromTarget)]
+#[case::most_reset(Cut::AllButLeader, Mode::Reset)]
+#[case::most_with_leader_silent(Cut::AllButOneFollower, Mode::DropToTarget)]
+#[case::most_with_leader_reset(Cut::AllButOneFollower, Mode::Reset)]
+#[tokio::test]
+async fn hosts_that_the_store_turns_away_hear_of_a_removal(#[case] cut: Cut, #[case] mode: Mode) {
+    let site = site(4).await;
+    send_load(&site.hosts, PATHS, Duration::from_millis(300)).await;
+    let links = site.cut_links(cut);
+    links.iter().for_each(|link| link.set(mode));
+    sleep(Duration::from_millis(20)).await;
+    site.leaving.remove_entry();
+    let removed_at = Instant::now();
+    let returns = async {
+        sleep(AWAY).await;
+        links.iter().for_each(|link| link.set(Mode::Pass));
+    };
+    let load = send_load(&site.hosts, PATHS, AWAY + AFTER);
+    tokio::join!(returns, load);
+    let late = site.leaving.arrivals_after(removed_at + BOUND);
+    let late: Vec<Duration> = late.iter().map(|at| *at - removed_at).collect();
+    assert!(late.is_empty(), "{late:?}");
+}
+
 /// Hosts of a fleet in which most hosts hear from the store by way of others.
 const FLEET: usize = 10;
 
@@ -223,3 +252,31 @@
     send_load(&site.hosts, PATHS, Duration::from_millis(8_000)).await;
     assert_eq!(site.leaving.arrivals_after(after).len(), 0);
 }
+
+/// Heartbeats after which the store drops the entry of a silent replica.
+const LAPSE: Duration = Duration::from_millis(3 * 1_200);
+
+/// Guards against a replica that had gone, and that hosts use again since a copy of the store lists it: its entry lapses, but
+/// hosts hear of that up to two seconds later.
+#[tokio::test]
+async fn a_replica_that_had_gone_is_not_used_before_its_entry_in_a_copy_lapses() {
+    let site = site(3).await;
+    let copy: Copy = site.store.copy();
+    send_load(&site.hosts, PATHS, Duration::from_millis(300)).await;
+    site.leaving.remove_entry();
+    sleep(Duration::from_millis(1_500)).await;
+    let gone_at = Instant::now();
+    site.store.restore(&copy);
+    let lapse = async {
+        sleep(LAPSE).await;
+        site.store.set_deaf(true);
+        site.store.remove(&site.leaving.key());
+        sleep(Duration::from_millis(1_500)).await;
+        site.store.set_deaf(false);
+    };
+    let load = send_load(&site.hosts, PATHS, Duration::from_millis(8_000));
+    tokio::join!(lapse, load);
+    let late = site.leaving.arrivals_after(gone_at);
+    let late: Vec<Duration> = late.iter().map(|at| *at - gone_at).collect();
+    assert!(late.is_empty(), "{late:?}");
+}
