Hosts do not tell a new leader of departures that stand in the store

One that stands in the store as well is now told by the hosts that read for others only.

a_departure_in_an_entry_is_told_by_few failed before (two told), passes.

--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -250,7 +250,11 @@
         origin: Origin,
         now: Time,
     ) -> bool {
-        if self.has_other_incarnation(id, incarnation) || self.has_departure(id, incarnation) {
+        if self.has_other_incarnation(id, incarnation) {
+            return false;
+        }
+        if self.has_departure(id, incarnation) {
+            self.note_entry(id, origin);
             return false;
         }
         let departure = Departure {
@@ -267,6 +271,15 @@
         true
     }
 
+    /// Notes that a known departure stands in the store too, where the next leader reads it.
+    fn note_entry(&mut self, id: &str, origin: Origin) {
+        let known = self.departures.get_mut(id);
+        if let Some(known) = known.filter(|d| origin == Origin::Entry && d.origin == Origin::Leader)
+        {
+            known.origin = Origin::Entry;
+        }
+    }
+
     /// Returns the departures that this host has to pass on, and marks all as passed on; with those that stand in entries
     /// if it is to tell them.
     pub fn take_unannounced_departures(&mut self, tells_entries: bool) -> Vec<(Name, Incarnation)> {
--- a/crates/front/tests/view.rs
+++ b/crates/front/tests/view.rs
@@ -262,6 +262,31 @@
     }
 }
 
+/// Guards against all hosts of a large fleet telling a new leader what stands in the store; those that read for others do.
+#[test]
+fn a_departure_in_an_entry_is_told_by_few() {
+    let mut view = View::new(HEARTBEAT);
+    let (told, answered): (unit::Name, unit::Name) = ("i-1".into(), "i-2".into());
+    for id in [&told, &answered] {
+        view.put(
+            Entry {
+                id: id.clone(),
+                ..entry(1, true)
+            },
+            10,
+        );
+    }
+    view.record_departure(&told, None, Origin::Leader, at(0));
+    view.record_departure(&answered, None, Origin::Answer, at(0));
+    assert_eq!(view.departures(false).len(), 2);
+    for id in [&told, &answered] {
+        assert!(!view.record_departure(id, None, Origin::Entry, at(1)));
+    }
+    assert_eq!(view.departures(false), [(answered.clone(), None)]);
+    assert_eq!(view.departures(true).len(), 2);
+    assert_eq!(view.take_unannounced_departures(false), [(answered, None)]);
+}
+
 /// Revision of the store after it has come back from a copy so many times.
 fn in_era(era: u64, revision: u64) -> u64 {
     (era << 40) + revision
