--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -38,7 +38,7 @@
     pub entry_missing: Notify,
     /// Notified when a replica's advertised rate limit changed, to be reported to other hosts.
     pub limits_changed: Notify,
-    /// Notified when a replica announced its departure in a response.
+    /// Notified when this host learnt that a replica leaves.
     pub departure_heard: Notify,
     /// Notified when a prompt was prefilled or a request ended.
     pub load_reduced: Notify,
