Simplify: the last write of a changelog entry, the note of an entry, and when logs look a departure up

No change of behaviour. The table is locked for the log line of a replica only if the line is written: a host that starts lists thousands at once.

--- a/crates/front/src/changelog.rs
+++ b/crates/front/src/changelog.rs
@@ -31,6 +31,16 @@
     last_write: Option<Change>,
 }
 
+impl Kept {
+    /// The change itself if it is a write, otherwise the last one before it.
+    fn into_last_write(self) -> Option<Change> {
+        match self.change {
+            Change::Written(_) => Some(self.change),
+            Change::Removed { .. } => self.last_write,
+        }
+    }
+}
+
 impl Changelog {
     /// Adds the whole store, as read at a revision. After the first time this adds the difference, so that hosts that
     /// follow this one need not read the whole store whenever it has to.
@@ -80,20 +90,18 @@
         if known.is_some_and(|kept| kept.change.revision() >= change.revision()) {
             return;
         }
-        let known = self.changes.remove(change.key());
-        let last_write = match (&change, known) {
-            (Change::Written(_), _) | (_, None) => None,
-            (_, Some(kept)) => match kept.change {
-                Change::Written(_) => Some(kept.change),
-                Change::Removed { .. } => kept.last_write,
-            },
+        let key = change.key().clone();
+        let known = self.changes.remove(&key);
+        let last_write = match &change {
+            Change::Written(_) => None,
+            Change::Removed { .. } => known.and_then(Kept::into_last_write),
         };
         let kept = Kept {
+            change,
             confirmed_at,
             last_write,
-            change,
         };
-        self.changes.insert(kept.change.key().clone(), kept);
+        self.changes.insert(key, kept);
     }
 
     /// Adds items that are newer than the revision up to which changes are included, and leaves that revision as it is.
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -196,9 +196,9 @@
             Update::Missing(_) => state.entry_missing.notify_one(),
             _ => {}
         }
-        let leaves = state.table.lock().view.leaves(id);
-        state.log.rate_limited_by(Topic::Replicas,
-            || info!(target: "view", event, replica = &**id, revision, leaves, store_back_ms, "replica changed"),
-        );
+        state.log.rate_limited_by(Topic::Replicas, || {
+            let leaves = state.table.lock().view.leaves(id);
+            info!(target: "view", event, replica = &**id, revision, leaves, store_back_ms, "replica changed")
+        });
     }
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -213,13 +213,13 @@
         head_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
     };
-    let handling = context.clone();
+    let is_off = context.state.settings.scheduling.shedding == Mode::Off;
+    let shedding = (!is_off).then(|| context.state.shedding.clone());
+    let context = context.clone();
     let respond = move |request| {
-        let context = handling.clone();
+        let context = context.clone();
         async move { Ok(serve::handle(context, request).await) }
     };
-    let is_off = context.state.settings.scheduling.shedding == Mode::Off;
-    let shedding = (!is_off).then(|| context.state.shedding.clone());
     conn::serve_with_bounds(listener, bounds, shedding, respond).context(RuntimeSnafu)
 }
 
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -254,7 +254,9 @@
             return false;
         }
         if self.has_departure(id, incarnation) {
-            self.note_entry(id, origin);
+            if origin == Origin::Entry {
+                self.note_entry(id);
+            }
             return false;
         }
         let departure = Departure {
@@ -272,10 +274,9 @@
     }
 
     /// Notes that a known departure stands in the store too, where the next leader reads it.
-    fn note_entry(&mut self, id: &str, origin: Origin) {
+    fn note_entry(&mut self, id: &str) {
         let known = self.departures.get_mut(id);
-        if let Some(known) = known.filter(|d| origin == Origin::Entry && d.origin == Origin::Leader)
-        {
+        if let Some(known) = known.filter(|d| d.origin == Origin::Leader) {
             known.origin = Origin::Entry;
         }
     }
