Review: the copy of a refusal is believed for the second send of its request (TWICE)

The refusals of the case now carry the Request-Id. A request that only one replica can take is sent again there on the same connection under the same id; a late copy of the refusal is taken for the second answer, and the request is sent a third time while the second send runs.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,22 +8,24 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 from standins import (  # noqa: E402
-    Client, Daemon, Replica, Store, answer, configuration, read_body, read_head, route, run_case)
+    Client, Daemon, Replica, Store, answer, configuration, engine, json_answer, route, run_case)
 
 # Doses of the two disruptions: the share of the answers, and seconds. Both strike once in each period.
 SHED_X, SHED_S = 0.45, 6.5
 EXTRA_X, EXTRA_S = 0.03, 5.0
 PERIOD_S = 9.0
-PERIODS = 5
+PERIODS = 6
 SETTLE_S = 5.0
-WORK_S = 0.03
+# One of the replicas is faulty. Each holds a model of its own.
 REPLICAS = 8
-CLIENTS = 8
+CLIENTS = 16
+PAUSE_S = 0.05
+EVENTS, EVENT_S = 3, 0.02
 CHANCE = random.Random(1)
 
 
 class Faulty(Replica):
-    """A replica that refuses a part of its requests, and now and then sends an answer once more, late."""
+    """A replica that refuses a part of its requests, and now and then sends a refusal once more, late."""
 
     def __init__(self, *arguments, extra_x):
         super().__init__(*arguments)
@@ -45,55 +47,36 @@
         self.allowed += self.extra_x
         return self.allowed >= 1.0
 
-    async def answer(self, request, writer):
-        identity = request[2].get("request-id")
+    async def respond(self, request, writer):
+        headers = request[2]
+        identity = headers["request-id"]
+        if self.is_in(SHED_S) and writer not in self.late and CHANCE.random() < SHED_X:
+            refusal = answer(503, headers=[("Request-Id", identity), ("Not-Executed", "1")])
+            self.record.write(f"{self.identity} refuses {identity}: 503 with Not-Executed and its Request-Id")
+            writer.write(refusal)
+            if self.takes_extra():
+                self.allowed -= 1.0
+                self.late[writer] = refusal, identity
+            return
         copy = self.late.pop(writer, None)
         if copy is not None:
-            self.record.write(f"{self.identity} sends its last answer on this connection once more, in the place of that to {identity}")
-            writer.write(copy)
-            await writer.drain()
-        await asyncio.sleep(WORK_S)
-        body = f"{self.identity} has printed the label of {identity}".encode()
+            self.record.write(f"{self.identity} sends the refusal of {copy[1]} once more, in the place of the answer to {identity}")
+            writer.write(copy[0])
         self.takes_extra()
-        writer.write(answer(200, body, self.stamp(request[2])))
-
-    def refuses(self, writer):
-        """Whether the next request on this connection is refused, as by a replica that is full."""
-        return self.is_in(SHED_S) and writer not in self.late and CHANCE.random() < SHED_X
-
-    async def serve(self, reader, writer):
-        try:
-            while (head := await read_head(reader)) is not None:
-                line, headers = head
-                body = await read_body(reader, headers)
-                identity = headers.get("request-id")
-                if headers.get("expect-instance") not in (None, self.identity):
-                    writer.write(answer(421, headers=[("Instance-Id", self.identity)]))
-                elif identity is None:
-                    writer.write(answer(200, headers=[("Instance-Id", self.identity)]))
-                elif self.refuses(writer):
-                    refusal = answer(503, headers=[("Not-Executed", "1")])
-                    self.record.write(f"{self.identity} refuses {identity}: 503, Not-Executed")
-                    writer.write(refusal)
-                    if self.takes_extra():
-                        self.allowed -= 1.0
-                        self.late[writer] = refusal
-                else:
-                    self.runs[identity] = self.runs.get(identity, 0) + 1
-                    self.record.write(f"{self.identity} runs {identity}")
-                    await self.answer((line, None, headers, body), writer)
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            self.late.pop(writer, None)
-            writer.close()
-
-
-async def normal(replica, request, writer):
-    await asyncio.sleep(WORK_S)
-    identity = request[2].get("request-id")
-    writer.write(answer(200, f"{replica.identity} has printed the label of {identity}".encode(), replica.stamp(request[2])))
+        await super().respond(request, writer)
+
+
+async def stream(replica, request, writer):
+    """Sends some events; the request runs from here on."""
+    head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+    head += [f"{name}: {value}" for name, value in replica.stamp(request[2])]
+    writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+    for number in range(1, EVENTS + 1):
+        await asyncio.sleep(EVENT_S)
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
 
 
 async def send_all(record, port, number, statuses):
@@ -103,26 +86,33 @@
         if client.writer is None:
             await client.open()
         count += 1
-        identity = f"label-{number}-{count:04}"
-        result = await client.send("POST", "/label-get/1", identity, b"panel 7", deadline_ms=1500)
+        model = f"model-{(number + count) % REPLICAS + 1}"
+        identity = f"spot-{number:02}-{count:04}"
+        headers = [("Model", model), ("Token-Usage", "64,6"), ("Prompt-Prefix", f"5c1e07a2:32,{number:x}{count:04x}:32")]
+        result = await client.send("POST", "/spot-check/1", identity, b"photo", headers=headers, deadline_ms=10000)
         statuses[identity] = result[0] if result else None
-        record.write(f"client {number} gets {statuses[identity]} to {identity}")
+        record.write(f"client {number:02} gets {statuses[identity]} to {identity} ({model})")
         if result is None or result[1].get("connection", "").lower() == "close":
             client.close()
             client.writer = None
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(record, work, trouble, daemons):
     store = Store()
     port = await store.listen()
+    models = [f"model-{n}" for n in range(1, REPLICAS + 1)]
     extra_x = EXTRA_X if trouble else 0.0
-    replicas = [Faulty(record, "i-1", "pack-api", None, (), 6, extra_x=extra_x)]
-    replicas += [Replica(record, f"i-{n}", "pack-api", normal, (), 6) for n in range(2, REPLICAS + 1)]
+    replicas = [Faulty(record, "i-1", "vision-llm", stream, models[:1], extra_x=extra_x)]
+    replicas += [Replica(record, f"i-{n}", "vision-llm", stream, [models[n - 1]]) for n in range(2, REPLICAS + 1)]
     await store.put("op/config", configuration(
-        7, [route("label-get", "non_idempotent", "pack-api", timeout_ms=800, target_latency_ms=150, priority=2)],
-        [{"name": "pack-api", "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": False}]))
+        7, [route("spot-check", "stream", "vision-llm", timeout_ms=10000, target_latency_ms=800, priority=0,
+                  sticky=True, resumable=False, target_gap_ms=300)],
+        # A replica has room for one model.
+        [{"name": "vision-llm", "health_path": "/health", "max_conns": 370, "protocol": "h1", "tls": False,
+          "engine": engine(models, mb=70000.0)}]))
     for replica in replicas:
+        replica.store = store
         await replica.listen()
         await store.put(f"servers/{replica.identity}", replica.entry())
     daemons.append(Daemon(work, "front-hall-a-1", port))
@@ -139,8 +129,8 @@
     twice = [i for i, count in runs.items() if count > 1]
     refused = [i for i, count in runs.items() if count > 0 and statuses[i] in (408, 421, 429, 503)]
     record.write(f"{len(statuses)} requests, statuses { {s: list(statuses.values()).count(s) for s in set(statuses.values())} }")
-    record.write(f"ran more than once: {twice}")
     record.write(f"refused with 408, 421, 429 or 503 though they ran: {refused}")
+    record.write(f"ran more than once: {twice}")
     return not twice
 
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -375,6 +375,7 @@
         self.sequence = 1
         self.runs = {}
         self.orders = []
+        self.busy, self.load_s, self.store = False, 7.8, None
         self.port = None
 
     async def listen(self):
@@ -399,7 +400,7 @@
                     writer.write(answer(421, headers=[("Instance-Id", self.identity), ("Not-Executed", "1")]))
                 elif target == "/api/report":
                     models = [{"name": m, "version": 1, "adapters": []} for m in self.models]
-                    writer.write(json_answer(200, {"stage": "unified", "models": models, "busy": False,
+                    writer.write(json_answer(200, {"stage": "unified", "models": models, "busy": self.busy,
                                                    "sequence": len(self.orders), "queued": 0, "running": 0, "kv_used": 0,
                                                    "kv_total": 145945, "handles": 0}))
                 elif target == "/api/order":
@@ -407,21 +408,44 @@
                 elif target == "/health":
                     writer.write(answer(200, headers=[("Instance-Id", self.identity)]))
                 else:
-                    identity = headers.get("request-id", "-")
-                    self.runs[identity] = self.runs.get(identity, 0) + 1
-                    self.record.write(f"{self.identity} ({self.service}) runs {identity}, {len(body)} bytes")
-                    await self.run(self, (method, target, headers, body), writer)
+                    await self.respond((method, target, headers, body), writer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
+    async def respond(self, request, writer):
+        """Answers a request of a client."""
+        identity = request[2].get("request-id", "-")
+        self.runs[identity] = self.runs.get(identity, 0) + 1
+        self.record.write(f"{self.identity} ({self.service}) runs {identity}, {len(request[3])} bytes")
+        await self.run(self, request, writer)
+
     def order(self, order):
-        self.orders.append(order)
+        """Takes an order, and carries it out after the time that a load from the weight store takes."""
         self.record.write(f"{self.identity} gets the order {json.dumps(order)}")
+        loads, model = order["operation"] == "load", order["model"]
+        if order.get("expected_rev", len(self.orders)) != len(self.orders) or self.busy:
+            return json_answer(409, {})
+        if loads == (model in self.models):
+            return json_answer(200, {})
+        self.orders.append(order)
+        self.busy = True
+        asyncio.ensure_future(self.carry_out(loads, model))
         return json_answer(202, {})
 
+    async def carry_out(self, loads, model):
+        if not loads:
+            self.models.remove(model)
+        await asyncio.sleep(self.load_s if loads else 0.1)
+        if loads:
+            self.models.append(model)
+        self.busy = False
+        self.sequence += 1
+        if self.store:
+            await self.store.put(f"servers/{self.identity}", self.entry())
+
     def stamp(self, headers):
         return [("Request-Id", headers.get("request-id", "-")), ("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")]
 
