--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -35,13 +35,17 @@
         self.file.write(f"{self.now():9.3f} {text}\n")
 
 
+# Below the range from which the system takes ports for outgoing connections.
+_ports = itertools.count(10000 + os.getpid() * 97 % 20000)
+
+
 def free_port():
-    """A port that is free for TCP and UDP on 127.0.0.1."""
+    """A port that is free for TCP and UDP on 127.0.0.1; each call gives another one."""
     while True:
+        port = 10000 + next(_ports) % 20000
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
