--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,10 +9,12 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 from urllib.parse import parse_qsl, urlsplit
 
@@ -35,6 +37,13 @@
         self.file.write(f"{self.now():9.3f} {text}\n")
 
 
+class Stdout:
+    """Stands for a record in a process whose output another one records."""
+
+    def write(self, text):
+        pass
+
+
 # Below the range from which the system takes ports for outgoing connections.
 _ports = itertools.count(10000 + os.getpid() * 97 % 20000)
 
@@ -74,7 +83,10 @@
     if "chunked" in headers.get("transfer-encoding", "").lower():
         parts = []
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b";")[0], 16)
             part = await reader.readexactly(size + 2)
             if size == 0:
                 return b"".join(parts)
@@ -496,25 +508,40 @@
             self.writer.close()
 
 
+# A script runs for 120 s at most.
+TIME_LIMIT_S = 112
+
+
 def run_case(folder, case):
-    """Runs `case(record, work folder, trouble)`, which returns True if the rule held, and ends with the exit status."""
+    """Runs `case(record, work folder, trouble, daemons)`, which returns True if the rule held, and ends the process."""
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     daemons = []
-    with tempfile.TemporaryDirectory(prefix="coveford-review-") as work:
-        async def bounded():
-            # Connections that are open at the end are cut on purpose.
-            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-            return await asyncio.wait_for(case(record, work, trouble, daemons), 110)
-        try:
-            held = asyncio.run(bounded())
-        except Exception as error:  # noqa: BLE001: whatever keeps the case from running
-            record.write(f"the case could not run: {type(error).__name__}: {error}")
-            held = None
-        finally:
-            for daemon in daemons:
-                daemon.stop()
-    status = {True: 0, False: 1, None: 2}[held]
-    record.write(f"exit status {status}")
-    # Connections and tasks that are still open need no orderly end.
-    os._exit(status)
+    work = tempfile.mkdtemp(prefix="coveford-review-")
+
+    def end(held):
+        for daemon in daemons:
+            daemon.stop()
+        shutil.rmtree(work, ignore_errors=True)
+        status = {True: 0, False: 1, None: 2}[held]
+        record.write(f"exit status {status}")
+        # Connections and tasks that are still open need no orderly end.
+        os._exit(status)
+
+    def give_up(why):
+        record.write(f"the case could not run: {why}")
+        end(None)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda received, _: give_up(f"signal {received}"))
+    watchdog = threading.Timer(TIME_LIMIT_S, give_up, [f"it took over {TIME_LIMIT_S} s"])
+    watchdog.daemon = True
+    watchdog.start()
+    loop = asyncio.new_event_loop()
+    # Connections that are open at the end are cut on purpose.
+    loop.set_exception_handler(lambda *_: None)
+    try:
+        held = loop.run_until_complete(case(record, work, trouble, daemons))
+    except Exception as error:  # noqa: BLE001: whatever keeps the case from running
+        give_up(f"{type(error).__name__}: {error}")
+    end(held)
