Logs and metrics tell which refusals prove something

coveford_replica_answers_total says also whether the connection had carried another request, and counts statuses of a replica's own that read like a refusal (unproven); the line turned_away names them, with signed and not_executed. Before, a true refusal without an ID and bytes that belong to no request looked alike, and a 503 of the replica's own was an answer like any other.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -280,8 +280,8 @@
     })
 }
 
-/// Counts an answer by the request that it names, and logs a refusal or an answer to another request with what its
-/// connection carried before.
+/// Counts an answer by the request that it names and by whether its connection had carried another. Logs an answer to
+/// another request and one whose status says, or seems to say, that the request has not run.
 fn record_head(state: &State, source: &Source, line: &Line, feedback: &Feedback, is_own: bool) {
     let named = feedback.request_id();
     let id = match is_own {
@@ -289,18 +289,28 @@
         true => "own",
         false => "other",
     };
-    let executed = if feedback.not_executed { "no" } else { "yes" };
-    let labels = [("id", id), ("executed", executed)];
+    let executed = match feedback.not_executed {
+        true => "no",
+        false if feedback.claims_not_run() => "unproven",
+        false => "yes",
+    };
+    let connection = if line.last.is_some() { "kept" } else { "new" };
+    let labels = [
+        ("id", id),
+        ("executed", executed),
+        ("connection", connection),
+    ];
     let metrics = &state.log.metrics;
     metrics
         .counter("coveford_replica_answers_total", &labels)
         .increment(1);
-    if is_own && !feedback.not_executed {
+    if id == "own" && executed == "yes" {
         return;
     }
     let (status, last) = (feedback.status, line.last.as_deref());
+    let (not_executed, signed) = (feedback.not_executed, feedback.signed);
     state.log.rate_limited(|| {
-        info!(target: "request", event = "turned_away", id = &*source.subject, replica = &*source.replica, status, named, last, "the replica refused the request, or answered another one; last is the request that the connection carried before")
+        info!(target: "request", event = "turned_away", id = &*source.subject, replica = &*source.replica, status, named, not_executed, signed, last, "the replica refused the request, answered another one, or gave the status of a refusal; last is the request that the connection carried before")
     });
 }
 
