Failing tests: what is no proof that a request has not run

The stand-in's links insert bytes after answers; its replicas may run a request and answer with any status.

--- /dev/null
+++ b/crates/front/tests/proofs.rs
@@ -0,0 +1,193 @@
+//! What proves that a request has not run, and what does not.
+
+mod site;
+
+use front::Daemon;
+use platform_standin::link::{Links, Mode};
+use platform_standin::replica::{Fault, Replica};
+use platform_standin::store::Store;
+use rstest::rstest;
+use site::{Answer, NOT_RUN, ask, engine, host_with_links, store, until, violation, web};
+
+/// Kinds of requests, with their model.
+const PATHS: [(&str, Option<&str>); 4] = [
+    ("/once/x", None),
+    ("/again/x", None),
+    ("/stream/x", Some("m1")),
+    ("/resume/x", Some("m1")),
+];
+
+/// Bytes of an answer that names no request, with the given status line and fields.
+macro_rules! unnamed {
+    ($status:literal, $fields:literal) => {
+        concat!(
+            "HTTP/1.1 ",
+            $status,
+            "\r\ncontent-length: 5\r\n",
+            $fields,
+            "\r\n\r\nother"
+        )
+    };
+}
+
+/// Forms of bytes that follow a whole answer.
+const SHED: &str = unnamed!("503 Service Unavailable", "not-executed: 1");
+const LIMITED: &str = unnamed!("429 Too Many Requests", "not-executed: 1");
+const MISDIRECTED: &str = unnamed!("421 Misdirected Request", "not-executed: 1");
+const MALFORMED: &str = unnamed!("400 Bad Request", "not-executed: 1");
+const SIGNED: &str = unnamed!("200 OK", "server-stamp: 3e1b.07");
+const SIGNED_FAILURE: &str = unnamed!("404 Not Found", "server-stamp: 3e1b.07");
+const SIGNED_STREAM: &str = concat!(
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nserver-stamp: 3e1b.07\r\n",
+    "content-length: 14\r\n\r\nid: 1\ndata: x\n\n"
+);
+
+/// Replicas of both services, two of each.
+async fn replicas(store: &Store) -> Vec<Replica> {
+    let mut replicas = Vec::new();
+    for n in 1..=2 {
+        replicas.push(web(store, &format!("w-{n}")).await);
+        replicas.push(engine(store, &format!("e-{n}"), &["m1"]).await);
+    }
+    replicas
+}
+
+/// How often replicas ran a request.
+fn runs(replicas: &[Replica], id: &str) -> u32 {
+    replicas.iter().map(|r| r.request_log(id).runs).sum()
+}
+
+/// Whether an answer that claims success is the replica's own.
+fn is_own(path: &str, id: &str, answer: &Answer) -> bool {
+    match path {
+        _ if answer.status() != 200 => true,
+        "/once/x" | "/again/x" => answer.text().contains(&format!(" answers {id} at ")),
+        _ => answer.text().contains("data: piece 1 by "),
+    }
+}
+
+/// Violations of the guarantees of a request that was answered.
+fn violations(replicas: &[Replica], path: &str, id: &str, answer: &Answer) -> Vec<String> {
+    let mut violations = Vec::new();
+    violations.extend(violation(path, id, answer.status(), runs(replicas, id)));
+    if !is_own(path, id, answer) || [400, 404].contains(&answer.status()) {
+        violations.push(format!("{path} {id} got the answer of another request"));
+    }
+    violations
+}
+
+/// Guards against bytes after a whole answer that are taken for the answer to the next request: as a refusal they let it
+/// run twice or tell its caller that it has not run, as a success its caller gets them.
+#[rstest]
+#[tokio::test]
+async fn bytes_after_an_answer_belong_to_no_request(
+    #[values(
+        SHED,
+        LIMITED,
+        MISDIRECTED,
+        MALFORMED,
+        SIGNED,
+        SIGNED_FAILURE,
+        SIGNED_STREAM
+    )]
+    bytes: &'static str,
+) {
+    let store = store().await;
+    let replicas = replicas(&store).await;
+    let (daemon, links) = host_with_links(&store, "d1").await;
+    links.set(Mode::Insert(bytes));
+    let mut found = Vec::new();
+    for n in 0..32 {
+        let (path, model) = PATHS[n % PATHS.len()];
+        let (id, answer) = ask(&daemon, path, model).await;
+        found.extend(violations(&replicas, path, &id, &answer));
+    }
+    assert_eq!(found, Vec::<String>::new());
+}
+
+/// Two hosts, of which the first reaches no replica and passes requests on to the second, with the second one's links.
+async fn hosts_with_detour(store: &Store) -> (Daemon, Daemon, [Links; 2]) {
+    let (cut, cut_links) = host_with_links(store, "d1").await;
+    let (other, links) = host_with_links(store, "d2").await;
+    until(|| [&cut, &other].map(|h| h.state().table.lock().host_count) == [2, 2]).await;
+    // A host retries by the requests of its own callers.
+    for _ in 0..20 {
+        ask(&other, "/again/x", None).await;
+    }
+    cut_links.set(Mode::Reset);
+    for _ in 0..20 {
+        ask(&cut, "/again/x", None).await;
+    }
+    until(|| front::paths::is_isolated(cut.state())).await;
+    (cut, other, [cut_links, links])
+}
+
+/// Guards against such bytes on the connections of a host that takes requests of one without paths.
+#[rstest]
+#[tokio::test]
+async fn bytes_after_an_answer_belong_to_no_request_of_another_host(
+    #[values(SHED, SIGNED)] bytes: &'static str,
+) {
+    let store = store().await;
+    let replicas = replicas(&store).await;
+    let (cut, _other, links) = hosts_with_detour(&store).await;
+    links[1].set(Mode::Insert(bytes));
+    let mut found = Vec::new();
+    for n in 0..16 {
+        let (path, model) = PATHS[n % PATHS.len()];
+        let (id, answer) = ask(&cut, path, model).await;
+        found.extend(violations(&replicas, path, &id, &answer));
+    }
+    assert_eq!(found, Vec::<String>::new());
+}
+
+/// Guards against a status of a replica's own that is handed on as the promise that the request has not run.
+#[rstest]
+#[tokio::test]
+async fn a_status_of_the_replicas_own_is_no_promise(
+    #[values(503, 429, 408, 421)] status: u16,
+    #[values(false, true)] by_other_host: bool,
+) {
+    let store = store().await;
+    let replicas = replicas(&store).await;
+    let hosts = match by_other_host {
+        true => hosts_with_detour(&store).await,
+        false => {
+            let (host, links) = host_with_links(&store, "d1").await;
+            let (other, other_links) = host_with_links(&store, "d2").await;
+            (host, other, [links, other_links])
+        }
+    };
+    for replica in &replicas {
+        replica.set_fault(Fault::OwnStatus(status));
+    }
+    for (path, model) in PATHS {
+        let (id, answer) = ask(&hosts.0, path, model).await;
+        assert!(
+            !NOT_RUN.contains(&answer.status()),
+            "{path}: {} ran {} times and got {}",
+            id,
+            runs(&replicas, &id),
+            answer.status()
+        );
+        assert!(runs(&replicas, &id) > 0, "{path}: {}", answer.text());
+        let fields = ["retry-after", "server-stamp"].map(|name| answer.header(name));
+        assert_eq!(fields, [None, None], "{path}: {}", answer.text());
+    }
+}
+
+/// A repeatable request is served by another replica after one has failed it with such a status.
+#[rstest]
+#[tokio::test]
+async fn a_repeatable_request_survives_a_status_of_a_replicas_own(
+    #[values(503, 429, 408, 421)] status: u16,
+) {
+    let store = store().await;
+    let replicas = replicas(&store).await;
+    let (daemon, _links) = host_with_links(&store, "d1").await;
+    replicas[0].set_fault(Fault::OwnStatus(status));
+    for _ in 0..8 {
+        let (_, answer) = ask(&daemon, "/again/x", None).await;
+        assert_eq!(answer.status(), 200, "{}", answer.text());
+    }
+}
--- a/crates/front/tests/repeated_answers.rs
+++ b/crates/front/tests/repeated_answers.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use site::{WAIT_LIMIT, ask, ask_at, engine, host_with_links, store, until, web};
+use site::{WAIT_LIMIT, ask, ask_at, engine, host_with_links, store, until, violation, web};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -16,19 +16,6 @@
 /// Interval at which a request is repeated until it is served.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Statuses that guarantee that a request has not run.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
-
-/// Violations of the guarantees of one request that replicas ran `runs` times.
-fn violation(path: &str, id: &str, status: u16, runs: u32) -> Option<String> {
-    let is_repeatable = path == "/again/x" || path == "/resume/x";
-    if !is_repeatable && runs > 1 {
-        return Some(format!("{path} {id} ran {runs} times"));
-    }
-    let is_refused = NOT_RUN.contains(&status);
-    (is_refused && runs > 0).then(|| format!("{path} {id} got {status} and ran {runs} times"))
-}
-
 /// Kinds of requests that may run only once, with their model.
 const PATHS_ONCE: [(&str, Option<&str>); 2] = [("/once/x", None), ("/stream/x", Some("m1"))];
 
--- a/crates/front/tests/site/mod.rs
+++ b/crates/front/tests/site/mod.rs
@@ -263,6 +263,19 @@
     }
 }
 
+/// Statuses that guarantee that a request has not run.
+pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// Violations of the guarantees of one request that replicas ran `runs` times.
+pub fn violation(path: &str, id: &str, status: u16, runs: u32) -> Option<String> {
+    let is_repeatable = path == "/again/x" || path == "/resume/x";
+    if !is_repeatable && runs > 1 {
+        return Some(format!("{path} {id} ran {runs} times"));
+    }
+    let is_refused = NOT_RUN.contains(&status);
+    (is_refused && runs > 0).then(|| format!("{path} {id} got {status} and ran {runs} times"))
+}
+
 static NEXT: AtomicU32 = AtomicU32::new(1);
 
 /// Request to a daemon, with a unique id.
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -118,10 +118,8 @@
     pub fn repeat_answers(&self, mode: LinkMode) {
         match self.links.mode() {
             LinkMode::Up => self.links.set(mode),
-            LinkMode::RepeatFailures | LinkMode::RepeatLater | LinkMode::RepeatAll => {
-                self.links.set(LinkMode::Up);
-            }
             LinkMode::Hang | LinkMode::Reset | LinkMode::RefuseNew => {}
+            _ => self.links.set(LinkMode::Up),
         }
     }
 
