A status of a replica's own is no promise of the host

What callers saw: 503 or 429 for requests that had run (REFUSED).

Cause: attempt::classify handed on each signed answer with its status. 503, 429, 408 and 421 promise that the request has not run and never will; a replica that ran the request and answers so, without Not-Executed, promises nothing.

Change: verdict::judge tells such an answer apart; the send counts as failed by the replica, like a 500. A request that may be repeated goes to another replica, any other gets 502, without the replica's stamp or Retry-After. A status other than the replica's under its stamp is not allowed, and its own is not true. What another host hands on is judged the same. The last rejection is derived from the history in a module of its own.

Properties: the rejection follows from all sends; a head proves what it states about its own request.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -56,7 +56,8 @@
     },
     /// The request was sent and its answer is lost; it may have run.
     Lost(String),
-    /// The replica ran the request and answered with this status, a server error.
+    /// The replica answered with this status and may have run the request: a server error, or one that would tell a caller
+    /// that the request has not run, which the replica does not state.
     ServerError(u16),
     /// The deadline passed after the request was sent; it may have run.
     TimedOut,
@@ -276,6 +277,11 @@
             misdirected: feedback.misdirected,
         });
     }
+    if verdict == Verdict::Unproven {
+        reservation.record_bad_answer();
+        drain_refusal(state, call, &reservation.replica, line, &feedback, response).await;
+        return Err(Failure::ServerError(feedback.status));
+    }
     if !feedback.signed {
         reservation.record_bad_answer();
         return Err(Failure::Lost(format!(
--- a/crates/front/src/attempt/verdict.rs
+++ b/crates/front/src/attempt/verdict.rs
@@ -7,7 +7,8 @@
 //! - a refusal that names no request, on a connection that has carried nothing else;
 //! - the word of another host that it was passed on to, over a connection of its own.
 //!
-//! A replica may send bytes after a whole answer, which belong to no request whatever they look like.
+//! A replica may send bytes after a whole answer, which belong to no request whatever they look like. And it may run a
+//! request and answer with a status that is a promise when a host gives it, as 503 and 429 are.
 
 use platform::response::Feedback;
 
@@ -18,6 +19,9 @@
     Answered,
     /// The replica has not run the request and will not.
     NotRun,
+    /// It answers the request with a status that would tell the caller that it has not run, which the replica does not
+    /// state.
+    Unproven,
     /// It may belong to another request or to none; the reason, for logs.
     Foreign(&'static str),
 }
@@ -37,6 +41,7 @@
     }
     match feedback.not_executed {
         true => Verdict::NotRun,
+        false if feedback.signed && feedback.claims_not_run() => Verdict::Unproven,
         false => Verdict::Answered,
     }
 }
--- a/crates/front/src/detour/client.rs
+++ b/crates/front/src/detour/client.rs
@@ -1,7 +1,7 @@
 //! Passes a request on to another host, and takes what comes back.
 
 use super::message::{ANSWERED, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, RUN, Refusal};
-use crate::attempt::{Call, Exchange, Failure, History, Origin};
+use crate::attempt::{Call, Exchange, Failure, History, Origin, Verdict, verdict};
 use crate::clock::Elapsed;
 use crate::pool::Line;
 use crate::quarantine;
@@ -186,7 +186,7 @@
     let outcome = outcome.as_ref().and_then(|value| value.to_str().ok());
     let feedback = response::parse(response.status(), response.headers());
     match outcome {
-        Some(ANSWERED) if feedback.matches_request(&call.id) => {
+        Some(ANSWERED) if verdict::judge(&feedback, &call.id, true) == Verdict::Answered => {
             history.unnamed_runs += runs;
             Ok(Exchange {
                 origin: Origin::Host(hop),
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod body;
+pub mod conclusion;
 mod dispatched;
 mod read;
 mod report;
@@ -203,8 +204,14 @@
     if let Some(answer) = progress.answer {
         return Ok(answer);
     }
-    let history = progress.history.clone();
-    let rejection = final_rejection(state, call, progress);
+    let is_late = state.now() >= call.deadline;
+    let Progress {
+        history,
+        last_failure,
+        rejection,
+        ..
+    } = progress;
+    let rejection = conclusion::rejection(&history, &last_failure, rejection, is_late);
     Err(Unanswered { rejection, history })
 }
 
@@ -387,26 +394,3 @@
         state.pool.close_all(&choice.replica);
     }
 }
-
-/// Rejection of a request that could not be answered.
-fn final_rejection(state: &State, call: &Call, progress: Progress) -> Rejection {
-    let may_have_run = progress.history.has_run();
-    let last = &progress.last_failure;
-    match last {
-        Failure::RejectedByHost { rejection, .. } if !may_have_run => {
-            return progress.rejection.unwrap_or_else(|| rejection.clone());
-        }
-        Failure::Unauthorized(refusal) if !may_have_run => return refusal.rejection(),
-        Failure::Quarantined(rejection) if !may_have_run => return rejection.clone(),
-        _ => {}
-    }
-    if !may_have_run {
-        let message = format!("No replica took the request ({last}).");
-        let default = Rejection::not_run("refused_by_replicas", message, RETRY_AFTER_RANGE.0);
-        return progress.rejection.unwrap_or(default);
-    }
-    match state.now() >= call.deadline || *last == Failure::TimedOut {
-        true => Rejection::timed_out("The replica did not answer in time."),
-        false => Rejection::lost("lost", format!("The answer could not be had ({last}).")),
-    }
-}
--- a/crates/front/tests/proofs.rs
+++ b/crates/front/tests/proofs.rs
@@ -3,9 +3,15 @@
 mod site;
 
 use front::Daemon;
+use front::attempt::verdict::judge;
+use front::attempt::{Failure, History, Verdict};
+use front::respond::Rejection;
+use front::serve::conclusion;
+use hyper::{HeaderMap, StatusCode};
 use platform_standin::link::{Links, Mode};
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Store;
+use proptest::prelude::*;
 use rstest::rstest;
 use site::{Answer, NOT_RUN, ask, engine, host_with_links, store, until, violation, web};
 
@@ -226,3 +232,89 @@
         assert_eq!(answer.status(), 200, "{}", answer.text());
     }
 }
+
+fn not_run() -> Rejection {
+    Rejection::not_run(
+        "overloaded",
+        "No replica is free.",
+        unit::Span::from_ms(200),
+    )
+}
+
+fn failure() -> impl Strategy<Value = Failure> {
+    prop_oneof![
+        Just(Failure::Unsent("refused".into())),
+        Just(Failure::NotRun {
+            status: 503,
+            misdirected: false
+        }),
+        Just(Failure::Lost("reset".into())),
+        prop_oneof![Just(429), Just(500), Just(503)].prop_map(Failure::ServerError),
+        Just(Failure::TimedOut),
+        Just(Failure::DeadlinePassed),
+        any::<bool>().prop_map(|may_go_elsewhere| Failure::RejectedByHost {
+            rejection: not_run(),
+            may_go_elsewhere
+        }),
+        Just(Failure::Quarantined(not_run())),
+    ]
+}
+
+proptest! {
+    /// A caller is told that its request has not run exactly if no send of it may have run, by this host or another,
+    /// whatever came before and after that send.
+    #[test]
+    fn the_rejection_follows_from_all_sends(
+        sends in proptest::collection::vec((0..3u8, failure()), 1..6),
+        unnamed_runs in 0..2u32,
+        is_placement_rejected: bool,
+        is_late: bool,
+    ) {
+        let mut history = History { unnamed_runs, ..History::default() };
+        for (replica, failure) in &sends {
+            let result = Err::<(), _>(failure.clone());
+            history.record(&format!("i-{replica}").as_str().into(), &result);
+        }
+        let may_have_run = unnamed_runs > 0
+            || sends.iter().any(|(_, failure)| {
+                matches!(failure, Failure::Lost(_) | Failure::ServerError(_) | Failure::TimedOut)
+            });
+        let placement = is_placement_rejected.then(not_run);
+        let last = &sends.last().unwrap().1;
+        let rejection = conclusion::rejection(&history, last, placement, is_late);
+        let promises = NOT_RUN.contains(&rejection.status.as_u16());
+        prop_assert_eq!(promises, !may_have_run, "{:?}", rejection);
+        prop_assert_eq!(rejection.retry_after.is_some(), promises, "{:?}", rejection);
+    }
+
+    /// A head proves that its request has not run only by a statement of the replica, and only if it names the request or
+    /// comes first on its connection. It counts as the answer only on the same terms, and never as a bare promise.
+    #[test]
+    fn a_head_proves_what_it_states_about_its_own_request(
+        status in prop_oneof![Just(200u16), Just(400), Just(404), Just(408), Just(421), Just(429), Just(500), Just(503)],
+        id in prop_oneof![Just(None), Just(Some("r-1")), Just(Some("r-2"))],
+        is_stated: bool,
+        is_signed: bool,
+        is_first: bool,
+    ) {
+        let mut headers = HeaderMap::new();
+        let fields = [
+            ("request-id", id),
+            ("not-executed", is_stated.then_some("1")),
+            ("server-stamp", is_signed.then_some("3e1b.07")),
+        ];
+        for (name, value) in fields {
+            if let Some(value) = value {
+                headers.insert(name, value.parse().unwrap());
+            }
+        }
+        let feedback = platform::response::parse(StatusCode::from_u16(status).unwrap(), &headers);
+        let verdict = judge(&feedback, "r-1", is_first);
+        let belongs = id == Some("r-1") || id.is_none() && is_first;
+        prop_assert_eq!(matches!(verdict, Verdict::Foreign(_)), !belongs);
+        let is_refusal = is_stated || status == 421 && !is_signed;
+        prop_assert_eq!(verdict == Verdict::NotRun, belongs && is_refusal);
+        let is_promise = NOT_RUN.contains(&status) && is_signed;
+        prop_assert!(verdict != Verdict::Answered || !is_promise);
+    }
+}
