Plain services: an answer without an echo proves nothing on a kept connection

What callers would see, of a system without the platform: a call that may run once runs twice, or gets another call's answer.

Cause: upstream::service believed a refusal, and any other answer, that echoes no ID, whatever the connection had carried.

Change: on a connection that has carried another call, an answer without an echo is lost; and a connection whose answer echoes nothing carries no other. Services that do not echo IDs so get a connection for each call.

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -29,6 +29,8 @@
     written: Arc<AtomicU64>,
     /// Time since boot before it was opened.
     opened: Span,
+    /// Number of requests that were sent over it.
+    requests: u64,
 }
 
 /// Complete response.
@@ -64,6 +66,7 @@
             sender,
             written,
             opened,
+            requests: 0,
         })
     }
 
@@ -72,6 +75,11 @@
         clock::since_boot().saturating_sub(self.opened)
     }
 
+    /// Number of requests that were sent over it.
+    pub fn request_count(&self) -> u64 {
+        self.requests
+    }
+
     /// Whether another request may be sent over this connection.
     pub fn is_reusable(&self) -> bool {
         !self.sender.is_closed()
@@ -85,6 +93,7 @@
         request: Request<Body>,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
+        self.requests += 1;
         let addr = self.addr;
         let before = self.written.load(Ordering::SeqCst);
         let is_sent = || self.written.load(Ordering::SeqCst) > before;
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -8,7 +8,8 @@
 /// Header field with the request ID.
 pub const REQUEST_HEADER: &str = "coveford-request";
 
-/// Header field in which a service may echo the request ID. A response with another ID belongs to another request.
+/// Header field in which a service may echo the request ID. A response with another ID belongs to another request, and one
+/// without an ID may belong to any that its connection has carried.
 pub const ECHO_HEADER: &str = "coveford-request";
 
 /// Why a call to a service failed.
@@ -55,17 +56,24 @@
         Err(e) if e.proves_unsent() => return Err(Failure::Unsent(e)),
         Err(e) => return Err(Failure::Lost(e.to_string())),
     };
-    if let Some(echo) = reply.headers.get(ECHO_HEADER)
-        && echo.as_bytes() != id.as_bytes()
-    {
-        return Err(Failure::Lost(
-            "the answer echoes another request's id".into(),
-        ));
+    let echo = reply.headers.get(ECHO_HEADER);
+    match echo {
+        Some(echo) if echo.as_bytes() != id.as_bytes() => {
+            let why = "the answer echoes another request's id";
+            return Err(Failure::Lost(why.into()));
+        }
+        None if connection.request_count() > 1 => {
+            let why = "the answer echoes no id, and its connection has carried another request";
+            return Err(Failure::Lost(why.into()));
+        }
+        _ => {}
     }
     if options.refusal_status == Some(reply.status.as_u16()) {
         // A late copy of the refusal would pass for the answer to the next call on this connection.
         return Err(Failure::Refused(reply));
     }
-    pool.release(addr, connection);
+    if echo.is_some() {
+        pool.release(addr, connection);
+    }
     Ok(reply)
 }
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -1,6 +1,7 @@
 //! Calls of plain services.
 
 use conn::{Pool, Reuse, json_request};
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,14 +18,15 @@
     max_bytes: 1_000,
 };
 
-/// Service that refuses the first request on its first connection, and sends the refusal once more in the place of the next
-/// answer there.
-async fn service() -> SocketAddr {
+const NAMED: &[u8] = b"HTTP/1.1 200 OK\r\ncoveford-request: r-1\r\ncontent-length: 3\r\n\r\nran";
+
+/// Service that gives the answers `first` on its first connection, and [`ANSWER`] on all others.
+async fn service(first: [&'static [u8]; 2]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(async move {
-        let first = listener.accept().await.unwrap().0;
-        tokio::spawn(answer(first, [REFUSAL, REFUSAL]));
+        let stream = listener.accept().await.unwrap().0;
+        tokio::spawn(answer(stream, first));
         while let Ok((next, _)) = listener.accept().await {
             tokio::spawn(answer(next, [ANSWER, ANSWER]));
         }
@@ -46,7 +48,7 @@
 /// Guards against a late copy of a refusal that is taken for the answer to the next call: it would count as not run.
 #[tokio::test]
 async fn a_late_copy_of_a_refusal_is_not_believed() {
-    let addr = service().await;
+    let addr = service([REFUSAL, REFUSAL]).await;
     let pool = Pool::default();
     let request = || json_request::<()>(addr, "/x", None).unwrap();
     let refused = call(&pool, addr, "r-1", request(), OPTIONS).await;
@@ -54,3 +56,29 @@
     let answered = call(&pool, addr, "r-1", request(), OPTIONS).await;
     assert_eq!(answered.unwrap().body, "ran");
 }
+
+/// Guards against bytes after a whole answer that are taken for the answer to the next call: as a refusal they would prove
+/// that it has not run.
+#[rstest]
+#[tokio::test]
+async fn bytes_after_an_answer_belong_to_no_call(#[values(REFUSAL, ANSWER)] bytes: &'static [u8]) {
+    let addr = service([NAMED, bytes]).await;
+    let pool = Pool::default();
+    let request = || json_request::<()>(addr, "/x", None).unwrap();
+    let first = call(&pool, addr, "r-1", request(), OPTIONS).await;
+    assert_eq!(first.unwrap().body, "ran");
+    let second = call(&pool, addr, "r-2", request(), OPTIONS).await;
+    assert!(matches!(second, Err(Failure::Lost(_))), "{second:?}");
+}
+
+/// Guards against the same bytes after an answer that echoes no ID.
+#[tokio::test]
+async fn a_connection_without_an_echo_carries_one_call() {
+    let addr = service([ANSWER, REFUSAL]).await;
+    let pool = Pool::default();
+    for id in ["r-1", "r-2"] {
+        let request = json_request::<()>(addr, "/x", None).unwrap();
+        let answered = call(&pool, addr, id, request, OPTIONS).await;
+        assert_eq!(answered.unwrap().body, "ran", "{id}");
+    }
+}
