Memory for answers is counted over the whole host

What callers would see: a replica that sends a body or an event without end takes its host past memory_mb, and all requests there end with a closed connection.

Cause: each answer that is read whole may have 16 MB, each event 1 MB, and each connection reads some 400 KB ahead. Nothing bounds their sum.

Change: front::memory, an eighth of the host's memory. Answers that are read whole and incomplete events reserve as they grow; once it is used up, the largest that still grows is given up, so that endless ones give way to sound ones of whatever length. A whole answer keeps its reservation until its last byte is written. Connections read ahead 64 KB at most. The end of an event is looked for in new bytes only.

Why it works: what is held for answers is at most the account, what was revoked and not yet dropped, and 64 KB for each connection.

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -22,6 +22,9 @@
 /// reset.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Most bytes that are read ahead on one connection, and longest head of a response: peers may send without end.
+const MAX_READ_BUFFER: usize = 64 * 1_024;
+
 /// Open HTTP/1.1 connection, which carries one request at a time.
 pub struct Connection {
     addr: SocketAddr,
@@ -57,7 +60,9 @@
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         let written = Arc::new(AtomicU64::new(0));
         let io = TokioIo::new(CountingStream::new(stream, written.clone()));
-        let (sender, task) = http1::handshake(io)
+        let (sender, task) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(io)
             .await
             .map_err(|_| Error::Unsent { addr })?;
         tokio::spawn(task);
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -26,14 +26,20 @@
                 bytes.slice(..end)
             }
             _ => {
+                // The end may lie across the border to what was searched before.
+                let searched = self.partial.len().saturating_sub(LONGEST_END - 1);
                 self.partial.extend_from_slice(&bytes);
-                let Some(end) = end_of_last(&self.partial) else {
+                let Some(end) = end_of_last(&self.partial[searched..]) else {
                     return match self.partial.len() > MAX_EVENT {
                         true => Err(TooLong),
                         false => Ok(None),
                     };
                 };
-                self.partial.split_to(end).freeze()
+                let whole = self.partial.split_to(searched + end).freeze();
+                if self.partial.is_empty() {
+                    self.discard_partial();
+                }
+                whole
             }
         };
         self.last = last_id(&whole).or(self.last);
@@ -45,6 +51,19 @@
         self.last
     }
 
+    /// Bytes of memory that are held after the last complete event.
+    pub fn capacity(&self) -> usize {
+        match self.is_partial() {
+            true => self.partial.capacity(),
+            false => 0,
+        }
+    }
+
+    /// Drops the bytes after the last complete event, and their memory.
+    pub fn discard_partial(&mut self) {
+        self.partial = BytesMut::new();
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_remainder(&mut self) -> Bytes {
         self.partial.split().freeze()
@@ -56,6 +75,9 @@
     }
 }
 
+/// Length of the longest blank line that ends an event, in bytes.
+const LONGEST_END: usize = 4;
+
 /// Offset behind the blank line that ends the last complete event.
 fn end_of_last(bytes: &[u8]) -> Option<usize> {
     let newline = bytes
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod grant;
 pub mod leader;
 pub mod log;
+pub mod memory;
 pub mod message;
 pub mod metrics;
 pub mod paths;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{Call, Exchange, Failure, History, Origin};
 use crate::events::Splitter;
+use crate::memory;
 use crate::paths;
 use crate::peers::Peers;
 use crate::pool::Line;
@@ -17,7 +18,7 @@
 use crate::streams;
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::{BodyExt, Limited, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Response, StatusCode};
@@ -80,7 +81,7 @@
         feedback,
     } = exchange;
     let (head, body) = response.into_parts();
-    let read = Limited::new(body, MAX_ANSWER).collect();
+    let read = memory::read(&state.answer_memory, body, MAX_ANSWER);
     let read = state.clock.timeout_at(call.deadline, read);
     let read = tokio::select! {
         biased;
@@ -92,9 +93,9 @@
         }
     };
     let body = match read {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
-            let failure = Failure::Lost(format!("its answer broke off: {error}"));
+            let failure = Failure::Lost(format!("its answer could not be read whole: {error}"));
             origin.record_failure(call, &failure);
             return Err(failure);
         }
@@ -133,6 +134,8 @@
     call: Arc<Call>,
     source: Option<Source>,
     splitter: Splitter,
+    /// Memory for the bytes after the last complete event.
+    memory: memory::Reservation,
     first_chunk: Option<Bytes>,
     history: History,
     last_event_at: Time,
@@ -192,6 +195,7 @@
         call: call.clone(),
         source: Some(source),
         splitter: Splitter::default(),
+        memory: state.answer_memory.reserve(),
         first_chunk: None,
         history,
         last_event_at: state.now(),
@@ -211,6 +215,11 @@
     Ok(answer.map(|()| StreamBody::new(events).boxed_unsync()))
 }
 
+/// Failure of a stream whose event was the longest when the memory for answers was used up.
+fn exhausted() -> Failure {
+    Failure::Lost("an event was the longest when the memory for answers was used up".into())
+}
+
 /// Header fields that are forwarded, without the length.
 fn returned(headers: &HeaderMap) -> HeaderMap {
     let mut headers = ingress::response_headers(headers);
@@ -370,6 +379,8 @@
             };
             let events = self.splitter.push(data);
             let events = events.map_err(|_| Failure::Lost("an event was too long".into()))?;
+            let reserved = self.memory.resize(self.splitter.capacity());
+            reserved.map_err(|_| exhausted())?;
             if events.is_some() {
                 self.record_progress();
                 return Ok(events);
@@ -405,7 +416,12 @@
                 true => deadline.min(silent_until),
                 false => deadline,
             };
-            let frame = clock.timeout_at(until, source.body.frame()).await;
+            let frame = clock.timeout_at(until, source.body.frame());
+            let frame = tokio::select! {
+                biased;
+                () = self.memory.revoked() => return Err(exhausted()),
+                frame = frame => frame,
+            };
             silence = SILENCE_INTERVAL;
             match frame {
                 Ok(frame) => {
--- a/crates/front/src/relay/resume.rs
+++ b/crates/front/src/relay/resume.rs
@@ -49,7 +49,8 @@
         if *cause == Failure::TimedOut || !is_idempotent || !quarantine::may_retry(&state, &call) {
             return false;
         }
-        self.splitter.take_remainder();
+        self.splitter.discard_partial();
+        self.memory = state.answer_memory.reserve();
         self.pauses.clear();
         let last = self.splitter.last_id().or(call.metadata.last_event);
         for _ in 0..MAX_SENDS {
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -98,6 +98,8 @@
         );
     }
     set("coveford_in_flight", &[], state.in_flight() as f64);
+    let answers = state.answer_memory.used();
+    set("coveford_answer_memory_bytes", &[], answers as f64);
     let shedding = state.shedding.status();
     set(
         "coveford_connections_closed_unread",
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -4,6 +4,7 @@
 use crate::detour::{self, Detours};
 use crate::dispatch::{self, Dispatch};
 use crate::log::Log;
+use crate::memory;
 use crate::message::{AdapterRequest, ModelRequest};
 use crate::paths::Paths;
 use crate::pool::Pool;
@@ -25,6 +26,9 @@
 /// Divisor of the process's memory that gives the share for request bodies.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// Divisor of the process's memory that gives the share for answers.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
+
 pub struct State {
     /// Settings of the daemon.
     pub settings: Settings,
@@ -63,6 +67,8 @@
     pub log: Log,
     /// Memory for request bodies, in KB.
     pub body_memory: Arc<Semaphore>,
+    /// Memory for answers.
+    pub answer_memory: Arc<memory::Account>,
     /// Whether the whole store, with the replicas' entries, has been read once.
     pub knows_replicas: AtomicBool,
     /// Whether a leader has ever been seen.
@@ -107,7 +113,9 @@
     store_timeout: std::time::Duration,
 ) -> (Arc<State>, PlacementRequests, Reports) {
     let seed = unit::rendezvous::hash(settings.name.as_bytes());
-    let bodies = settings.limits.memory_mb * 1_024 / BODY_MEMORY_DIVISOR;
+    let memory_kb = settings.limits.memory_mb * 1_024;
+    let bodies = memory_kb / BODY_MEMORY_DIVISOR;
+    let answers = memory_kb * 1_024 / ANSWER_MEMORY_DIVISOR;
     let (placement_requests, receiver) = tokio::sync::mpsc::unbounded_channel();
     let (quarantine, reports) = quarantine::open();
     let heartbeat = settings.bounds.heartbeat.into();
@@ -135,6 +143,7 @@
         shedding: Arc::new(shedding::open()),
         log,
         body_memory: Arc::new(Semaphore::new(bodies)),
+        answer_memory: memory::open(answers),
         knows_replicas: AtomicBool::new(false),
         leader_seen: AtomicBool::new(false),
         quarantine,
