A replica that sends informational answers without end is given up

What callers would see: requests wait out their deadlines at a replica that sends 1xx answers without end, though others could serve them.

Cause: the head of an answer is waited for until the deadline, whatever comes before it.

Change: more than 64 informational answers to one send end it. A sound replica has no use for so many, and the bound is far below what a deadline lets pass.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -150,7 +150,8 @@
     let account = account.as_ref().map(|a| &*a.name);
     let permit = feedback::permit(state, call, &reservation).map_err(Failure::Unavailable)?;
     let mut request = request(state, call, choice, permit, last_event, account);
-    feedback::observe_informational(state, &mut request, reservation.source(call));
+    let source = reservation.source(call);
+    let excess = feedback::observe_informational(state, &mut request, source);
     let remaining = call.remaining(state.now());
     if remaining.is_zero() {
         return Err(Failure::DeadlinePassed);
@@ -162,6 +163,11 @@
     let answered = tokio::select! {
         biased;
         answered = answer => answered,
+        () = excess.notified() => {
+            let failure = Failure::Lost("it sent informational answers without end".into());
+            reservation.record_failure(call, &failure);
+            return Err(failure);
+        }
         () = paths::lost(state), if call.route.kind.is_idempotent() => {
             reservation.record_bad_answer();
             return Err(Failure::Lost("this host reaches no replica any more".into()));
--- a/crates/front/src/feedback.rs
+++ b/crates/front/src/feedback.rs
@@ -12,6 +12,8 @@
 use platform::replica::Incarnation;
 use platform::response::{self, Feedback, Field};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::sync::Notify;
 use tracing::{info, warn};
 use unit::{Name, Span};
 
@@ -167,12 +169,26 @@
     permit
 }
 
-/// Applies informational (1xx) answers, which come before the final one.
-pub fn observe_informational(state: &Arc<State>, request: &mut Request<Body>, source: Source) {
+/// Most informational answers to one send.
+const MAX_INFORMATIONAL: usize = 64;
+
+/// Applies informational (1xx) answers, which come before the final one. The result is notified once there are too many.
+pub fn observe_informational(
+    state: &Arc<State>,
+    request: &mut Request<Body>,
+    source: Source,
+) -> Arc<Notify> {
     let state = state.clone();
+    let excess = Arc::new(Notify::new());
+    let (count, exceeded) = (AtomicUsize::new(0), excess.clone());
     hyper::ext::on_informational(request, move |response| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+            exceeded.notify_one();
+            return;
+        }
         let feedback = response::parse(response.status(), response.headers());
         let answers = feedback.matches_request(&source.subject);
         apply(&state, &source, &feedback, answers);
     });
+    excess
 }
--- a/crates/front/tests/endless.rs
+++ b/crates/front/tests/endless.rs
@@ -51,6 +51,7 @@
 #[case::unframed("/again/x", None, Endless::Unframed)]
 #[case::unframed_once("/once/x", None, Endless::Unframed)]
 #[case::head("/again/x", None, Endless::Head)]
+#[case::informational("/again/x", None, Endless::Informational)]
 #[case::event("/resume/x", Some("m1"), Endless::Event)]
 #[case::event_once("/stream/x", Some("m1"), Endless::Event)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
