Soak: stray bytes, statuses of a replica's own, and answers without end

The check of "not run" holds for 408 and 421 too, and the memory that each running host has had resident is held against its memory_mb. The forms of stray bytes stand in the stand-in, for the tests of proofs as well.

--- a/crates/front/tests/proofs.rs
+++ b/crates/front/tests/proofs.rs
@@ -11,6 +11,9 @@
 use platform_standin::link::{Links, Mode};
 use platform_standin::replica::{Fault, Replica};
 use platform_standin::store::Store;
+use platform_standin::stray::{
+    LIMITED, MALFORMED, MISDIRECTED, SHED, SIGNED, SIGNED_FAILURE, SIGNED_STREAM,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use site::{Answer, NOT_RUN, ask, engine, host_with_links, store, until, violation, web};
@@ -23,31 +26,6 @@
     ("/resume/x", Some("m1")),
 ];
 
-/// Bytes of an answer that names no request, with the given status line and fields.
-macro_rules! unnamed {
-    ($status:literal, $fields:literal) => {
-        concat!(
-            "HTTP/1.1 ",
-            $status,
-            "\r\ncontent-length: 5\r\n",
-            $fields,
-            "\r\n\r\nother"
-        )
-    };
-}
-
-/// Forms of bytes that follow a whole answer.
-const SHED: &str = unnamed!("503 Service Unavailable", "not-executed: 1");
-const LIMITED: &str = unnamed!("429 Too Many Requests", "not-executed: 1");
-const MISDIRECTED: &str = unnamed!("421 Misdirected Request", "not-executed: 1");
-const MALFORMED: &str = unnamed!("400 Bad Request", "not-executed: 1");
-const SIGNED: &str = unnamed!("200 OK", "server-stamp: 3e1b.07");
-const SIGNED_FAILURE: &str = unnamed!("404 Not Found", "server-stamp: 3e1b.07");
-const SIGNED_STREAM: &str = concat!(
-    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nserver-stamp: 3e1b.07\r\n",
-    "content-length: 14\r\n\r\nid: 1\ndata: x\n\n"
-);
-
 /// Replicas of both services, two of each.
 async fn replicas(store: &Store) -> Vec<Replica> {
     let mut replicas = Vec::new();
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,6 +3,7 @@
 use crate::accounts::{self, Caller};
 use crate::brittle;
 use crate::client::{Outcome, REQUEST_TIMEOUT, TIMEOUT_TOLERANCE};
+use crate::host::{Host, MEMORY_MB};
 use crate::segments;
 use crate::signals;
 use crate::site::Site;
@@ -18,7 +19,7 @@
 const QUIET_PERIOD: Duration = Duration::from_millis(3_000);
 
 /// Statuses that guarantee that a request has not run.
-pub const NOT_RUN_STATUSES: [u16; 3] = [401, 429, 503];
+pub const NOT_RUN_STATUSES: [u16; 5] = [401, 408, 421, 429, 503];
 
 /// Fraction of requests that must succeed once all faults are over.
 const MIN_SUCCESS_RATIO: f64 = 0.9;
@@ -38,6 +39,7 @@
         violations.extend(check_request(outcome, ran, paused));
     }
     violations.extend(replicas.iter().filter_map(check_memory));
+    violations.extend(site.hosts.iter().filter_map(check_host_memory));
     violations.extend(
         replicas
             .iter()
@@ -131,6 +133,14 @@
     })
 }
 
+fn check_host_memory(host: &Host) -> Option<String> {
+    let peak = host.peak_memory_mb().filter(|mb| *mb > MEMORY_MB)?;
+    let name = &host.name;
+    Some(format!(
+        "host {name} had {peak} MB resident; it has {MEMORY_MB}"
+    ))
+}
+
 fn check_memory(replica: &Replica) -> Option<String> {
     let id = &replica.options.id;
     replica
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,6 +6,7 @@
 use crate::error::Error;
 use crate::signals;
 use crate::site::{Pause, Site};
+use crate::stray;
 use nix::sys::signal::Signal;
 use platform_standin::link::Mode as LinkMode;
 use platform_standin::proxy::Mode as ProxyMode;
@@ -66,6 +67,7 @@
     let mut balancer_rng = SmallRng::seed_from_u64(!seed.rotate_left(32));
     let mut framing_rng = SmallRng::seed_from_u64(seed.rotate_left(24));
     let mut repetition_rng = SmallRng::seed_from_u64(!seed.rotate_left(24));
+    let mut stray_rng = SmallRng::seed_from_u64(seed.rotate_left(40));
     let mut copies = Copies::default();
     let mut brittle_phase = None;
     let end = Instant::now() + duration;
@@ -90,6 +92,7 @@
         change_balancer(workload, &mut balancer_rng);
         change_framing(site, &mut framing_rng);
         change_repetition(site, &mut repetition_rng);
+        stray::change(site, &mut stray_rng);
         brittle::change(site, &mut brittle_phase, &mut brittle_rng);
         faults += 1;
     }
@@ -98,6 +101,7 @@
     *workload.favored.lock() = None;
     clear_framing(site);
     clear_refusals(site);
+    stray::end(site);
     undo_due(site, &mut undos, true).await?;
     for host in &mut site.hosts {
         host.signal(Signal::SIGCONT);
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -4,9 +4,10 @@
 use crate::error::{Error, StartSnafu, SystemSnafu};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use platform_standin::link::{self, Links, Mode as LinkMode};
+use platform_standin::link::{self, Endless, Links, Mode as LinkMode};
 use platform_standin::ports;
 use platform_standin::proxy::{self, Proxy};
+use platform_standin::replica::Replica;
 use platform_standin::store::Store;
 use snafu::ResultExt;
 use std::fs::File;
@@ -35,6 +36,9 @@
     link_changes: Vec<(Instant, LinkMode)>,
 }
 
+/// Memory of a host, in MB.
+pub const MEMORY_MB: usize = 256;
+
 /// Time after its links are back in which a host may still pass requests on.
 const RECONNECT_TIME: Duration = Duration::from_secs(3);
 
@@ -50,7 +54,7 @@
     let (window, overage, slack) = QUOTA;
     let text = format!(
         "[daemon]\nname = {name}\nhall = a\ncallers = {caller_addr}\nreadiness = {}\nmetrics = {}\npeers = {}\n\
-         [store]\naddress = {}\n[bounds]\ngrace_seconds = 6\nlease_ms = 1000\n\
+         [store]\naddress = {}\n[limits]\nmemory_mb = {MEMORY_MB}\n[bounds]\ngrace_seconds = 6\nlease_ms = 1000\n\
          withdrawal_ms = {}\nquota_window_seconds = {}\nquota_overage = {}\nquota_slack = {}\n",
         ports::free(),
         ports::free(),
@@ -123,6 +127,27 @@
         }
     }
 
+    /// Lets a replica answer this host with bytes without end, or as it does. It counts as no disturbance.
+    pub fn set_endless(&self, replica: SocketAddr, form: Option<Endless>) {
+        self.links.set_endless(replica, form);
+    }
+
+    /// Lets all replicas answer this host as they do.
+    pub fn clear_endless(&self, replicas: &[Replica]) {
+        for replica in replicas {
+            self.links.set_endless(replica.addr, None);
+        }
+    }
+
+    /// Most memory that its running process has had resident, in MB; none if it has ended.
+    pub fn peak_memory_mb(&self) -> Option<usize> {
+        let id = self.process.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmHWM:"))?;
+        let kb: usize = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kb / 1_024)
+    }
+
     /// Whether another host may have sent its requests at a time.
     pub fn was_cut(&self, at: Instant) -> bool {
         let changes = self.link_changes.iter();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod segments;
 pub mod signals;
 pub mod site;
+mod stray;
 
 pub use error::Error;
 
