Test: mixtures of stray bytes, copies, cut answers, resets and own statuses

Eight runs (four seeds, on a host's own sends and on those for another host) of concurrent requests while replicas and links change.

--- a/crates/front/tests/proofs.rs
+++ b/crates/front/tests/proofs.rs
@@ -15,8 +15,13 @@
     LIMITED, MALFORMED, MISDIRECTED, SHED, SIGNED, SIGNED_FAILURE, SIGNED_STREAM,
 };
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use site::{Answer, NOT_RUN, ask, engine, host_with_links, store, until, violation, web};
+use site::{Answer, NOT_RUN, ask, ask_at, engine, host_with_links, store, until, violation, web};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 /// Kinds of requests, with their model.
 const PATHS: [(&str, Option<&str>); 4] = [
@@ -211,6 +216,84 @@
     }
 }
 
+/// Faults that a replica draws from.
+const FAULTS: [Fault; 9] = [
+    Fault::None,
+    Fault::RefuseOnce(503),
+    Fault::RefuseOnce(421),
+    Fault::OwnStatus(503),
+    Fault::OwnStatus(429),
+    Fault::DropResponse,
+    Fault::TruncateEvent,
+    Fault::Unframed,
+    Fault::InternalError,
+];
+
+/// States that the links of the sending host draw from.
+const MODES: [Mode; 8] = [
+    Mode::Up,
+    Mode::RepeatFailures,
+    Mode::RepeatAll,
+    Mode::Insert(SHED),
+    Mode::Insert(MISDIRECTED),
+    Mode::Insert(SIGNED),
+    Mode::Hang,
+    Mode::Reset,
+];
+
+/// Guards against any order of stray bytes, copies, cut answers, resets and statuses of replicas' own in which a request
+/// counts as not run that has run or runs later, on a host's own sends and on those for another host.
+#[rstest]
+#[tokio::test]
+async fn no_mixture_of_faults_proves_what_is_not_true(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(false, true)] by_other_host: bool,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let store = store().await;
+    let replicas = replicas(&store).await;
+    let (host, links, _other) = match by_other_host {
+        true => {
+            let (cut, other, [cut_links, links]) = hosts_with_detour(&store).await;
+            (cut, links, Some((other, cut_links)))
+        }
+        false => {
+            let (host, links) = host_with_links(&store, "d1").await;
+            (host, links, None)
+        }
+    };
+    let mut answered = Vec::new();
+    for _ in 0..16 {
+        for replica in &replicas {
+            replica.name_refused(rng.random());
+            replica.set_fault(FAULTS[rng.random_range(0..FAULTS.len())]);
+        }
+        links.set(MODES[rng.random_range(0..MODES.len())]);
+        let mut requests = JoinSet::new();
+        for _ in 0..6 {
+            let (path, model) = PATHS[rng.random_range(0..PATHS.len())];
+            let callers = host.callers();
+            requests.spawn(async move { (path, ask_at(callers, path, model).await) });
+        }
+        // The links change while requests are on their way.
+        sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        links.set(MODES[rng.random_range(0..MODES.len())]);
+        sleep(Duration::from_millis(50)).await;
+        links.set(Mode::Up);
+        answered.extend(requests.join_all().await);
+    }
+    // What is still on its way runs by then.
+    sleep(Duration::from_millis(300)).await;
+    let found = answered.iter().filter_map(|(path, (id, answer))| {
+        let runs = runs(&replicas, id);
+        let is_broken = answer.0.is_err();
+        let wrong = violation(path, id, answer.status(), runs);
+        let foreign = !is_broken && !is_own(path, id, answer);
+        wrong.or_else(|| foreign.then(|| format!("{path} {id} got the answer of another request")))
+    });
+    assert_eq!(found.collect::<Vec<_>>(), Vec::<String>::new());
+}
+
 fn not_run() -> Rejection {
     Rejection::not_run(
         "overloaded",
