--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -132,7 +132,9 @@
 
     /// Next request ID.
     pub fn next_id(&self) -> String {
-        format!("s-{}", self.next_id.fetch_add(1, Ordering::Relaxed))
+        // Other soaks on the machine may reach replicas of this one, whose addresses are given out anew.
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        format!("s{}-{number}", std::process::id())
     }
 }
 
