--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -104,13 +104,18 @@
 }
 
 impl Reservation {
-    /// Changes the reservation to `bytes`. Fails if it was revoked, or if the memory is used up and no other is larger.
+    /// Changes the reservation to `bytes`. Fails if it was revoked, or if it grows, the memory is used up and no other is
+    /// larger.
     pub fn resize(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        if bytes == self.bytes {
+            return Ok(());
+        }
         let mut ledger = self.account.ledger.lock();
         if !ledger.growing.contains_key(&self.number) {
             return Err(Exhausted);
         }
-        while ledger.used - self.bytes + bytes > self.account.limit {
+        let grows = bytes > self.bytes;
+        while grows && ledger.used - self.bytes + bytes > self.account.limit {
             ledger.revoke_larger_than(bytes)?;
         }
         ledger.used = ledger.used - self.bytes + bytes;
