--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -107,7 +107,8 @@
     /// Changes the reservation to `bytes`. Fails if it was revoked, or if it grows, the memory is used up and no other is
     /// larger.
     pub fn resize(&mut self, bytes: usize) -> Result<(), Exhausted> {
-        if bytes == self.bytes {
+        // An empty reservation is never revoked.
+        if bytes == 0 && self.bytes == 0 {
             return Ok(());
         }
         let mut ledger = self.account.ledger.lock();
