--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -5,6 +5,9 @@
 //! looks complete.
 
 mod resume;
+mod whole;
+
+pub use whole::read_whole;
 
 use crate::attempt::{Call, Exchange, Failure, History, Origin};
 use crate::events::Splitter;
@@ -13,15 +16,15 @@
 use crate::peers::Peers;
 use crate::pool::Line;
 use crate::quarantine;
-use crate::respond::{Body, full_body};
+use crate::respond::Body;
 use crate::state::{InFlight, State};
 use crate::streams;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::{self, HeaderMap};
-use hyper::{Method, Response, StatusCode};
 use platform::ingress;
 use platform::response::Feedback;
 use route::pause::Batch;
@@ -32,9 +35,6 @@
 use tracing::info;
 use unit::{Name, Span, Time};
 
-/// Longest answer that is not a stream, in bytes.
-const MAX_ANSWER: usize = 16 << 20;
-
 /// Time without data of a resumable stream after which its replica is checked.
 const SILENCE_CHECK: Span = Span::from_ms(1_000);
 
@@ -53,11 +53,6 @@
 /// Why an answer that ends with its connection counts as lost if its replica has crashed.
 const CRASHED_AT_END: &str = "its connection ended, and the replica has crashed";
 
-/// Whether a successful answer to the request has a body, so that one that ends with its connection is not empty.
-fn must_have_body(call: &Call, status: StatusCode) -> bool {
-    status.is_success() && status != StatusCode::NO_CONTENT && call.method != Method::HEAD
-}
-
 /// Fails if the replica of an answer that ended with its connection has crashed. It may then have been cut short.
 async fn confirm_end(state: &State, instance: Option<Instance>) -> Result<(), Failure> {
     match instance {
@@ -68,65 +63,6 @@
     }
 }
 
-/// Reads and forwards an answer that is not a stream.
-pub async fn read_whole(
-    state: &Arc<State>,
-    call: &Arc<Call>,
-    exchange: Exchange,
-) -> Result<Response<Body>, Failure> {
-    let Exchange {
-        mut origin,
-        line,
-        response,
-        feedback,
-    } = exchange;
-    let (head, body) = response.into_parts();
-    let read = memory::read(&state.answer_memory, body, MAX_ANSWER);
-    let read = state.clock.timeout_at(call.deadline, read);
-    let read = tokio::select! {
-        biased;
-        read = read => read,
-        () = paths::lost(state), if call.route.kind.is_idempotent() && origin.replica().is_some() => {
-            let failure = Failure::Lost("this host reaches no replica any more".into());
-            origin.record_failure(call, &failure);
-            return Err(failure);
-        }
-    };
-    let body = match read {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            let failure = Failure::Lost(format!("its answer could not be read whole: {error}"));
-            origin.record_failure(call, &failure);
-            return Err(failure);
-        }
-        Err(_) => {
-            origin.record_failure(call, &Failure::TimedOut);
-            return Err(Failure::TimedOut);
-        }
-    };
-    if body.is_empty() && must_have_body(call, head.status) && !feedback.is_framed {
-        let failure = Failure::Lost(ENDED_BEFORE_BEGIN.into());
-        origin.record_failure(call, &failure);
-        return Err(failure);
-    }
-    if !body.is_empty() && !feedback.is_framed {
-        let confirmed = confirm_end(state, origin.instance()).await;
-        confirmed.inspect_err(|failure| origin.record_failure(call, failure))?;
-    }
-    let failed = head.status.is_server_error();
-    origin.record_answer(failed);
-    origin.return_connection(state, call, line, &feedback);
-    match head.status.is_success() {
-        true => quarantine::note_success(state, call),
-        false if !failed => quarantine::note_end(state, call),
-        false => {}
-    }
-    let mut response = Response::new(full_body(body));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = returned(&head.headers);
-    Ok(response)
-}
-
 /// Forwarded event stream.
 struct Relay {
     state: Arc<State>,
