Logs tell which answer was believed for which send, on which connection

The line turned_away names the number of the send, the local port of its connection, whether that is new or kept, and the verdict; failed names the send.

--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -113,6 +113,16 @@
         has_request_id && self.text("id") == id
     }
 
+    /// What an answer that is not simply the request's own proves about it.
+    fn describe_verdict(&self) -> &'static str {
+        match self.text("verdict") {
+            "not_run" => "proof that it has not run",
+            "unproven" => "no proof that it has not run",
+            "foreign" => "no answer to this send",
+            _ => "its answer",
+        }
+    }
+
     /// Describes the event in a sentence.
     fn describe(&self) -> String {
         let replica = self.text("replica");
@@ -129,6 +139,19 @@
                 self.text("addr"),
                 self.number_or_zero("entry")
             ),
+            ("request", "turned_away") => format!(
+                "Send {:.0}, on the {} connection from port {:.0}: {replica} answered with status {:.0} for {}, which counts as {}.",
+                self.number_or_zero("send"),
+                self.text("connection"),
+                self.number_or_zero("port"),
+                self.number_or_zero("status"),
+                match self.text("named") {
+                    "" => "no request that it names".to_owned(),
+                    named if named == self.text("id") => "it".to_owned(),
+                    other => format!("request {other}"),
+                },
+                self.describe_verdict()
+            ),
             ("request", "refused") => format!(
                 "It was given up with status {} after {ms:.0} ms: {} ({why}).{}{}",
                 self.number_or_zero("status"),
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -19,6 +19,8 @@
 {"host":"c3","timestamp":"2026-08-12T10:33:20.100000Z","level":"INFO","message":"a replica turned a request away and wants nothing from this host for a time","event":"rests","replica":"i-67","id":"m0","by":"c3","asked_ms":3000.0,"left_ms":3000.0,"first":true,"target":"replica"}
 {"host":"c3","timestamp":"2026-08-12T10:33:20.200000Z","level":"INFO","message":"a request was not sent to a replica that wants none","event":"kept_back","id":"m1","replica":"i-67","why":"rests","placed_ms":41.0,"target":"replica"}
 {"host":"c3","timestamp":"2026-08-12T10:33:21.000000Z","level":"WARN","message":"the request is given up","event":"refused","id":"m2","route":"r-1","status":503,"reason":"resting","retry_after_ms":2300.0,"ms":1.1,"why":"The replicas that could take the request take none from this host now.","target":"request"}
+{"host":"c1","timestamp":"2026-08-12T10:34:02.000000Z","level":"INFO","message":"the replica refused the request","event":"turned_away","id":"v1","replica":"i-68","send":1,"port":40112,"connection":"new","verdict":"not_run","status":503,"named":"v1","not_executed":true,"signed":false,"target":"request"}
+{"host":"c1","timestamp":"2026-08-12T10:34:02.050000Z","level":"INFO","message":"the replica refused the request","event":"turned_away","id":"v1","replica":"i-69","send":2,"port":40118,"connection":"kept","verdict":"foreign","status":429,"not_executed":true,"signed":false,"last":"v0","target":"request"}
 not a line of a log
 "#;
 
@@ -127,3 +129,16 @@
     ];
     assert_eq!(told, expected);
 }
+
+#[test]
+fn each_answer_shows_its_send_its_connection_and_what_it_proved() {
+    let timeline = build("v1", &parse(LOG));
+    let expected = [
+        "Send 1, on the new connection from port 40112: i-68 answered with status 503 for it, which counts as proof that it has not run.",
+        "Send 2, on the kept connection from port 40118: i-69 answered with status 429 for no request that it names, which counts as no answer to this send.",
+    ];
+    for (line, expected) in timeline.iter().zip(expected) {
+        assert!(line.contains(expected), "{line}");
+    }
+    assert_eq!(timeline.len(), expected.len());
+}
--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -28,6 +28,8 @@
 /// Open HTTP/1.1 connection, which carries one request at a time.
 pub struct Connection {
     addr: SocketAddr,
+    /// Local port.
+    port: u16,
     sender: SendRequest<Body>,
     written: Arc<AtomicU64>,
     /// Time since boot before it was opened.
@@ -56,6 +58,7 @@
             .await
             .map_err(|_| Error::ConnectTimeout { addr, ms })?
             .map_err(|source| Error::Connect { addr, source })?;
+        let port = stream.local_addr().map_or(0, |local| local.port());
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         let written = Arc::new(AtomicU64::new(0));
@@ -68,6 +71,7 @@
         tokio::spawn(task);
         Ok(Connection {
             addr,
+            port,
             sender,
             written,
             opened,
@@ -75,6 +79,11 @@
         })
     }
 
+    /// Local port, by which logs of both ends tell connections apart; 0 if it is not known.
+    pub fn port(&self) -> u16 {
+        self.port
+    }
+
     /// Time since before the connection was opened: its peer was running at some time since then.
     pub fn age(&self) -> Span {
         clock::since_boot().saturating_sub(self.opened)
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::accounts::{self, Refusal};
 use crate::clock::Elapsed;
 use crate::feedback::{self, Source};
+use crate::log::Topic;
 use crate::paths;
 use crate::pool::{Line, Scope};
 use crate::quarantine;
@@ -28,6 +29,7 @@
 use platform::ingress;
 use platform::response::{self, Feedback};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tracing::info;
 use unit::{Name, Span};
@@ -157,6 +159,7 @@
         return Err(Failure::DeadlinePassed);
     }
     rate_limit::record_send(state, call, &choice.replica, last_event);
+    call.begin_send();
     let answer = state
         .clock
         .timeout_at(call.deadline, line.connection.send(request, remaining));
@@ -258,7 +261,7 @@
     let verdict = verdict::judge(&feedback, &call.id, line.is_first());
     let is_foreign = matches!(verdict, Verdict::Foreign(_));
     let source = reservation.source(call);
-    record_head(state, &source, &line, &feedback);
+    record_head(state, call, &source, &line, &feedback, verdict);
     if feedback.request_id().is_none() {
         let scope = match line.is_first() {
             true => Scope::Service(call.service.clone()),
@@ -305,7 +308,14 @@
 
 /// Counts an answer by the request that it names and by whether its connection had carried another. Logs an answer to
 /// another request and one whose status says, or seems to say, that the request has not run.
-fn record_head(state: &State, source: &Source, line: &Line, feedback: &Feedback) {
+fn record_head(
+    state: &State,
+    call: &Call,
+    source: &Source,
+    line: &Line,
+    feedback: &Feedback,
+    verdict: Verdict,
+) {
     let named = feedback.request_id();
     let id = match named {
         None => "none",
@@ -332,8 +342,10 @@
     }
     let (status, last) = (feedback.status, line.last.as_deref());
     let (not_executed, signed) = (feedback.not_executed, feedback.signed);
-    state.log.rate_limited(|| {
-        info!(target: "request", event = "turned_away", id = &*source.subject, replica = &*source.replica, status, named, not_executed, signed, last, "the replica refused the request, answered another one, or gave the status of a refusal; last is the request that the connection carried before")
+    let (send, port) = (call.sends.load(Ordering::Relaxed), line.connection.port());
+    let verdict = verdict.label();
+    state.log.rate_limited_by(Topic::Verdicts, || {
+        info!(target: "request", event = "turned_away", id = &*source.subject, replica = &*source.replica, send, port, connection, verdict, status, named, not_executed, signed, last, "the replica refused the request, answered another one, or gave the status of a refusal; port is the local one of the connection, last the request that it carried before")
     });
 }
 
--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -13,7 +13,7 @@
 use route::quarantine::Cause;
 use route::streams::Run;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -56,6 +56,8 @@
     pub passed_on_by: Option<Name>,
     /// Hosts that this one passed it on to.
     pub detours: Mutex<Vec<SocketAddr>>,
+    /// Sends to replicas by this host so far.
+    pub sends: AtomicU32,
     /// Run that gave the first event of the stream, once it has one; none if it is not certain which software ran it.
     pub run: OnceLock<Option<Run>>,
     /// Trial run, if the request is suspected of crashing replicas.
@@ -91,6 +93,11 @@
         segments.map(|segment| Cause::Segment(segment.id))
     }
 
+    /// Counts a send to a replica and returns its number, from 1.
+    pub fn begin_send(&self) -> u32 {
+        self.sends.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self, now: Time) -> Duration {
         self.deadline.since(now).std()
--- a/crates/front/src/attempt/verdict.rs
+++ b/crates/front/src/attempt/verdict.rs
@@ -26,6 +26,18 @@
     Foreign(&'static str),
 }
 
+impl Verdict {
+    /// Label for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Verdict::Answered => "answered",
+            Verdict::NotRun => "not_run",
+            Verdict::Unproven => "unproven",
+            Verdict::Foreign(_) => "foreign",
+        }
+    }
+}
+
 /// Judges an answer by its head. `is_first` is whether its connection has carried no request before.
 pub fn judge(feedback: &Feedback, request: &str, is_first: bool) -> Verdict {
     match feedback.request_id() {
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -21,6 +21,8 @@
     Replicas,
     /// Replicas that the planner takes up and reports that it asks for.
     Planner,
+    /// Answers by which a request counts as not run, or that are not believed.
+    Verdicts,
 }
 
 /// Rate limit of a topic, in lines per second. A line costs about 20 µs.
@@ -38,7 +40,7 @@
     /// One request in this many is logged.
     sample: u64,
     /// By topic.
-    buckets: [Mutex<TokenBucket>; 3],
+    buckets: [Mutex<TokenBucket>; 4],
     omitted: AtomicU64,
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -31,6 +31,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tracing::info;
 use unit::{Span, Time};
@@ -370,8 +371,9 @@
 
 /// Logs a failed send, and corrects the table and the pool.
 fn handle_failure(state: &State, call: &Call, choice: &Choice, failure: &Failure) {
+    let send = call.sends.load(Ordering::Relaxed);
     state.log.rate_limited(|| {
-        info!(target: "request", event = "failed", id = &*call.id, print = %call.fingerprint(), segments = call.metadata.segment_ids(), replica = &*choice.replica, addr = %choice.addr, entry = choice.revision, candidates = choice.candidate_count, why = %failure, "send failed")
+        info!(target: "request", event = "failed", id = &*call.id, send, print = %call.fingerprint(), segments = call.metadata.segment_ids(), replica = &*choice.replica, addr = %choice.addr, entry = choice.revision, candidates = choice.candidate_count, why = %failure, "send failed")
     });
     let misdirected = matches!(
         failure,
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -15,7 +15,7 @@
 use platform::config::Route;
 use platform::ingress;
 use route::admission::Standing;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::sync::{Arc, OnceLock};
 use tracing::info;
 use unit::{Span, Time, rendezvous};
@@ -144,6 +144,7 @@
         exceeds_share: OnceLock::new(),
         passed_on_by: None,
         detours: Mutex::default(),
+        sends: AtomicU32::new(0),
         run: OnceLock::new(),
         trial: OnceLock::new(),
         has_begun: AtomicBool::new(false),
