Failing test: a copy of a refusal that comes on another connection

The stand-in's links send a refusal once more in the place of the answer to the next send of its request, on whatever connection that goes.

--- a/crates/front/tests/repeated_answers.rs
+++ b/crates/front/tests/repeated_answers.rs
@@ -58,6 +58,35 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+/// Guards against a copy of a refusal that comes on another connection of its replica and is taken for the answer to the
+/// second send of its request: the request then runs twice, or its caller is told that it has not run.
+#[rstest]
+#[tokio::test]
+async fn a_copy_of_a_refusal_on_another_connection_is_not_believed(
+    #[values(503, 429, 421)] status: u16,
+    #[values(1, 2)] replicas_of_each: usize,
+) {
+    let store = store().await;
+    let mut replicas = Vec::new();
+    for n in 1..=replicas_of_each {
+        replicas.push(web(&store, &format!("w-{n}")).await);
+        replicas.push(engine(&store, &format!("e-{n}"), &["m1"]).await);
+    }
+    let (daemon, links) = host_with_links(&store, "d1").await;
+    for replica in &replicas {
+        replica.set_fault(Fault::RefuseOnce(status));
+    }
+    links.set(Mode::RepeatElsewhere);
+    let mut violations = Vec::new();
+    for n in 0..24 {
+        let (path, model) = PATHS[n % PATHS.len()];
+        let (id, answer) = ask(&daemon, path, model).await;
+        let runs = replicas.iter().map(|r| r.request_log(&id).runs).sum();
+        violations.extend(violation(path, &id, answer.status(), runs));
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
+
 /// Kinds of requests, with their model.
 const PATHS: [(&str, Option<&str>); 4] = [
     ("/once/x", None),
