--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -50,6 +50,8 @@
     Resume,
     /// Plain request that is not idempotent.
     Once,
+    /// Plain request that is not idempotent, on a route that allows one attempt.
+    Single,
     /// Plain request that is idempotent.
     Again,
 }
@@ -60,6 +62,7 @@
             Kind::Stream => "/stream/x",
             Kind::Resume => "/resume/x",
             Kind::Once => "/once/x",
+            Kind::Single => "/single/x",
             Kind::Again => "/again/x",
         }
     }
@@ -104,6 +107,8 @@
     pub streams: Mutex<Vec<Stream>>,
     /// Host that the balancer hands most new connections to.
     pub favored: Mutex<Option<usize>>,
+    /// Clients that press for places stop when this is false.
+    pub pressing: AtomicBool,
     /// Clients stop when this is false.
     pub running: AtomicBool,
     next_id: AtomicU64,
@@ -115,6 +120,7 @@
         outcomes: Mutex::default(),
         streams: Mutex::default(),
         favored: Mutex::default(),
+        pressing: AtomicBool::new(true),
         running: AtomicBool::new(true),
         next_id: AtomicU64::new(1),
     })
@@ -122,7 +128,7 @@
 
 impl Workload {
     /// Host of a new connection.
-    fn host(&self, rng: &mut SmallRng) -> usize {
+    pub fn host(&self, rng: &mut SmallRng) -> usize {
         let favored = self
             .favored
             .lock()
@@ -191,7 +197,7 @@
 }
 
 /// Sends one request; returns the connection if it can be reused.
-async fn send(
+pub async fn send(
     workload: &Workload,
     (kind, caller): (Kind, Caller),
     (model, prompt): (&str, HeaderValue),
@@ -276,7 +282,7 @@
         return Some("a success response without a signature".into());
     }
     let text = String::from_utf8_lossy(&reply.body);
-    if matches!(kind, Kind::Once | Kind::Again) {
+    if !kind.is_stream() {
         let is_own = text.contains(&format!(" answers {id} at {}", kind.path()));
         return (!is_own).then(|| format!("the response to another request: {text}"));
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -172,12 +172,13 @@
         LinkMode::RepeatFailures,
         LinkMode::RepeatLater,
         LinkMode::RepeatAll,
+        LinkMode::RepeatElsewhere,
     ];
     let mode = modes[rng.random_range(0..modes.len())];
     let fault = Fault::RefuseOnce(REFUSALS[rng.random_range(0..REFUSALS.len())]);
     let is_named = rng.random();
     if rng.random_ratio(1, STEPS_PER_REPETITION_CHANGE) {
-        host.repeat_answers(mode);
+        site.add_answers(host, mode);
     }
     if rng.random_ratio(1, STEPS_PER_REPETITION_CHANGE) {
         replica.name_refused(is_named);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod faults;
 pub mod host;
 pub mod options;
+mod pressure;
 pub mod resumption;
 pub mod segments;
 pub mod signals;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -16,6 +16,8 @@
     pub hosts: usize,
     /// Whether requests with segments that crash replicas come too.
     pub fatal_segments: bool,
+    /// Whether the plain service has few places, and clients that ask for more of them than there are.
+    pub few_places: bool,
     /// Path of the daemon's program.
     pub program: PathBuf,
 }
@@ -51,6 +53,9 @@
     let fatal_segments = long("fatal-segments")
         .help("Also send requests whose prompts hold a segment that crashes replicas")
         .switch();
+    let few_places = long("few-places")
+        .help("Give the plain service three replicas with six places each, and clients that press for them")
+        .switch();
     let program = long("program")
         .help("Path of the daemon's program; by default covefordd in the directory of this program")
         .argument::<PathBuf>("FILE")
@@ -60,6 +65,7 @@
         duration,
         hosts,
         fatal_segments,
+        few_places,
         program
     })
     .to_options()
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -7,10 +7,12 @@
 use crate::faults;
 use crate::host::{self, Host};
 use crate::options::Options;
+use crate::pressure;
 use crate::resumption;
 use crate::segments;
 use platform::config::Kind;
 use platform_standin::Route;
+use platform_standin::link::Mode as LinkMode;
 use platform_standin::replica::{self, Options as ReplicaOptions, Replica};
 use platform_standin::store::{self, Store};
 use serde_json::Value;
@@ -69,6 +71,8 @@
     /// Pauses of hosts.
     pub pauses: Vec<Pause>,
     next_replica: u32,
+    /// Requests that each replica of the plain service runs at once, if it refuses more.
+    places: Option<u32>,
 }
 
 /// Runs one seed.
@@ -92,7 +96,14 @@
         let seed = !(seed * 1_000 + n);
         clients.push(tokio::spawn(resumption::run(workload.clone(), seed)));
     }
+    if options.few_places {
+        let pressing = (0..pressure::CLIENTS)
+            .map(|n| tokio::spawn(pressure::run(workload.clone(), seed.rotate_left(8) + n)));
+        clients.extend(pressing);
+    }
     let faults = faults::inject(&mut site, &workload, seed, options.duration).await?;
+    workload.pressing.store(false, Ordering::Relaxed);
+    site.end_shortage();
     sleep(SETTLE_TIME).await;
     let config_violations = site.check_active_config().await;
     let settled_at = Instant::now();
@@ -132,6 +143,7 @@
         disturbances: Vec::new(),
         pauses: Vec::new(),
         next_replica: 1,
+        places: options.few_places.then_some(pressure::PLACES),
     };
     site.write_config();
     for models in [["m1", "m2"], ["m2", "m3"], ["m1", "m3"], ["m1", "m2"]] {
@@ -203,6 +215,21 @@
         self.store.put(platform::names::CONFIG, &configuration);
     }
 
+    /// Lets the links of a host, or of all under a shortage, add answers, or no longer. Under a shortage the cause is a
+    /// faulty replica, which does so to all hosts.
+    pub fn add_answers(&self, host: &Host, mode: LinkMode) {
+        match self.places {
+            Some(_) => self.hosts.iter().for_each(|h| h.repeat_answers(mode)),
+            None => host.repeat_answers(mode),
+        }
+    }
+
+    /// Lets the replicas of the plain service run all requests.
+    fn end_shortage(&mut self) {
+        self.places = None;
+        self.replicas.iter().for_each(|r| r.set_places(None));
+    }
+
     /// Reports hosts that do not use the latest configuration.
     async fn check_active_config(&self) -> Vec<String> {
         let mut violations = Vec::new();
@@ -229,7 +256,10 @@
             version: version.into(),
             models: models.iter().map(|m| (*m).to_owned()).collect(),
             events: client::EVENTS_PER_STREAM,
-            delay: Duration::from_millis(15),
+            delay: match self.places {
+                Some(_) if service == "web" => pressure::WORK,
+                _ => Duration::from_millis(15),
+            },
             fatal_request: (service == "web").then_some((client::FATAL_BODY, RESTART_TIME)),
             downtime: RESTART_TIME,
             ..ReplicaOptions::default()
@@ -238,6 +268,9 @@
         let replica = replica::spawn(&self.store, options)
             .await
             .context(SystemSnafu { resource })?;
+        if service == "web" {
+            replica.set_places(self.places);
+        }
         if service == "llm" {
             replica.set_fatal_segments(&segments::FATAL);
         }
@@ -253,6 +286,7 @@
         Route::new("stream", stream(false), "llm", 1),
         Route::new("resume", stream(true), "llm", 2),
         Route::new("once", Kind::NonIdempotent, "web", 2),
+        Route::new("single", Kind::NonIdempotent, "web", 1),
         Route::new("again", Kind::Idempotent, "web", 2),
         Route::new(&format!("v{version}"), Kind::Idempotent, "web", 2),
     ];
--- a/crates/soak/src/stray.rs
+++ b/crates/soak/src/stray.rs
@@ -34,7 +34,7 @@
     let [inserts, fails, is_endless, ends] =
         [1, 1, 1, 3].map(|times| rng.random_ratio(times, STEPS_PER_CHANGE));
     if inserts {
-        host.repeat_answers(Mode::Insert(bytes));
+        site.add_answers(host, Mode::Insert(bytes));
     }
     if fails {
         match replica.fault() {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -25,6 +25,7 @@
         duration: Duration::from_secs(8),
         hosts: 3,
         fatal_segments: false,
+        few_places: false,
         program: program(),
     };
     assert!(soak::run(&options).unwrap());
