A request is sent to each replica once

What callers saw: a request that may run once ran twice, or was answered with 503 although it had run. Cause: all sends of a request carry its identity. After a refusal by the only replica left it was sent there again, and a copy of the refusal that came on another connection was believed for the second send, which ran. Change: the next send goes to a replica that has not had the request; without one it is answered at once with 503 and when to come back, which is true. A named refusal then belongs to the one send that there was. Why it works: request and replica together identify a send, also over hosts, which pass on where a request has been.

Evidence: all 6 cases of a_copy_of_a_refusal_on_another_connection_is_not_believed failed before and pass; the tests of crates/front pass (572).

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -109,7 +109,10 @@
             }
             Failure::Lost(why) => write!(f, "lost: {why}"),
             Failure::ServerError(status) => {
-                write!(f, "the replica failed it with status {status}")
+                write!(
+                    f,
+                    "the replica answered with status {status} and may have run it"
+                )
             }
             Failure::TimedOut => f.write_str("its time ran out"),
             Failure::DeadlinePassed => f.write_str("not sent: its time had run out"),
--- a/crates/front/src/attempt/verdict.rs
+++ b/crates/front/src/attempt/verdict.rs
@@ -3,7 +3,7 @@
 //! A request counts as not run only by a proof that belongs to this send and to no other:
 //!
 //! - nothing of it was written to a connection ([`conn::Error::proves_unsent`]);
-//! - a refusal that names it, on a connection that has carried no refusal of it before ([`crate::pool::Line`]);
+//! - a refusal that names it: it is sent to a replica only once, so no copy of an earlier refusal can come;
 //! - a refusal that names no request, on a connection that has carried nothing else;
 //! - the word of another host that it was passed on to, over a connection of its own.
 //!
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -42,7 +42,7 @@
 /// Least and greatest `Retry-After` for a refused client.
 const RETRY_AFTER_RANGE: (Span, Span) = (Span::from_ms(200), Span::from_ms(3_000));
 
-/// Pause before a request is sent again to a replica that refused it.
+/// Pause before a request is placed again that could not be sent to the only replica there is for it.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
 /// Most sends of one request, including refused ones.
@@ -295,8 +295,8 @@
     })
 }
 
-/// Places the next send of a request: at another replica, or else, after a pause, at one that
-/// refused it without running it.
+/// Places the next send of a request, at a replica that has not had it. All sends of a request carry the same identity, so a
+/// second refusal by one replica could be a copy of the first, which proves nothing about the second send.
 async fn place(
     context: &Context,
     call: &Arc<Call>,
@@ -304,14 +304,10 @@
     has_alternatives: bool,
     attempt: usize,
 ) -> Result<admit::Admission, Rejection> {
-    if has_alternatives {
-        let admission = admit::place(context, call, &history.attempted, attempt).await;
-        if admission.is_ok() || attempt == 0 {
-            return admission;
-        }
+    if attempt > 0 && !has_alternatives {
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
-    tokio::time::sleep(RETRY_PAUSE).await;
-    admit::place(context, call, &history.may_have_run, attempt).await
+    admit::place(context, call, &history.attempted, attempt).await
 }
 
 impl Progress {
@@ -355,7 +351,8 @@
                 && progress.history.may_run_again(call)
                 && quarantine::may_retry(state, call)
         }
-        Failure::NotRun { .. } | Failure::Unsent(_) | Failure::Unavailable(_) => true,
+        Failure::NotRun { .. } => progress.has_alternatives,
+        Failure::Unsent(_) | Failure::Unavailable(_) => true,
         Failure::RejectedByHost {
             may_go_elsewhere, ..
         } => *may_go_elsewhere,
