--- a/crates/front/tests/proofs.rs
+++ b/crates/front/tests/proofs.rs
@@ -117,6 +117,9 @@
         let runs = runs(&[replica.clone(), other.clone()], &id);
         assert_eq!(violation("/once/x", &id, answer.status(), runs), None);
         refused += replica.request_log(&id).arrivals - replica.request_log(&id).runs;
+        if refused == 0 || refused > 1 || answer.status() != 502 {
+            assert_eq!(answer.status(), 200, "only the first refusal is no proof");
+        }
         statuses.push(answer.status());
     }
     let lost = statuses.iter().filter(|s| **s == 502).count();
