Reserve the shares of hosts for the time of their silence

Callers: an account whose hosts all lose the limiter, or that one host serves, gets more than its limit once they return.

Cause: a bucket was refilled with the reserve of the hosts that are silent when it is asked, for all the time since the last answer. A host that has just returned, or whose share has ended, is not silent any more; a new limiter that is first asked after five seconds reserved nothing.

The trace of that case: both hosts cut off for 2.8 s, then 130,000 units in the bucket. Six cases of the_share_of_a_silent_host_is_reserved and one of a_new_limiter_reserves_shares_of_unknown_hosts fail before.

--- a/crates/route/src/quota.rs
+++ b/crates/route/src/quota.rs
@@ -12,6 +12,7 @@
 //! hosts from which it gets no heartbeats.
 
 mod advertisement;
+mod contact;
 mod estimate;
 mod limiter;
 mod share;
--- a/crates/route/src/quota/limiter.rs
+++ b/crates/route/src/quota/limiter.rs
@@ -1,5 +1,6 @@
 //! Token buckets of the leader, from which all hosts acquire units.
 
+use super::contact::{Contact, overlap};
 use super::{
     FALLBACK_DURATION, FALLBACK_FRACTION, Limit, REFUND_WINDOW, Refusal, SlidingSum, Tolerance,
     Usage,
@@ -12,13 +13,6 @@
 /// that may be using their shares.
 const UNKNOWN_HOSTS_RESERVE: f64 = 0.15;
 
-/// Time without a heartbeat after which a host is assumed to use its share; hosts report their load at least three times
-/// per second.
-const HEARTBEAT_TIMEOUT: Span = Span::from_ms(700);
-
-/// Interval of the check for silent hosts.
-const SILENCE_CHECK_INTERVAL: Span = Span::from_ms(100);
-
 /// Window in which refused requests count as queued when a retry delay is computed.
 const REFUSAL_WINDOW: Span = Span::from_ms(1_000);
 
@@ -40,7 +34,7 @@
     buckets: HashMap<K, Bucket>,
     /// Time of the last eviction.
     last_eviction: Time,
-    hosts: Hosts,
+    contact: Contact,
 }
 
 /// Token bucket of one subject and its recent use.
@@ -92,12 +86,12 @@
             since: now,
             buckets: HashMap::new(),
             last_eviction: now,
-            hosts: Hosts::default(),
+            contact: Contact::default(),
         }
     }
 
     pub fn record_heartbeat(&mut self, host: &Name, now: Time) {
-        self.hosts.record_heartbeat(host, now);
+        self.contact.record_heartbeat(host, now);
     }
 
     /// Grants units, or refuses with the time after which enough are expected.
@@ -159,7 +153,7 @@
     /// started, since nothing was granted then.
     pub fn record_local_use(&mut self, units: Units<K>, now: Time) {
         self.record_heartbeat(units.host, now);
-        let contact = self.hosts.contact_since(units.host);
+        let contact = self.contact.since(units.host);
         let limit = self.tolerance.effective_limit(units.limit);
         let bucket = self.bucket(units.subject, limit, now);
         let before = bucket.reported.insert(units.host.clone(), contact);
@@ -177,7 +171,7 @@
     /// Refills and returns the bucket of a subject.
     fn bucket(&mut self, subject: &K, limit: Limit, now: Time) -> &mut Bucket {
         let window = self.tolerance.window;
-        self.hosts.update_silent(window, now);
+        self.contact.update_silent(window, BUCKET_RETENTION, now);
         self.evict(now);
         if !self.buckets.contains_key(subject) {
             let new = Bucket::new(&self.tolerance, self.since);
@@ -187,12 +181,11 @@
             .buckets
             .get_mut(subject)
             .expect("the bucket was just inserted");
-        let reserved = bucket.silent_share(&self.hosts.silent) * FALLBACK_FRACTION;
-        let reserved = match now.since(self.since) < FALLBACK_DURATION {
-            true => reserved.max(UNKNOWN_HOSTS_RESERVE),
-            false => reserved,
-        };
-        let accrued = now.since(bucket.at).secs() * limit.rate * (1.0 - reserved);
+        let elapsed = (bucket.at, now);
+        let shares = bucket.silent_shares(&self.contact, elapsed) * FALLBACK_FRACTION;
+        let unknown_hosts = (self.since, self.since + FALLBACK_DURATION);
+        let unknown = overlap(unknown_hosts, elapsed).secs() * UNKNOWN_HOSTS_RESERVE;
+        let accrued = (now.since(bucket.at).secs() - shares.max(unknown)) * limit.rate;
         bucket.level = (bucket.level + accrued).min(limit.burst);
         bucket.at = now;
         bucket
@@ -237,68 +230,18 @@
         }
     }
 
-    /// Combined share of the given silent hosts, each as of its last heartbeat.
-    fn silent_share(&self, silent: &HashMap<Name, Time>) -> f64 {
-        let share = |(host, at): (&Name, &Time)| {
-            let granted = self.hosts.get(host)?.sum(*at);
-            (granted > 0.0).then(|| granted / self.granted.sum(*at).max(granted))
-        };
-        silent.iter().filter_map(share).sum::<f64>().min(1.0)
-    }
-}
-
-/// Heartbeats of hosts.
-#[derive(Debug, Default)]
-struct Hosts {
-    heartbeats: HashMap<Name, Heartbeats>,
-    /// Silent hosts that may be using their shares, with the time of their last heartbeat.
-    silent: HashMap<Name, Time>,
-    /// Time of the last check for silent hosts.
-    last_check: Time,
-}
-
-/// Heartbeats of one host.
-#[derive(Debug, Clone, Copy)]
-struct Heartbeats {
-    last: Time,
-    /// Time of the first heartbeat, or of the first one after a silence.
-    since: Time,
-}
-
-impl Hosts {
-    fn record_heartbeat(&mut self, host: &Name, now: Time) {
-        self.silent.remove(host);
-        let first = Heartbeats {
-            last: now,
-            since: now,
-        };
-        match self.heartbeats.get_mut(host) {
-            Some(known) if now.since(known.last) > HEARTBEAT_TIMEOUT => *known = first,
-            Some(known) => known.last = now,
-            None => {
-                self.heartbeats.insert(host.clone(), first);
-            }
-        }
-    }
-
-    /// Start of the current contact with a host.
-    fn contact_since(&self, host: &Name) -> Time {
-        self.heartbeats.get(host).map_or(Time(0), |h| h.since)
-    }
-
-    /// Updates the silent hosts, and evicts those whose shares ended more than a window ago.
-    fn update_silent(&mut self, window: Span, now: Time) {
-        if now.since(self.last_check) < SILENCE_CHECK_INTERVAL {
-            return;
-        }
-        self.last_check = now;
-        let retention = HEARTBEAT_TIMEOUT + FALLBACK_DURATION + window;
-        self.heartbeats.retain(|_, h| now.since(h.last) < retention);
-        let last = self.heartbeats.iter().map(|(host, h)| (host, h.last));
-        let is_in_fallback = |at: Time| {
-            (HEARTBEAT_TIMEOUT..FALLBACK_DURATION + HEARTBEAT_TIMEOUT).contains(&now.since(at))
+    /// Time in seconds, within the given period, in which silent hosts may have used their shares, each multiplied by
+    /// its share as of its last heartbeat; at most the length of the period.
+    fn silent_shares(&self, contact: &Contact, period: (Time, Time)) -> f64 {
+        let share = |(host, last, duration): (&Name, Time, Span)| {
+            let granted = self.hosts.get(host)?.sum(last);
+            let share = (granted > 0.0).then(|| granted / self.granted.sum(last).max(granted));
+            share.map(|share| share * duration.secs())
         };
-        let silent = last.filter(|(_, at)| is_in_fallback(*at));
-        self.silent = silent.map(|(host, at)| (host.clone(), at)).collect();
+        let sum: f64 = contact
+            .fallbacks(period.0, period.1)
+            .filter_map(share)
+            .sum();
+        sum.min(period.1.since(period.0).secs())
     }
 }
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use route::quota::{Limit, Limiter, Share, Tolerance, Units};
+use route::quota::{FALLBACK_DURATION, FALLBACK_FRACTION, Limit, Limiter, Share, Tolerance, Units};
 use rstest::rstest;
 use std::collections::VecDeque;
 use unit::{Name, Span, Time};
@@ -15,6 +15,9 @@
     slack: 11_000.0,
 };
 
+/// Time without a heartbeat after which the limiter reserves the share of a host.
+const HEARTBEAT_TIMEOUT_S: f64 = 0.7;
+
 /// Time without a limiter after a failure, in ms: lease and election.
 const FAILOVER_MS: (u64, u64) = (3_000, 4_500);
 
@@ -298,6 +301,95 @@
     }
 }
 
+/// Two hosts lose contact with the limiter at once and nothing reaches it until they return.
+#[test]
+fn no_window_exceeds_the_limit_when_all_hosts_were_silent() {
+    let load = Load {
+        rate: 48943.16902126113,
+        burst_s: 3.896170829510129,
+        hosts: 2,
+        demand: (0.8923531180935041, 5.178267664503668),
+    };
+    let faults = Faults {
+        partitioned: 0.5403364525625345,
+        partition_ms: 2_781,
+        restarts: 2,
+        refused: 0.2945664175663433,
+        ..Faults::default()
+    };
+    assert_eq!(check_limits(load, faults, 8475697367072347884), Ok(()));
+}
+
+/// What a silent host may use from its share is reserved, whenever the limiter is asked next.
+#[rstest]
+#[case::still_silent(3_500, false)]
+#[case::returned(3_500, true)]
+#[case::share_ended(9_000, false)]
+#[case::returned_after_its_share_ended(9_000, true)]
+#[case::evicted(20_000, false)]
+#[case::returned_after_its_eviction(20_000, true)]
+fn the_share_of_a_silent_host_is_reserved(#[case] silence_ms: u64, #[case] returns: bool) {
+    let (account, host, other): (Name, Name, Name) = ("mine".into(), "h".into(), "other".into());
+    let limit = Limit {
+        rate: 10_000.0,
+        burst: 1_000_000.0,
+    };
+    let mut limiter = Limiter::new(TOLERANCE, at(0));
+    let mut available_at = |host: &Name, count: f64, ms: u64| {
+        let units = Units {
+            subject: &account,
+            limit,
+            host,
+            count,
+            reserved: 0.0,
+            will_retry: true,
+        };
+        limiter.acquire(units, at(ms)).unwrap().available
+    };
+    let asks_at = 20_000;
+    let before = available_at(&host, 1_000.0, asks_at);
+    let asked_by = if returns { &host } else { &other };
+    let after = available_at(asked_by, 0.0, asks_at + silence_ms);
+    let silent_s = (silence_ms as f64 / 1e3 - HEARTBEAT_TIMEOUT_S).min(FALLBACK_DURATION.secs());
+    let accrued_s = silence_ms as f64 / 1e3 - silent_s * FALLBACK_FRACTION;
+    let accrued = after - before;
+    assert!(
+        (accrued - accrued_s * limit.rate).abs() < 1.0,
+        "{accrued} units accrued, due are {accrued_s} seconds of the rate"
+    );
+}
+
+/// The reserve of a new limiter for hosts that it does not know yet ends with their shares, even if it is first asked
+/// later.
+#[rstest]
+#[case::during(3_000)]
+#[case::after(8_000)]
+fn a_new_limiter_reserves_shares_of_unknown_hosts(#[case] asked_ms: u64) {
+    let (account, host): (Name, Name) = ("mine".into(), "h".into());
+    let units = Units {
+        subject: &account,
+        limit: Limit {
+            rate: 10_000.0,
+            burst: 1_000_000.0,
+        },
+        host: &host,
+        count: 0.0,
+        reserved: 0.0,
+        will_retry: true,
+    };
+    let asked = |times: &[u64]| {
+        let mut limiter = Limiter::new(TOLERANCE, at(0));
+        let answers = times.iter().map(|ms| limiter.acquire(units, at(*ms)));
+        answers.last().unwrap().unwrap().available
+    };
+    let often: Vec<u64> = (1..=asked_ms / 10).map(|step| step * 10).collect();
+    let difference = asked(&[asked_ms]) - asked(&often);
+    assert!(
+        difference.abs() < 100.0,
+        "{difference} units more if it is asked once"
+    );
+}
+
 /// Without faults, an account at 0.6 of its rate is refused at most 1% of its units; 3.5% for the smallest account, which
 /// sends only one or two requests per second.
 #[rstest]
