Exclude earlier replicas while a request of another host waits

Callers: a request that another host has passed on, and that a replica has refused, could be sent to that replica again. A late copy of the first refusal is then believed for the second send: the request ran twice, or its caller was told that it had not run.

Cause: a host that takes a request over knows where it has been, and leaves those replicas out when it places the request at once. A request that waits, in the queue or by the forecast, was chosen a replica without that.

Evidence: a_request_waits_for_no_replica_that_another_host_sent_it_to, by_forecast, fails before (one run at the replica that had it); the case in the queue held before as well, since the request there does not wait.

Why it works: the request carries the replicas that it was sent to before, and all placements of its first send by this host leave them out. Requests with different ones wait in queues of their own, so that none holds up others for a replica that it may not use.

--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -54,6 +54,8 @@
     pub exceeds_share: OnceLock<bool>,
     /// Host that passed the request on to this one.
     pub passed_on_by: Option<Name>,
+    /// Replicas that the hosts before this one sent it to.
+    pub attempted_before: Vec<Name>,
     /// Hosts that this one passed it on to.
     pub detours: Mutex<Vec<SocketAddr>>,
     /// Sends to replicas by this host so far.
@@ -119,6 +121,11 @@
         Some(&self.run.get()?.as_ref()?.software)
     }
 
+    /// What the request requires of a replica at its first send by this host.
+    pub fn first_criteria(&self) -> Criteria<'_> {
+        self.criteria(&self.attempted_before)
+    }
+
     /// What the request requires of a replica, without those `excluded`.
     pub fn criteria<'a>(&'a self, excluded: &'a [Name]) -> Criteria<'a> {
         let pause = admission::pause_fraction(*self.standing.lock());
--- a/crates/front/src/detour/server.rs
+++ b/crates/front/src/detour/server.rs
@@ -175,6 +175,7 @@
         return Err(not_taken("other_software", message));
     }
     call.passed_on_by = Some(envelope.host);
+    call.attempted_before = envelope.attempted;
     call.permits.extend([permits.0, permits.1]);
     Ok(call)
 }
--- a/crates/front/src/queue.rs
+++ b/crates/front/src/queue.rs
@@ -40,8 +40,16 @@
 /// Distance between the ticket priorities of standings: more than aging adds within a deadline.
 const STANDING_STEP: u8 = 20;
 
-/// Service, model, adapter and software version that the requests of one queue need.
-type Key = (Name, Option<Name>, Option<Name>, Option<Name>);
+/// What the requests of one queue need.
+#[derive(PartialEq, Eq, Hash)]
+struct Key {
+    service: Name,
+    model: Option<Name>,
+    adapter: Option<Name>,
+    software: Option<Name>,
+    /// Replicas that may not have them again.
+    excluded: Vec<Name>,
+}
 
 /// Replica chosen for a queued request, and the reservation there.
 pub type Placement = (Choice, Reservation);
@@ -86,12 +94,13 @@
 
 fn key(call: &Call) -> Key {
     let metadata = &call.metadata;
-    (
-        call.service.clone(),
-        metadata.model.clone(),
-        metadata.adapter.clone(),
-        call.software().cloned(),
-    )
+    Key {
+        service: call.service.clone(),
+        model: metadata.model.clone(),
+        adapter: metadata.adapter.clone(),
+        software: call.software().cloned(),
+        excluded: call.attempted_before.clone(),
+    }
 }
 
 impl Queues {
@@ -236,7 +245,7 @@
 /// Outlook of a queued request. A patient one, which waits until `until` at the latest, takes only
 /// idle replicas.
 fn place(state: &State, call: &Call, until: Time, now: Time) -> Outlook {
-    let criteria = call.criteria(&[]);
+    let criteria = call.first_criteria();
     let mut table = state.table.lock();
     let choice = match table.choose(&criteria, now) {
         Ok(choice) => choice,
--- a/crates/front/src/serve/admit.rs
+++ b/crates/front/src/serve/admit.rs
@@ -218,7 +218,7 @@
         let table = state.table.lock();
         let model = call.metadata.model.as_ref();
         let model_eta = model.and_then(|m| table.model_eta(m, now));
-        (table.utilization(&call.criteria(&[]), now), model_eta)
+        (table.utilization(&call.first_criteria(), now), model_eta)
     };
     if expected > target * MAX_TTFT_FACTOR
         && (utilization >= BUSY_UTILIZATION || !choice.has_free_slot)
@@ -232,7 +232,7 @@
     }
     // The table may have changed during the wait: choose again.
     let now = state.now();
-    let chosen = state.table.lock().choose(&call.criteria(&[]), now);
+    let chosen = state.table.lock().choose(&call.first_criteria(), now);
     match chosen {
         Ok(choice) if choice.exceeds_prefill_limit && call.priority >= YIELDING_PRIORITY => {
             let expected = now.since(call.arrived) + choice.ttft;
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -143,6 +143,7 @@
         standing: Mutex::new(Standing::Timely),
         exceeds_share: OnceLock::new(),
         passed_on_by: None,
+        attempted_before: Vec::new(),
         detours: Mutex::default(),
         sends: AtomicU32::new(0),
         run: OnceLock::new(),
--- a/crates/front/src/serve/room.rs
+++ b/crates/front/src/serve/room.rs
@@ -64,7 +64,7 @@
         };
         *call.standing.lock() = Standing::Timely;
         let now = state.now();
-        let chosen = state.table.lock().choose(&call.criteria(&[]), now);
+        let chosen = state.table.lock().choose(&call.first_criteria(), now);
         choice = chosen.map_err(Refusal::Unplaceable)?;
         // A wait that ended early was shed from a full queue: another one would be, too.
         if ended_early || state.is_draining() {
@@ -166,7 +166,7 @@
 ) -> Option<Choice> {
     let standing = admission::yielding_standing(request, choice.ttft)?;
     *call.standing.lock() = standing;
-    let chosen = state.table.lock().choose(&call.criteria(&[]), now);
+    let chosen = state.table.lock().choose(&call.first_criteria(), now);
     *call.standing.lock() = Standing::Timely;
     chosen.ok()
 }
@@ -199,7 +199,7 @@
         has_waiters,
         has_no_backlog: behind_or_choice.fits_prefill_limit,
         has_free_slot: choice.has_free_slot,
-        utilization: table.utilization(&call.criteria(&[]), now),
+        utilization: table.utilization(&call.first_criteria(), now),
         copy_in: model.and_then(|m| table.model_eta(m, now)),
         may_hold: held.has_room(state.settings.limits.memory_mb),
     }
