A connection is counted until its task ends

Callers: each request whose handler panics leaves its connection counted, until the host closes all new connections unread; a stop waits for them.

Cause: the count was lowered at the end of the function, which a panic does not reach.

Evidence: a_handler_that_panics_leaves_no_connection_counted failed (still counted after 5 s), and passes.

Why it works: the count belongs to a value that the connection's task owns, and is lowered when that is dropped, after the connection itself.

--- a/crates/conn/src/server.rs
+++ b/crates/conn/src/server.rs
@@ -194,21 +194,39 @@
         Some(None) if *state.phase.borrow() == Phase::Open => return,
         accepted_at => accepted_at.flatten(),
     };
-    state.connections.fetch_add(1, Ordering::SeqCst);
     tokio::spawn(serve_connection(
         stream,
         bounds,
         handler.clone(),
-        state.clone(),
+        Counted::new(state.clone()),
         accepted_at,
     ));
 }
 
+/// Counts a connection until it is dropped, also if its handler panics.
+struct Counted {
+    state: Arc<State>,
+}
+
+impl Counted {
+    fn new(state: Arc<State>) -> Counted {
+        state.connections.fetch_add(1, Ordering::SeqCst);
+        Counted { state }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.state.connections.fetch_sub(1, Ordering::SeqCst);
+        self.state.ended.notify_waiters();
+    }
+}
+
 async fn serve_connection<F, R, B>(
     stream: TcpStream,
     bounds: Bounds,
     handler: F,
-    state: Arc<State>,
+    counted: Counted,
     accepted_at: Option<Time>,
 ) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
@@ -217,6 +235,7 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let state = &counted.state;
     if let (Some(shedding), Some(accepted_at)) = (&state.shedding, accepted_at) {
         shedding.record_start(accepted_at);
     }
@@ -262,8 +281,6 @@
         }
         _ = aborts.changed() => {}
     }
-    state.connections.fetch_sub(1, Ordering::SeqCst);
-    state.ended.notify_waiters();
 }
 
 /// Waits until the server has reached `phase` or was dropped.
