Answer targets without a path

Callers: a request for http://HOST?x=1 or http://HOST? got no answer; its connection closed.

Cause: path and query of the target were parsed again as a target of their own, which ?x=1 is not, and that was taken to be impossible: a panic.

Why it works: an empty path is /, as RFC 9112 says. What still cannot be parsed is answered with 400.

--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -70,6 +70,7 @@
         Rejection::not_run("no_configuration", message, RETRY_AFTER_DEFAULT)
     })?;
     let route = route(state, routes, &head)?;
+    let uri = origin_form(head.uri.clone())?;
     let host = host(&head.uri, &head.headers);
     let caller = accounts::authenticate(state, routes, &route, &mut head.headers)?;
     let timeout = ingress::parse(&head.headers).timeout;
@@ -80,7 +81,7 @@
     let parts = Parts {
         host,
         method: head.method,
-        uri: origin_form(head.uri),
+        uri,
         headers: head.headers,
         body,
         arrived,
@@ -153,12 +154,15 @@
     })
 }
 
-/// Target in origin form: path and query, without the host.
-fn origin_form(uri: Uri) -> Uri {
-    let path = uri.path_and_query().cloned();
-    path.map_or(uri, |p| {
-        p.as_str()
-            .parse()
-            .expect("path and query of a valid target")
+/// Target in origin form: path and query, without the host. An empty path is `/`.
+fn origin_form(uri: Uri) -> Result<Uri, Rejection> {
+    let Some(target) = uri.path_and_query().map(|target| target.as_str()) else {
+        return Ok(uri);
+    };
+    let root = if target.starts_with('?') { "/" } else { "" };
+    let target = format!("{root}{target}").parse();
+    target.map_err(|why| {
+        let message = format!("The target of the request cannot be read: {why}.");
+        Rejection::client_error(StatusCode::BAD_REQUEST, "bad_target", message)
     })
 }
