Give up another host's refusal that does not end

Callers: a request passed on to a host that begins a refusal and is suspended waited for as long as that host, past its deadline.

Cause: the body of a refusal was read without a time limit.

Evidence: a_refusal_that_never_ends_is_given_up failed in both cases (6 s for requests with a deadline of 3 s), and passes.

Why it works: the rest of a refusal has 500 ms, or until the deadline. The request may have run then, so it is sent again only if it may be repeated, and the host is passed over for a while like one that breaks off.

--- a/crates/front/src/detour/client.rs
+++ b/crates/front/src/detour/client.rs
@@ -24,6 +24,9 @@
 /// Time to open a connection to a host; hosts are milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time to receive the rest of a refusal, which is written at once.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval at which the list of hosts is checked while one does not answer.
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -195,13 +198,14 @@
                 feedback,
             })
         }
-        Some(REJECTED) => match read_refusal(response).await {
+        Some(REJECTED) => match read_refusal(call, &hop, response).await {
             Some(refusal) => {
                 hop.return_connection(line);
                 Err(failure(&hop, refusal, history))
             }
             None => {
                 history.unnamed_runs += runs;
+                hop.record_failure();
                 Err(Failure::Lost(
                     "the rejection of another host broke off".into(),
                 ))
@@ -216,10 +220,12 @@
     }
 }
 
-async fn read_refusal(response: Response<Incoming>) -> Option<Refusal> {
+/// Reads the rejection by a host; `None` if it breaks off, is malformed or does not end in time.
+async fn read_refusal(call: &Call, hop: &Hop, response: Response<Incoming>) -> Option<Refusal> {
     let body = Limited::new(response.into_body(), MAX_REFUSAL).collect();
-    let body = body.await.ok()?.to_bytes();
-    rmp_serde::from_slice(&body).ok()
+    let limit = call.remaining(hop.state.now()).min(REFUSAL_TIMEOUT);
+    let body = timeout(limit, body).await.ok()?;
+    rmp_serde::from_slice(&body.ok()?.to_bytes()).ok()
 }
 
 /// Failure that a rejection by another host stands for.
--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -15,7 +15,11 @@
     with_accounts,
 };
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -442,6 +446,62 @@
     assert!(host.in_flight() == 0);
 }
 
+/// Starts a host that begins to refuse each request and never ends its refusal; gives its address and the requests that it
+/// has had.
+async fn host_with_endless_refusals() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counted = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counted = counted.clone();
+            tokio::spawn(async move {
+                let mut request = vec![0; 64 * 1_024];
+                let _ = stream.read(&mut request).await;
+                counted.fetch_add(1, Ordering::SeqCst);
+                let head =
+                    "HTTP/1.1 200 OK\r\ncoveford-detour: rejected\r\ncontent-length: 99\r\n\r\n{";
+                let _ = stream.write_all(head.as_bytes()).await;
+                sleep(3 * REFUSAL_LIMIT).await;
+            });
+        }
+    });
+    (addr, requests)
+}
+
+/// Time within which a refusal that never ends is given up, and what a busy machine takes.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Guards against a host that begins a refusal and is suspended: callers would wait for as long as it is, also those whose
+/// requests another host could serve.
+#[rstest]
+#[case::once("/once/x", 502)]
+#[case::again("/again/x", 200)]
+#[tokio::test]
+async fn a_refusal_that_never_ends_is_given_up(#[case] path: &str, #[case] expected: u16) {
+    let site = Site::partitioned(2).await;
+    let state = site.hosts[1].0.state();
+    let (addr, requests) = host_with_endless_refusals().await;
+    while requests.load(Ordering::SeqCst) == 0 {
+        let listed = |addr, room| Candidate {
+            addr,
+            hall: "a".into(),
+            room,
+        };
+        let sound = site.hosts[0].0.state().settings.peers;
+        let listed = vec![listed(addr, u16::MAX), listed(sound, 1)];
+        state.detours.assign(listed, state.now());
+        let start = Instant::now();
+        let (id, answer) = ask_at(site.callers(1), path, None).await;
+        assert!(start.elapsed() < REFUSAL_LIMIT, "{:?}", start.elapsed());
+        if requests.load(Ordering::SeqCst) > 0 {
+            assert_eq!(answer.status(), expected, "{}", answer.text());
+            assert!(site.runs(&id) <= 1);
+        }
+    }
+}
+
 /// Time for which sound replicas may be silent.
 const SILENCE: Duration = Duration::from_millis(1_250);
 
