Requests that are passed on never go back to an older configuration

Cause: the host that was asked required a configuration as new as its own, by version, and kept no record of those by which others had handled its requests before.

Why it works: an answer names the configuration, by version and revision. A host requires the newest that it has seen so, and passes requests on until it has it in force itself. A host that is behind holds such a request for up to 800 ms, and then another one is asked.

--- a/crates/front/src/detour.rs
+++ b/crates/front/src/detour.rs
@@ -16,6 +16,7 @@
 
 use crate::attempt::Call;
 use crate::paths;
+use crate::routes::Edition;
 use crate::settings::Limits;
 use crate::state::State;
 use conn::Pool;
@@ -56,6 +57,8 @@
     slots: Arc<Semaphore>,
     /// When a request last could not be sent for lack of paths.
     wanted_at: Mutex<Option<Time>>,
+    /// Newest configuration by which another host has handled a request of this one.
+    newest_used: Mutex<Edition>,
 }
 
 /// Opens the detours of a host; `seed` makes hosts choose differently.
@@ -65,6 +68,7 @@
         pool: Pool::default(),
         slots: Arc::new(Semaphore::new(max_taken(limits))),
         wanted_at: Mutex::default(),
+        newest_used: Mutex::default(),
     }
 }
 
@@ -74,6 +78,14 @@
         self.hosts.lock().0.assign(listed, now);
     }
 
+    /// Records a configuration by which another host has handled a request of this one.
+    fn record_used(&self, edition: Edition) {
+        let mut newest = self.newest_used.lock();
+        if edition.replaces(&newest) {
+            *newest = edition;
+        }
+    }
+
     /// Requests of other hosts in progress here.
     pub fn taken(&self, limits: &Limits) -> usize {
         max_taken(limits) - self.slots.available_permits()
@@ -98,6 +110,27 @@
     (f64::from(cores) * MAX_PER_CORE) as u16
 }
 
+/// Newest configuration by which requests of this host were handled, or that it has in force.
+fn newest_edition(state: &State) -> Edition {
+    let used = *state.detours.newest_used.lock();
+    match own_edition(state) {
+        Some(own) if !own.is_older_than(&used) => own,
+        _ => used,
+    }
+}
+
+/// Configuration in force on this host.
+fn own_edition(state: &State) -> Option<Edition> {
+    let table = state.table.lock();
+    table.routes.as_ref().map(|routes| routes.edition())
+}
+
+/// Whether requests of this host were handled by a newer configuration than it has in force itself.
+fn is_behind(state: &State) -> bool {
+    let used = *state.detours.newest_used.lock();
+    own_edition(state).is_none_or(|own| own.is_older_than(&used))
+}
+
 /// Whether this host may need other hosts for its requests.
 pub fn is_wanted(state: &State) -> bool {
     let now = state.now();
@@ -105,10 +138,12 @@
     paths::reach(state) != Reach::Sound || wanted_at.is_some_and(|at| now.since(at) < WANTED_FOR)
 }
 
-/// Host for a request while the paths of this one are in doubt.
+/// Host for a request while the paths of this one are in doubt, or while it would serve the request by an older
+/// configuration than others before.
 pub fn choose(state: &State, call: &Call) -> Option<SocketAddr> {
     match paths::reach(state) {
-        Reach::Sound => None,
+        Reach::Sound if !is_behind(state) => None,
+        Reach::Sound => choose_for_unreached(state, call),
         Reach::Suspect | Reach::Isolated => choose_for_unreached(state, call),
     }
 }
--- a/crates/front/src/detour/client.rs
+++ b/crates/front/src/detour/client.rs
@@ -1,6 +1,9 @@
 //! Passes a request on to another host, and takes what comes back.
 
-use super::message::{ANSWERED, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, RUN, Refusal};
+use super::message::{
+    ANSWERED, EDITION, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, RUN, Refusal,
+};
+use super::newest_edition;
 use crate::attempt::{Call, Exchange, Failure, History, Origin, Verdict, verdict};
 use crate::clock::Elapsed;
 use crate::pool::Line;
@@ -185,6 +188,10 @@
 ) -> Result<Exchange, Failure> {
     let outcome = response.headers_mut().remove(&OUTCOME);
     let run = response.headers_mut().remove(&RUN);
+    let edition = response.headers_mut().remove(&EDITION);
+    if let Some(edition) = edition.and_then(|text| serde_json::from_slice(text.as_bytes()).ok()) {
+        hop.state.detours.record_used(edition);
+    }
     hop.run = run.and_then(|run| serde_json::from_slice(run.as_bytes()).ok());
     let outcome = outcome.as_ref().and_then(|value| value.to_str().ok());
     let feedback = response::parse(response.status(), response.headers());
@@ -272,7 +279,7 @@
         key: call.caller.key.clone(),
         elapsed_ms: now.since(call.arrived).ms() as u32,
         left_ms: call.remaining(now).as_millis() as u32,
-        version: state.table.lock().routes.as_ref().map_or(0, |r| r.version),
+        edition: newest_edition(state),
         last_event,
         attempted: history.attempted.clone(),
         may_have_run: history.may_have_run.clone(),
--- a/crates/front/src/detour/message.rs
+++ b/crates/front/src/detour/message.rs
@@ -1,6 +1,7 @@
 //! Messages between the two hosts of a request: MessagePack over HTTP. An answer of a replica is passed back as it is.
 
 use crate::respond::Rejection;
+use crate::routes::Edition;
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::HeaderName;
@@ -18,6 +19,9 @@
 /// Header field that names the run that began the answered stream, as JSON.
 pub(super) const RUN: HeaderName = HeaderName::from_static("coveford-run");
 
+/// Header field that names the configuration by which the request was handled, as JSON.
+pub(super) const EDITION: HeaderName = HeaderName::from_static("coveford-configuration");
+
 /// The response is that of a replica.
 pub(super) const ANSWERED: &str = "answered";
 
@@ -49,8 +53,8 @@
     pub(super) elapsed_ms: u32,
     /// Time until its deadline, in milliseconds.
     pub(super) left_ms: u32,
-    /// Version of the configuration by which it was let in.
-    pub(super) version: u64,
+    /// Newest configuration that its sender knows to be in force; the receiver may not use an older one.
+    pub(super) edition: Edition,
     /// Last event that the client has of a stream.
     pub(super) last_event: Option<u64>,
     /// Replicas that it was sent to.
--- a/crates/front/src/detour/server.rs
+++ b/crates/front/src/detour/server.rs
@@ -1,8 +1,9 @@
 //! Takes requests that other hosts pass on, and sends them to replicas.
 
-use super::message::{ANSWERED, Envelope, MAX_HEAD, OUTCOME, REJECTED, RUN, Refusal};
+use super::message::{ANSWERED, EDITION, Envelope, MAX_HEAD, OUTCOME, REJECTED, RUN, Refusal};
 use crate::attempt::{Call, History};
 use crate::respond::{Body, Rejection, full_body};
+use crate::routes::{Edition, Routes};
 use crate::serve::{self, Context, resumption};
 use crate::state::State;
 use crate::{paths, quarantine, streams};
@@ -21,29 +22,42 @@
 /// Timeout of a request's body, which normally arrives with its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a request waits for a configuration that its sender knows to be in force: in a fleet of moderate size
+/// all hosts have it then.
+const CONFIGURATION_WAIT: Span = Span::from_ms(800);
+
+/// Interval at which such a request looks for the configuration.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// `Retry-After` of a request that this host does not take.
 const RETRY_AFTER: Span = Span::from_ms(300);
 
 /// Answers a request of another host.
 pub async fn respond(context: &Context, request: Request<Incoming>) -> Response<Body> {
     let _in_flight = context.state.enter();
-    match answer(context, request).await {
-        Ok(mut response) => {
-            let outcome = HeaderValue::from_static(ANSWERED);
-            response.headers_mut().insert(OUTCOME, outcome);
-            response
-        }
+    let mut edition = None;
+    let (mut response, outcome) = match answer(context, request, &mut edition).await {
+        Ok(response) => (response, ANSWERED),
         Err(refusal) => {
             let body = rmp_serde::to_vec(&refusal).expect("a refusal is serializable");
-            let mut response = Response::new(full_body(body.into()));
-            let outcome = HeaderValue::from_static(REJECTED);
-            response.headers_mut().insert(OUTCOME, outcome);
-            response
+            (Response::new(full_body(body.into())), REJECTED)
         }
+    };
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    let edition = edition.and_then(|edition| serde_json::to_string(&edition).ok());
+    if let Some(value) = edition.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        headers.insert(EDITION, value);
     }
+    response
 }
 
-async fn answer(context: &Context, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+/// Answers a request, and gives the configuration by which it is handled.
+async fn answer(
+    context: &Context,
+    request: Request<Incoming>,
+    edition: &mut Option<Edition>,
+) -> Result<Response<Body>, Refusal> {
     let state = &context.state;
     let arrived = state.now();
     let slot = admit(state)?;
@@ -55,7 +69,9 @@
         reserved_runs: envelope.reserved_runs,
     };
     let permits = (slot, memory);
-    let call = Arc::new(call(state, envelope, permits, arrived)?);
+    let routes = current_routes(state, &envelope, arrived).await?;
+    *edition = Some(routes.edition());
+    let call = Arc::new(call(&routes, envelope, permits, arrived)?);
     state
         .log
         .metrics
@@ -80,6 +96,28 @@
     })
 }
 
+/// Configuration in force, once it is as new as the sender of a request requires.
+async fn current_routes(
+    state: &State,
+    envelope: &Envelope,
+    arrived: Time,
+) -> Result<Arc<Routes>, Refusal> {
+    let left = Span::from_ms(u64::from(envelope.left_ms));
+    let until = arrived + left.min(CONFIGURATION_WAIT);
+    loop {
+        let routes = state.table.lock().routes.clone();
+        let is_current = |routes: &Arc<Routes>| !routes.edition().is_older_than(&envelope.edition);
+        if let Some(routes) = routes.filter(is_current) {
+            return Ok(routes);
+        }
+        if state.now() >= until {
+            let message = "The other host does not know the newest configuration.";
+            return Err(not_taken("no_replica", message));
+        }
+        let _ = timeout(POLL_INTERVAL, state.changed.notified()).await;
+    }
+}
+
 /// Adds the run that began a stream to its answer.
 fn with_run(call: &Call, mut response: Response<Body>) -> Response<Body> {
     let run = call.run.get().and_then(Option::as_ref);
@@ -136,17 +174,13 @@
     }
 }
 
-/// The request as one of this host, by its own configuration.
+/// The request as one of this host, by its configuration.
 fn call(
-    state: &State,
+    routes: &Routes,
     envelope: Envelope,
     permits: (OwnedSemaphorePermit, OwnedSemaphorePermit),
     arrived: Time,
 ) -> Result<Call, Refusal> {
-    let routes = state.table.lock().routes.clone();
-    let current = routes.filter(|routes| routes.version >= envelope.version);
-    let behind = "The other host does not know the newest configuration.";
-    let routes = current.ok_or_else(|| not_taken("no_replica", behind))?;
     let malformed = || not_taken("lost", "The other host cannot read the request.");
     let method = Method::from_bytes(envelope.method.as_bytes()).map_err(|_| malformed())?;
     let uri: hyper::Uri = envelope.uri.parse().map_err(|_| malformed())?;
@@ -164,7 +198,7 @@
         deadline: arrived + Span::from_ms(u64::from(envelope.left_ms)),
     };
     let caller = routes.caller(envelope.key);
-    let call = serve::new_call(&routes, route, caller, parts);
+    let call = serve::new_call(routes, route, caller, parts);
     let mut call = call.map_err(|rejection| Refusal::new(rejection, true))?;
     call.metadata.last_event = envelope.last_event;
     let is_bound = envelope
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -5,11 +5,39 @@
 use platform::config::{Config, Engine, Limits, Route, Service};
 use platform::store::era;
 use route::routing::Router;
+use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::sync::Arc;
 use unit::{Name, Span};
 
+/// Identity of a configuration.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edition {
+    /// Version that its writer gave it.
+    pub version: u64,
+    /// Store revision at which it was written.
+    pub revision: u64,
+}
+
+impl Edition {
+    /// Whether this configuration is newer than another one. A store that has come back from a copy holds an older one
+    /// until it is written again, so that the configuration's own version decides then.
+    pub fn replaces(&self, known: &Edition) -> bool {
+        match era::of(self.revision).cmp(&era::of(known.revision)) {
+            Ordering::Less => false,
+            Ordering::Equal => self.revision > known.revision,
+            Ordering::Greater => self.version >= known.version,
+        }
+    }
+
+    /// Whether requests may not be handled by this configuration after some were by the other one. A store that has come
+    /// back from a copy holds the same version at another revision.
+    pub fn is_older_than(&self, other: &Edition) -> bool {
+        other.version != self.version && other.replaces(self)
+    }
+}
+
 /// Configuration in force.
 #[derive(Debug)]
 pub struct Routes {
@@ -68,13 +96,10 @@
 }
 
 impl Routes {
-    /// Whether this configuration is newer than another one. A store that has come back from a copy holds an older one
-    /// until it is written again, so that the configuration's own version decides then.
-    pub fn replaces(&self, known: &Routes) -> bool {
-        match era::of(self.revision).cmp(&era::of(known.revision)) {
-            Ordering::Less => false,
-            Ordering::Equal => self.revision > known.revision,
-            Ordering::Greater => self.version >= known.version,
+    pub fn edition(&self) -> Edition {
+        Edition {
+            version: self.version,
+            revision: self.revision,
         }
     }
 
--- a/crates/front/src/table.rs
+++ b/crates/front/src/table.rs
@@ -170,7 +170,7 @@
 
     /// Installs a configuration if it is newer than the current one; returns whether it did.
     pub fn set_routes(&mut self, routes: Routes) -> bool {
-        let newer = |known: &Arc<Routes>| routes.replaces(known);
+        let newer = |known: &Arc<Routes>| routes.edition().replaces(&known.edition());
         if !self.routes.as_ref().is_none_or(newer) {
             return false;
         }
--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -10,6 +10,7 @@
 use platform_standin::store::Store;
 use route::detour::Candidate;
 use rstest::rstest;
+use serde_json::json;
 use site::{
     account, ask_at, ask_with, engine, host_with_links, request, send_to, store, until, web,
     with_accounts,
@@ -415,6 +416,81 @@
     assert_eq!((refused.status(), site.runs(&id)), (401, 0));
 }
 
+/// Site of three hosts, of which only host 0 has the newest configuration in force, whose version is `newest` and by
+/// which `/again/` leads to another replica, the last one; host 1 has no paths.
+async fn with_a_change_on_one_host(newest: u64) -> Site {
+    let mut site = Site::partitioned(3).await;
+    let options = Options {
+        id: "w-new".into(),
+        service: "new".into(),
+        models: Vec::new(),
+        ..Options::default()
+    };
+    let replica = replica::spawn(&site.store, options).await.unwrap();
+    site.replicas.push(replica);
+    let put = |version, service: &str| {
+        let mut configuration = site::configuration(version);
+        let mut services = configuration["services"].as_array().unwrap().clone();
+        let mut new = services
+            .iter()
+            .find(|s| s["name"] == "web")
+            .unwrap()
+            .clone();
+        new["name"] = json!("new");
+        services.push(new);
+        configuration["services"] = json!(services);
+        configuration["routes"][4]["service"] = json!(service);
+        site.store.put("op/config", &configuration);
+    };
+    put(2, "web");
+    until(|| site.hosts.iter().all(|host| version(host) == 2)).await;
+    let routes = site.hosts[1].0.state().table.lock().routes.clone();
+    put(newest, "new");
+    until(|| site.hosts.iter().all(|host| version(host) == newest)).await;
+    for host in [1, 2] {
+        site.hosts[host].0.state().table.lock().routes = routes.clone();
+    }
+    site
+}
+
+/// Guards against a host that passes requests on and goes back to an older configuration: its callers see the new one and
+/// then the old one again. The host that has the newest one by its revision may have a lower version.
+#[rstest]
+#[case::newer(3)]
+#[case::of_a_lower_version(1)]
+#[tokio::test]
+async fn requests_that_are_passed_on_never_go_back_to_an_older_configuration(#[case] newest: u64) {
+    let site = with_a_change_on_one_host(newest).await;
+    let new = site.replicas.last().unwrap();
+    let mut runs = Vec::new();
+    for _ in 0..40 {
+        let (id, answer) = ask_at(site.callers(1), "/again/x", None).await;
+        assert_eq!(answer.status(), 200, "{}", answer.text());
+        runs.push(new.request_log(&id).runs > 0);
+    }
+    let first = runs.iter().position(|by_newest| *by_newest);
+    let first = first.expect("some are served by the newest configuration");
+    assert!(runs[first..].iter().all(|by_newest| *by_newest), "{runs:?}");
+}
+
+/// Guards against a host that has its paths back and serves by its own, older configuration what others have served by a
+/// newer one.
+#[tokio::test]
+async fn a_host_with_paths_again_does_not_go_back_to_an_older_configuration() {
+    let site = with_a_change_on_one_host(3).await;
+    let new = site.replicas.last().unwrap();
+    let by_newest = |id: &str| new.request_log(id).runs > 0;
+    while !by_newest(&ask_at(site.callers(1), "/again/x", None).await.0) {}
+    site.set_links(&[1], Mode::Up);
+    until(|| !front::paths::is_isolated(site.hosts[1].0.state())).await;
+    let end = Instant::now() + 2 * CONTACT;
+    while Instant::now() < end {
+        let (id, answer) = ask_at(site.callers(1), "/again/x", None).await;
+        assert!(answer.status() != 200 || by_newest(&id));
+        sleep(Duration::from_millis(25)).await;
+    }
+}
+
 /// Version of the configuration in force on a host.
 fn version((host, _): &(Daemon, Links)) -> u64 {
     let routes = host.state().table.lock().routes.clone();
--- a/crates/front/tests/waiting_room.rs
+++ b/crates/front/tests/waiting_room.rs
@@ -61,7 +61,8 @@
     let headers: Headers = headers
         .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
         .collect();
-    let (elapsed_ms, left_ms, version) = (0u32, 8_000u32, 2u64);
+    let (elapsed_ms, left_ms) = (0u32, 8_000u32);
+    let edition = (2u64, 0u64);
     let (key, last_event, run) = (None::<String>, None::<u64>, None::<String>);
     let (unnamed_runs, reserved_runs) = (0u32, 0u32);
     // The fields of `front::detour`'s envelope, in its order.
@@ -75,7 +76,7 @@
         key,
         elapsed_ms,
         left_ms,
-        version,
+        edition,
         last_event,
         vec![attempted],
         Vec::<String>::new(),
