--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -77,6 +77,18 @@
     Time(3_600_000_000) + Span::from_ms(ms)
 }
 
+/// Units that an account without alternatives asks for.
+fn units<'a>(account: &'a Name, limit: Limit, host: &'a Name, count: f64) -> Units<'a, Name> {
+    Units {
+        subject: account,
+        limit,
+        host,
+        count,
+        reserved: 0.0,
+        will_retry: true,
+    }
+}
+
 fn simulate(load: Load, faults: Faults, seed: u64) -> Outcome {
     let mut rng = SmallRng::seed_from_u64(seed);
     let account: Name = "mine".into();
@@ -144,14 +156,7 @@
             let host = &mut hosts[index];
             host.share.refund(count, at(granted_at));
             if let Some(limiter) = limiter.as_mut().filter(|_| ms >= host.partitioned_until) {
-                let units = Units {
-                    subject: &account,
-                    limit,
-                    host: &host.name,
-                    count,
-                    reserved: 0.0,
-                    will_retry: true,
-                };
+                let units = units(&account, limit, &host.name, count);
                 limiter.refund(units, at(granted_at), now);
             }
         }
@@ -169,14 +174,7 @@
             }
             let counted = if ms >= WARM_UP_MS { count } else { 0.0 };
             outcome.requested += counted;
-            let units = Units {
-                subject: &account,
-                limit,
-                host: &host.name,
-                count,
-                reserved: 0.0,
-                will_retry: true,
-            };
+            let units = units(&account, limit, &host.name, count);
             let unreported = host.share.unreported();
             let arrives = reaches && !rng.random_bool(faults.loss);
             let answer = limiter.as_mut().filter(|_| arrives).map(|limiter| {
@@ -336,14 +334,7 @@
     };
     let mut limiter = Limiter::new(TOLERANCE, at(0));
     let mut available_at = |host: &Name, count: f64, ms: u64| {
-        let units = Units {
-            subject: &account,
-            limit,
-            host,
-            count,
-            reserved: 0.0,
-            will_retry: true,
-        };
+        let units = units(&account, limit, host, count);
         limiter.acquire(units, at(ms)).unwrap().available
     };
     let asks_at = 20_000;
@@ -366,17 +357,15 @@
 #[case::after(8_000)]
 fn a_new_limiter_reserves_shares_of_unknown_hosts(#[case] asked_ms: u64) {
     let (account, host): (Name, Name) = ("mine".into(), "h".into());
-    let units = Units {
-        subject: &account,
-        limit: Limit {
+    let units = units(
+        &account,
+        Limit {
             rate: 10_000.0,
             burst: 1_000_000.0,
         },
-        host: &host,
-        count: 0.0,
-        reserved: 0.0,
-        will_retry: true,
-    };
+        &host,
+        0.0,
+    );
     let asked = |times: &[u64]| {
         let mut limiter = Limiter::new(TOLERANCE, at(0));
         let answers = times.iter().map(|ms| limiter.acquire(units, at(*ms)));
@@ -487,14 +476,7 @@
         rate: 10_000.0,
         burst: 10_000.0,
     };
-    let units = |count| Units {
-        subject: &account,
-        limit,
-        host: &host,
-        count,
-        reserved: 0.0,
-        will_retry: true,
-    };
+    let units = |count| units(&account, limit, &host, count);
     let mut limiter = Limiter::new(TOLERANCE, at(0));
     assert!(limiter.acquire(units(1e19), at(10_000)).is_err());
     assert!(limiter.acquire(units(1_600.0), at(10_000)).is_ok());
@@ -508,14 +490,7 @@
         rate: 10_000.0,
         burst: 10_000.0,
     };
-    let units = Units {
-        subject: &account,
-        limit,
-        host: &host,
-        count: 5_000.0,
-        reserved: 0.0,
-        will_retry: true,
-    };
+    let units = units(&account, limit, &host, 5_000.0);
     let mut limiter = Limiter::new(
         Tolerance {
             slack: 0.0,
