Detours: no look at the table for hosts that pass nothing on

The check whether a host is behind the configuration by which others handled its requests locked the table for each send of each request. The newest such configuration is now kept only until the host has it in force, so that all other sends return before the table. Values that travel as JSON in header fields are written and read in one place, and a count that nobody read is no longer returned. No behaviour, check or bound changed.

--- a/crates/front/src/attempt/call.rs
+++ b/crates/front/src/attempt/call.rs
@@ -95,9 +95,9 @@
         segments.map(|segment| Cause::Segment(segment.id))
     }
 
-    /// Counts a send to a replica and returns its number, from 1.
-    pub fn begin_send(&self) -> u32 {
-        self.sends.fetch_add(1, Ordering::Relaxed) + 1
+    /// Counts a send to a replica.
+    pub fn begin_send(&self) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Time until the deadline.
--- a/crates/front/src/detour.rs
+++ b/crates/front/src/detour.rs
@@ -57,8 +57,8 @@
     slots: Arc<Semaphore>,
     /// When a request last could not be sent for lack of paths.
     wanted_at: Mutex<Option<Time>>,
-    /// Newest configuration by which another host has handled a request of this one.
-    newest_used: Mutex<Edition>,
+    /// Newest configuration by which another host has handled a request of this one, until this one has it in force.
+    newest_used: Mutex<Option<Edition>>,
 }
 
 /// Opens the detours of a host; `seed` makes hosts choose differently.
@@ -81,8 +81,8 @@
     /// Records a configuration by which another host has handled a request of this one.
     fn record_used(&self, edition: Edition) {
         let mut newest = self.newest_used.lock();
-        if edition.replaces(&newest) {
-            *newest = edition;
+        if newest.is_none_or(|known| edition.replaces(&known)) {
+            *newest = Some(edition);
         }
     }
 
@@ -112,11 +112,9 @@
 
 /// Newest configuration by which requests of this host were handled, or that it has in force.
 fn newest_edition(state: &State) -> Edition {
+    let own = own_edition(state).unwrap_or_default();
     let used = *state.detours.newest_used.lock();
-    match own_edition(state) {
-        Some(own) if !own.is_older_than(&used) => own,
-        _ => used,
-    }
+    used.filter(|used| own.is_older_than(used)).unwrap_or(own)
 }
 
 /// Configuration in force on this host.
@@ -127,8 +125,16 @@
 
 /// Whether requests of this host were handled by a newer configuration than it has in force itself.
 fn is_behind(state: &State) -> bool {
-    let used = *state.detours.newest_used.lock();
-    own_edition(state).is_none_or(|own| own.is_older_than(&used))
+    let mut newest = state.detours.newest_used.lock();
+    // Most hosts never pass a request on: they need no look at the table.
+    let Some(used) = *newest else {
+        return false;
+    };
+    let is_behind = own_edition(state).is_none_or(|own| own.is_older_than(&used));
+    if !is_behind {
+        *newest = None;
+    }
+    is_behind
 }
 
 /// Whether this host may need other hosts for its requests.
@@ -141,10 +147,9 @@
 /// Host for a request while the paths of this one are in doubt, or while it would serve the request by an older
 /// configuration than others before.
 pub fn choose(state: &State, call: &Call) -> Option<SocketAddr> {
-    match paths::reach(state) {
-        Reach::Sound if !is_behind(state) => None,
-        Reach::Sound => choose_for_unreached(state, call),
-        Reach::Suspect | Reach::Isolated => choose_for_unreached(state, call),
+    match paths::reach(state) == Reach::Sound && !is_behind(state) {
+        true => None,
+        false => choose_for_unreached(state, call),
     }
 }
 
--- a/crates/front/src/detour/client.rs
+++ b/crates/front/src/detour/client.rs
@@ -1,7 +1,7 @@
 //! Passes a request on to another host, and takes what comes back.
 
 use super::message::{
-    ANSWERED, EDITION, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, RUN, Refusal,
+    ANSWERED, EDITION, Envelope, MAX_REFUSAL, OUTCOME, PATH, REJECTED, RUN, Refusal, take_json,
 };
 use super::newest_edition;
 use crate::attempt::{Call, Exchange, Failure, History, Origin, Verdict, verdict};
@@ -187,12 +187,10 @@
     runs: u32,
 ) -> Result<Exchange, Failure> {
     let outcome = response.headers_mut().remove(&OUTCOME);
-    let run = response.headers_mut().remove(&RUN);
-    let edition = response.headers_mut().remove(&EDITION);
-    if let Some(edition) = edition.and_then(|text| serde_json::from_slice(text.as_bytes()).ok()) {
+    if let Some(edition) = take_json(response.headers_mut(), &EDITION) {
         hop.state.detours.record_used(edition);
     }
-    hop.run = run.and_then(|run| serde_json::from_slice(run.as_bytes()).ok());
+    hop.run = take_json(response.headers_mut(), &RUN);
     let outcome = outcome.as_ref().and_then(|value| value.to_str().ok());
     let feedback = response::parse(response.status(), response.headers());
     match outcome {
--- a/crates/front/src/detour/message.rs
+++ b/crates/front/src/detour/message.rs
@@ -4,9 +4,10 @@
 use crate::routes::Edition;
 use bytes::Bytes;
 use hyper::StatusCode;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use platform::account::Key;
 use route::streams::Run;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use unit::{Name, Span};
 
@@ -110,6 +111,27 @@
     }
 }
 
+/// Inserts a value as JSON, if there is one.
+pub(super) fn insert_json<T: Serialize>(
+    headers: &mut HeaderMap,
+    name: HeaderName,
+    value: Option<&T>,
+) {
+    let text = value.and_then(|value| serde_json::to_string(value).ok());
+    if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        headers.insert(name, value);
+    }
+}
+
+/// Removes a value that was inserted by [`insert_json`].
+pub(super) fn take_json<T: DeserializeOwned>(
+    headers: &mut HeaderMap,
+    name: &HeaderName,
+) -> Option<T> {
+    let value = headers.remove(name)?;
+    serde_json::from_slice(value.as_bytes()).ok()
+}
+
 /// Reasons of rejections that keep their series in the metrics.
 const REASONS: [&str; 17] = [
     "overloaded",
--- a/crates/front/src/detour/server.rs
+++ b/crates/front/src/detour/server.rs
@@ -1,6 +1,8 @@
 //! Takes requests that other hosts pass on, and sends them to replicas.
 
-use super::message::{ANSWERED, EDITION, Envelope, MAX_HEAD, OUTCOME, REJECTED, RUN, Refusal};
+use super::message::{
+    ANSWERED, EDITION, Envelope, MAX_HEAD, OUTCOME, REJECTED, RUN, Refusal, insert_json,
+};
 use crate::attempt::{Call, History};
 use crate::respond::{Body, Rejection, full_body};
 use crate::routes::{Edition, Routes};
@@ -45,10 +47,7 @@
     };
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
-    let edition = edition.and_then(|edition| serde_json::to_string(&edition).ok());
-    if let Some(value) = edition.and_then(|text| HeaderValue::from_str(&text).ok()) {
-        headers.insert(EDITION, value);
-    }
+    insert_json(headers, EDITION, edition.as_ref());
     response
 }
 
@@ -121,10 +120,7 @@
 /// Adds the run that began a stream to its answer.
 fn with_run(call: &Call, mut response: Response<Body>) -> Response<Body> {
     let run = call.run.get().and_then(Option::as_ref);
-    let text = run.and_then(|run| serde_json::to_string(run).ok());
-    if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
-        response.headers_mut().insert(RUN, value);
-    }
+    insert_json(response.headers_mut(), RUN, run);
     response
 }
 
