Review case 6: silent connections to the store keep an old configuration in force

Shown by review/6/run.sh: the open connections of nine daemons to the store go silent; a configuration follows. Three daemons run requests at the old service for longer than the bounds on machines in touch allow.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -28,13 +28,20 @@
 MAX_SECONDS = 110
 
 
+given_out = set()
+
+
 def free_ports(count):
-    """Ports that are free for TCP and UDP."""
+    """Ports that are free for TCP and UDP, each given out once."""
     found, held = [], []
     while len(found) < count:
         tcp = socket.socket()
         tcp.bind((LOOPBACK, 0))
         port = tcp.getsockname()[1]
+        if port in given_out:
+            tcp.close()
+            continue
+        given_out.add(port)
         udp = socket.socket(type=socket.SOCK_DGRAM)
         try:
             udp.bind((LOOPBACK, port))
@@ -258,10 +265,10 @@
 
 
 class Link:
-    """A path from one daemon to one replica, as a proxy that can be cut."""
+    """A path from one daemon to a replica or to the store, as a proxy that can be cut."""
 
     def __init__(self, target):
-        self.target, self.open = target, set()
+        self.target, self.open, self.silent = target, set(), set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, LOOPBACK, 0)
@@ -275,18 +282,24 @@
             return
         pair = (writer, onward_writer)
         self.open.add(pair)
-        await asyncio.gather(self.pump(reader, onward_writer), self.pump(onward_reader, writer))
+        await asyncio.gather(self.pump(reader, onward_writer, pair), self.pump(onward_reader, writer, pair))
         self.open.discard(pair)
 
-    async def pump(self, reader, writer):
+    async def pump(self, reader, writer, pair):
         try:
             while data := await reader.read(65536):
-                writer.write(data)
-                await writer.drain()
-            writer.close()
+                if pair not in self.silent:
+                    writer.write(data)
+                    await writer.drain()
+            if pair not in self.silent:
+                writer.close()
         except (ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
 
+    def silence(self):
+        """Open connections carry nothing any more, for good and without a reset; new ones work."""
+        self.silent |= self.open
+
     def cut(self):
         """Resets open connections and refuses new ones."""
         self.server.close()
