--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -2,7 +2,7 @@
 
 Each answer has `pieces` pieces, one every `gap` seconds: events of a stream, or lines of a plain body. With
 `framed` false, an answer has neither a length nor chunks and ends with its connection. LOG gets a line for each
-request that arrives, and for each run that ends.
+request that arrives, and for each run that ends. A run goes on after the event that `Last-Event-Id` names.
 """
 
 import asyncio
@@ -43,7 +43,8 @@
             answer = f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nServer-Stamp: {ID}.{request}\r\nContent-Type: {kind}\r\n"
             answer += "Transfer-Encoding: chunked\r\n\r\n" if OPTIONS["framed"] else "Connection: close\r\n\r\n"
             writer.write(answer.encode())
-            for number in range(1, OPTIONS["pieces"] + 1):
+            first = int(fields.get("last-event-id", "0")) + 1
+            for number in range(first, OPTIONS["pieces"] + 1):
                 data = piece(path, number)
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data) if OPTIONS["framed"] else data)
                 await writer.drain()
