--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod copies;
 pub mod error;
 pub mod faults;
+pub mod full_restart;
 pub mod host;
 pub mod options;
 mod pressure;
@@ -45,7 +46,7 @@
     ]);
     let mut violations = Vec::new();
     for seed in options.seeds.clone() {
-        let summary = runtime.block_on(site::run_seed(options, seed))?;
+        let summary = runtime.block_on(run_seed(options, seed))?;
         table.add_row([
             seed.to_string(),
             summary.requests.to_string(),
@@ -69,3 +70,10 @@
     }
     Ok(violations.is_empty())
 }
+
+async fn run_seed(options: &Options, seed: u64) -> Result<site::Summary, Error> {
+    match options.full_restart {
+        true => full_restart::run(options, &full_restart::scenario(seed), seed).await,
+        false => site::run_seed(options, seed).await,
+    }
+}
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -18,6 +18,8 @@
     pub fatal_segments: bool,
     /// Whether the plain service has few places, and clients that ask for more of them than there are.
     pub few_places: bool,
+    /// Whether each seed ends all daemons at once and checks that service comes back, in place of single faults.
+    pub full_restart: bool,
     /// Path of the daemon's program.
     pub program: PathBuf,
 }
@@ -56,6 +58,9 @@
     let few_places = long("few-places")
         .help("Give the plain service three replicas with six places each, and clients that press for them")
         .switch();
+    let full_restart = long("full-restart")
+        .help("End all daemons at once beside a store and replicas in trouble, and check that service comes back, in place of single faults")
+        .switch();
     let program = long("program")
         .help("Path of the daemon's program; by default covefordd in the directory of this program")
         .argument::<PathBuf>("FILE")
@@ -66,6 +71,7 @@
         hosts,
         fatal_segments,
         few_places,
+        full_restart,
         program
     })
     .to_options()
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -17,7 +17,7 @@
 use platform_standin::store::{self, Store};
 use serde_json::Value;
 use snafu::ResultExt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -29,7 +29,7 @@
 const TAKING_UP: u64 = 8;
 
 /// Time for the site to start, and to recover once all faults are over.
-const SETTLE_TIME: Duration = Duration::from_secs(8);
+pub const SETTLE_TIME: Duration = Duration::from_secs(8);
 
 /// Time until a replica that was crashed by a request is back.
 const RESTART_TIME: Duration = Duration::from_millis(1_500);
@@ -115,15 +115,19 @@
     let mut summary = summarize(&site, &workload, settled_at);
     summary.violations.extend(config_violations);
     summary.faults = faults;
-    // Logs are kept only if there are violations.
-    match summary.violations.is_empty() {
-        true => drop(std::fs::remove_dir_all(&dir)),
-        false => eprintln!("logs of seed {seed}: {}", dir.display()),
-    }
+    keep_logs(&dir, seed, !summary.violations.is_empty());
     Ok(summary)
 }
 
-fn create_dir(seed: u64) -> Result<PathBuf, Error> {
+/// Removes the logs of a seed, or keeps them and tells where they are.
+pub fn keep_logs(dir: &Path, seed: u64, is_kept: bool) {
+    match is_kept {
+        true => eprintln!("logs of seed {seed}: {}", dir.display()),
+        false => drop(std::fs::remove_dir_all(dir)),
+    }
+}
+
+pub fn create_dir(seed: u64) -> Result<PathBuf, Error> {
     let name = format!("coveford-soak-{}-{seed}", std::process::id());
     let dir = std::env::temp_dir().join(name);
     let resource = dir.display().to_string();
@@ -131,7 +135,7 @@
     Ok(dir)
 }
 
-async fn set_up(options: &Options, dir: &std::path::Path) -> Result<Site, Error> {
+pub async fn set_up(options: &Options, dir: &Path) -> Result<Site, Error> {
     let resource = "the store's stand-in";
     let store = store::spawn().await.context(SystemSnafu { resource })?;
     let mut site = Site {
@@ -209,6 +213,20 @@
         self.config_written.push(Instant::now());
     }
 
+    /// Writes the next version of the configuration, with one route to a service that it does not hold.
+    pub fn write_config_with_bad_route(&mut self) {
+        self.version += 1;
+        let mut configuration = configuration(self.version);
+        let routes = configuration["routes"].as_array_mut();
+        let mut route = routes.as_ref().map_or(Value::Null, |r| r[0].clone());
+        route["name"] = "bad".into();
+        route["path_prefix"] = "/bad/".into();
+        route["service"] = "unknown".into();
+        routes.into_iter().for_each(|r| r.push(route.clone()));
+        self.store.put(platform::names::CONFIG, &configuration);
+        self.config_written.push(Instant::now());
+    }
+
     /// Writes the latest configuration again, after the store has lost it.
     pub fn rewrite_config(&self) {
         let configuration = configuration(self.version);
@@ -247,6 +265,30 @@
     }
 
     pub async fn add_replica(&mut self, service: &str, models: &[&str]) -> Result<(), Error> {
+        let models = models.iter().map(|m| (*m).to_owned()).collect();
+        let options = ReplicaOptions {
+            models,
+            ..ReplicaOptions::default()
+        };
+        self.spawn_replica(service, options).await
+    }
+
+    /// Adds a replica that has no model loaded, and these on its disk.
+    pub async fn add_empty_replica(
+        &mut self,
+        on_disk: Vec<String>,
+        load_time: Duration,
+    ) -> Result<(), Error> {
+        let options = ReplicaOptions {
+            models: Vec::new(),
+            on_disk,
+            load_time,
+            ..ReplicaOptions::default()
+        };
+        self.spawn_replica("llm", options).await
+    }
+
+    async fn spawn_replica(&mut self, service: &str, options: ReplicaOptions) -> Result<(), Error> {
         let id = format!("i-{}", self.next_replica);
         let version = resumption::VERSIONS[self.next_replica as usize % resumption::VERSIONS.len()];
         self.next_replica += 1;
@@ -254,7 +296,6 @@
             id,
             service: service.into(),
             version: version.into(),
-            models: models.iter().map(|m| (*m).to_owned()).collect(),
             events: client::EVENTS_PER_STREAM,
             delay: match self.places {
                 Some(_) if service == "web" => pressure::WORK,
@@ -262,7 +303,7 @@
             },
             fatal_request: (service == "web").then_some((client::FATAL_BODY, RESTART_TIME)),
             downtime: RESTART_TIME,
-            ..ReplicaOptions::default()
+            ..options
         };
         let resource = "a replica's stand-in";
         let replica = replica::spawn(&self.store, options)
