--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -1,6 +1,7 @@
 //! Applies store data: configuration, replicas, the leader, and the quarantine list.
 
 use crate::log::Topic;
+use crate::startup::Step;
 use crate::state::{self, State};
 use crate::view::{Origin, Update};
 use crate::{leader, quarantine, routes, streams};
@@ -33,6 +34,7 @@
         updates
     };
     state.knows_replicas.store(true, Ordering::Relaxed);
+    state.startup.set_step(Step::Configuration, now);
     report_updates(state, updates, snapshot.revision);
     if !has_leader {
         set_leader(state, None);
--- a/crates/front/src/follow/bootstrap.rs
+++ b/crates/front/src/follow/bootstrap.rs
@@ -7,6 +7,7 @@
 
 use super::apply::{apply_changes, apply_written};
 use super::{Next, fetch_from_reader, record_answer};
+use crate::startup::Step;
 use crate::state::State;
 use crate::{leader, quarantine, readers};
 use platform::names;
@@ -32,19 +33,24 @@
 pub(super) async fn read(state: &State, after: u64) -> Next {
     // The response is as of when it was requested; it may have been queued during a pause of this host.
     let sent_at = state.now();
+    state.startup.set_step(Step::FirstPage, sent_at);
     let page = state.store.page("", None, Freshness::Linearizable).await;
     let Some(page) = record_answer(state, page, sent_at) else {
+        state.startup.record_failure();
         return Next::Failed;
     };
+    state.startup.set_pages(1);
     if page.has_more {
         apply_first_page(
             state,
             page.items.iter().filter(|item| is_needed_first(item)),
         );
+        state.startup.set_step(Step::Readers, state.now());
         if let Some(next) = fetch_rest(state, after, page.revision).await {
             return next;
         }
     }
+    state.startup.set_step(Step::FurtherPages, state.now());
     let rest = state
         .store
         .remaining_pages("", page, Freshness::Linearizable)
@@ -54,7 +60,10 @@
             readers::record_snapshot(state, &snapshot.items, snapshot.revision, sent_at);
             Next::Snapshot(snapshot)
         }
-        None => Next::Failed,
+        None => {
+            state.startup.record_failure();
+            Next::Failed
+        }
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod serve;
 pub mod settings;
 pub mod shares;
+pub mod startup;
 pub mod state;
 pub mod streams;
 pub mod table;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -10,7 +10,7 @@
 use crate::quarantine::Reports;
 use crate::settings::{self, Mode, Settings};
 use crate::state::{self, PlacementRequests, State};
-use crate::{follow, leader, log, planner, probe, queue, readers, respond, serve};
+use crate::{follow, leader, log, planner, probe, queue, readers, respond, serve, startup};
 use conn::{Bounds, Server};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -273,6 +273,7 @@
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
         log_shedding(&state, &mut closed);
+        startup::log_waiting(&state);
         expire_due(&state);
         state.table.lock().record_software(state.now());
         state.pool.close_expired(state.now());
--- a/crates/front/src/run/gauges.rs
+++ b/crates/front/src/run/gauges.rs
@@ -4,11 +4,13 @@
 use crate::paths;
 use crate::peers::Peers;
 use crate::queue::Held;
+use crate::startup;
 use crate::state::State;
 use unit::Span;
 
 pub(super) fn update(state: &State, peers: &Peers, held: Held) {
     update_host(state);
+    startup::update_gauge(state);
     update_held(state, held);
     update_limits(state);
     update_replica_states(state);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -12,6 +12,7 @@
 use crate::readers::Readers;
 use crate::settings::Settings;
 use crate::shares::{self, Shares};
+use crate::startup::{self, Startup};
 use crate::streams::{self, Streams};
 use crate::table::Table;
 use conn::shedding::{self, Shedding};
@@ -69,6 +70,8 @@
     pub body_memory: Arc<Semaphore>,
     /// Memory for answers.
     pub answer_memory: Arc<memory::Account>,
+    /// What it waits for until it is ready.
+    pub startup: Startup,
     /// Whether the whole store, with the replicas' entries, has been read once.
     pub knows_replicas: AtomicBool,
     /// Whether a leader has ever been seen.
@@ -144,6 +147,7 @@
         log,
         body_memory: Arc::new(Semaphore::new(bodies)),
         answer_memory: memory::open(answers),
+        startup: startup::open(clock.now()),
         knows_replicas: AtomicBool::new(false),
         leader_seen: AtomicBool::new(false),
         quarantine,
