Reads of the store are sent again while no answer comes

Callers saw: nothing for 11 to 15 s at single hosts, and longer at all hosts of a store with many pages, after all hosts were down while the store lost answers. Now a read without the head of an answer is sent again over a new connection after 0.7 s, and after 1.4 s more; the answer whose head comes first counts. Bodies on their way are waited for as before, so that a link that is full gets no second copy.

--- a/crates/conn/src/connection.rs
+++ b/crates/conn/src/connection.rs
@@ -134,24 +134,33 @@
         limit: Duration,
         max_bytes: usize,
     ) -> Result<Reply, Error> {
-        let addr = self.addr;
         let response = self.send(request, limit).await?;
-        let (head, body) = response.into_parts();
-        let body = timeout(limit, Limited::new(body, max_bytes).collect())
-            .await
-            .map_err(|_| Error::Timeout {
-                addr,
-                ms: limit.as_millis() as u64,
-            })?
-            .map_err(|error| body_error(addr, max_bytes, error))?;
-        Ok(Reply {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        })
+        collect(self.addr, response, limit, max_bytes).await
     }
 }
 
+/// Reads the body of a response, which may have up to `max_bytes`, within `limit`.
+pub(crate) async fn collect(
+    addr: SocketAddr,
+    response: Response<Incoming>,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<Reply, Error> {
+    let (head, body) = response.into_parts();
+    let body = timeout(limit, Limited::new(body, max_bytes).collect())
+        .await
+        .map_err(|_| Error::Timeout {
+            addr,
+            ms: limit.as_millis() as u64,
+        })?
+        .map_err(|error| body_error(addr, max_bytes, error))?;
+    Ok(Reply {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
+
 /// Distinguishes a body that broke off from one that is too long.
 fn body_error(
     addr: SocketAddr,
--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod counting_stream;
 mod error;
+pub mod hedge;
 mod pool;
 mod server;
 pub mod shedding;
--- a/crates/conn/src/pool.rs
+++ b/crates/conn/src/pool.rs
@@ -166,7 +166,8 @@
     })
 }
 
-fn clone(request: &Request<Body>) -> Request<Body> {
+/// Copies a request, so that it can be sent again.
+pub(crate) fn clone(request: &Request<Body>) -> Request<Body> {
     let mut copy = Request::new(request.body().clone());
     *copy.method_mut() = request.method().clone();
     *copy.uri_mut() = request.uri().clone();
