--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::readers::StoreUpdate;
 use crate::state::State;
 use apply::{apply_changes, apply_snapshot};
+use bootstrap::Pages;
 use platform::store::{Change, Item, Listing, era};
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,8 +60,9 @@
 /// Follows the store until the daemon ends.
 pub async fn run(state: Arc<State>) {
     let mut position = Position::default();
+    let mut pages = None;
     loop {
-        match fetch(&state, position).await {
+        match fetch(&state, position, &mut pages).await {
             Next::Relayed(changes) => {
                 note_era(&state, position.revision, changes.revision);
                 position.advance(changes.revision);
@@ -142,7 +144,9 @@
 }
 
 /// Reads from a reader if there is one, otherwise from the store.
-async fn fetch(state: &State, position: Position) -> Next {
+///
+/// `pages` are those of the store that a failed read left, for the next one.
+async fn fetch(state: &State, position: Position, pages: &mut Option<Pages>) -> Next {
     let promoted = state.readers.promoted.notified();
     let relayed = tokio::select! {
         relayed = fetch_from_reader(state, position.revision) => relayed,
@@ -153,7 +157,7 @@
         return next;
     }
     match position.needs_snapshot() {
-        true => bootstrap::read(state, position.revision).await,
+        true => bootstrap::read(state, position.revision, pages).await,
         false => watch(state, position.revision).await,
     }
 }
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -34,6 +34,7 @@
         updates
     };
     state.knows_replicas.store(true, Ordering::Relaxed);
+    state.knows_all_replicas.store(true, Ordering::Relaxed);
     state.startup.set_step(Step::Configuration, now);
     report_updates(state, updates, snapshot.revision);
     if !has_leader {
--- a/crates/front/src/follow/bootstrap.rs
+++ b/crates/front/src/follow/bootstrap.rs
@@ -11,11 +11,12 @@
 use crate::state::State;
 use crate::{leader, quarantine, readers};
 use platform::names;
-use platform::store::{Freshness, Item};
+use platform::store::{Freshness, Item, Listing, Page, era};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
-use tracing::info;
-use unit::rendezvous;
+use tracing::{info, warn};
+use unit::{Name, Span, Time, rendezvous};
 
 /// Time for a leader to be elected and to assign readers, and for a reader to respond.
 const ASSIGNMENT_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -29,42 +30,161 @@
 /// Prefix of coveford's own keys.
 const OWN_KEYS: &str = "coveford/";
 
-/// Reads the whole store; a host that has read it up to revision `after` before asks readers for the changes only.
-pub(super) async fn read(state: &State, after: u64) -> Next {
-    // The response is as of when it was requested; it may have been queued during a pause of this host.
-    let sent_at = state.now();
-    state.startup.set_step(Step::FirstPage, sent_at);
-    let page = state.store.page("", None, Freshness::Linearizable).await;
-    let Some(page) = record_answer(state, page, sent_at) else {
-        state.startup.record_failure();
-        return Next::Failed;
+/// Time after the first page from which a host that knows no replicas serves by the pages that it has. It is longer than
+/// the time within which most hosts have all pages, from a reader or the store.
+const PARTIAL_VIEW_AFTER: Span = Span::from_ms(6_000);
+
+/// Maximum number of pages; a store that has more is read anew.
+const MAX_PAGES: usize = 1_000;
+
+/// Age of the first page up to which pages are kept after a failure. The store keeps the changes since then for longer.
+const MAX_KEPT_AGE: Span = Span::from_secs(15);
+
+/// Pages of the store that were read so far. A read that fails leaves them for the next one.
+pub(super) struct Pages {
+    items: Vec<Item>,
+    count: usize,
+    /// Key after which the next page begins; none if all have been read.
+    next_after: Option<Name>,
+    /// Revision of the store when the first page was read.
+    revision: u64,
+    /// When the first page was requested. The response is as of then; it may have been queued during a pause of this host.
+    requested_at: Time,
+    /// Number of items whose replicas were applied.
+    applied: usize,
+}
+
+impl Pages {
+    fn begin(page: Page, requested_at: Time) -> Pages {
+        Pages {
+            revision: page.revision,
+            next_after: page.next_after,
+            items: page.items,
+            count: 1,
+            requested_at,
+            applied: 0,
+        }
+    }
+
+    fn extend(&mut self, page: Page) {
+        self.items.extend(page.items);
+        self.next_after = page.next_after;
+        self.count += 1;
+    }
+
+    /// Prefix of the keys to read next, and the key after which to read; none from the first one on. Entries of others
+    /// between the configuration and the replicas are passed over. None if all pages have been read.
+    fn position(&self) -> Option<(&'static str, Option<Name>)> {
+        let last = self.next_after.clone()?;
+        Some(match &*last {
+            key if key.starts_with(names::REPLICAS) => (names::REPLICAS, Some(last)),
+            key if key >= names::CONFIG.max(OWN_KEYS) => (names::REPLICAS, None),
+            _ => ("", Some(last)),
+        })
+    }
+
+    /// Whether further pages may be read after them.
+    fn is_usable(&self, state: &State) -> bool {
+        state.now().since(self.requested_at) < MAX_KEPT_AGE
+            && era::of(self.revision) == state.store.era()
+    }
+}
+
+/// Reads the whole store, on from the pages that an earlier read left in `kept`; a host that has read it up to revision
+/// `after` before asks readers for the changes only.
+pub(super) async fn read(state: &State, after: u64, kept: &mut Option<Pages>) -> Next {
+    let usable = kept.take().filter(|pages| pages.is_usable(state));
+    let (mut pages, is_new) = match usable {
+        Some(pages) => (pages, false),
+        None => match first_page(state).await {
+            Some(pages) => (pages, true),
+            None => return Next::Failed,
+        },
     };
-    state.startup.set_pages(1);
-    if page.has_more {
+    if is_new && pages.next_after.is_some() {
         apply_first_page(
             state,
-            page.items.iter().filter(|item| is_needed_first(item)),
+            pages.items.iter().filter(|item| is_needed_first(item)),
         );
         state.startup.set_step(Step::Readers, state.now());
-        if let Some(next) = fetch_rest(state, after, page.revision).await {
+        if let Some(next) = fetch_rest(state, after, pages.revision).await {
             return next;
         }
     }
     state.startup.set_step(Step::FurtherPages, state.now());
-    let rest = state
-        .store
-        .remaining_pages("", page, Freshness::Linearizable)
-        .await;
-    match record_answer(state, rest, sent_at) {
-        Some(snapshot) => {
-            readers::record_snapshot(state, &snapshot.items, snapshot.revision, sent_at);
-            Next::Snapshot(snapshot)
+    while let Some(position) = pages.position() {
+        if pages.count == MAX_PAGES {
+            warn!(target: "store", event = "endless", pages = pages.count, "the store has too many pages; reading anew");
+            return Next::Failed;
+        }
+        match next_page(state, &mut pages, position).await {
+            Some(page) => pages.extend(page),
+            None => {
+                state.startup.record_failure();
+                *kept = Some(pages);
+                return Next::Failed;
+            }
         }
-        None => {
-            state.startup.record_failure();
-            Next::Failed
+        state.startup.set_pages(pages.count);
+    }
+    let (items, revision) = (pages.items, pages.revision);
+    readers::record_snapshot(state, &items, revision, pages.requested_at);
+    Next::Snapshot(Listing { items, revision })
+}
+
+async fn first_page(state: &State) -> Option<Pages> {
+    let requested_at = state.now();
+    state.startup.set_step(Step::FirstPage, requested_at);
+    let page = state.store.page("", None, Freshness::Linearizable).await;
+    let Some(page) = record_answer(state, page, requested_at) else {
+        state.startup.record_failure();
+        return None;
+    };
+    state.startup.set_pages(1);
+    Some(Pages::begin(page, requested_at))
+}
+
+/// Reads the page at a position after the ones so far, whose replicas are applied if it does not come in time.
+async fn next_page(
+    state: &State,
+    pages: &mut Pages,
+    (prefix, after): (&str, Option<Name>),
+) -> Option<Page> {
+    let sent_at = pages.requested_at;
+    let partial_view_at = sent_at + PARTIAL_VIEW_AFTER;
+    let items = &pages.items;
+    let read = state.store.next_page(
+        prefix,
+        after.as_deref(),
+        pages.revision,
+        Freshness::Linearizable,
+    );
+    let mut read = std::pin::pin!(read);
+    let page = tokio::select! {
+        page = &mut read => page,
+        () = state.clock.sleep_until(partial_view_at), if pages.applied < items.len() => {
+            apply_replicas(state, &items[pages.applied..]);
+            pages.applied = items.len();
+            read.await
         }
+    };
+    record_answer(state, page, sent_at)
+}
+
+/// Applies the replicas among items, so that requests to them are served, unless all replicas were known before.
+fn apply_replicas(state: &State, items: &[Item]) {
+    let knows_all = state.knows_all_replicas.load(Ordering::Relaxed);
+    let replicas = items.iter().filter(|i| i.key.starts_with(names::REPLICAS));
+    let count = replicas.clone().count();
+    if knows_all || count == 0 {
+        return;
     }
+    replicas
+        .cloned()
+        .for_each(|item| apply_written(state, item));
+    state.knows_replicas.store(true, Ordering::Relaxed);
+    state.changed.notify_waiters();
+    info!(target: "store", event = "partial", count, "pages of the store are late; requests are served by the replicas that are known");
 }
 
 /// Whether an item is applied before the other pages are read: the configuration, the leader or the quarantine list.
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -116,7 +116,9 @@
     advances.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0;
     while planner.may_broadcast() {
-        let may_order = planner.term.is_valid() && planner.state.now() >= orders_from;
+        // A model whose replicas are not all known looks as if it had too few copies.
+        let knows_all = planner.state.knows_all_replicas.load(Ordering::Relaxed);
+        let may_order = planner.term.is_valid() && knows_all && planner.state.now() >= orders_from;
         tokio::select! {
             _ = tokio::time::sleep_until(next_plan), if planning.is_none() => {
                 plan_started = tokio::time::Instant::now();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -72,8 +72,10 @@
     pub answer_memory: Arc<memory::Account>,
     /// What it waits for until it is ready.
     pub startup: Startup,
-    /// Whether the whole store, with the replicas' entries, has been read once.
+    /// Whether entries of replicas have been read, perhaps not all.
     pub knows_replicas: AtomicBool,
+    /// Whether the whole store, with all entries of replicas, has been read once.
+    pub knows_all_replicas: AtomicBool,
     /// Whether a leader has ever been seen.
     pub leader_seen: AtomicBool,
     /// Requests that crash replicas.
@@ -149,6 +151,7 @@
         answer_memory: memory::open(answers),
         startup: startup::open(clock.now()),
         knows_replicas: AtomicBool::new(false),
+        knows_all_replicas: AtomicBool::new(false),
         leader_seen: AtomicBool::new(false),
         quarantine,
         leader: Mutex::default(),
