--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -48,7 +48,7 @@
     pub limits: Limits,
     /// Client accounts; `None` if requests need no key.
     pub accounts: Option<Accounts>,
-    router: Router<Route>,
+    router: Router<Destination>,
     /// Priority levels of its routes: one more than the highest priority.
     priority_levels: u8,
     services: HashMap<Name, Arc<Service>>,
@@ -56,6 +56,15 @@
     max_pauses: HashMap<Name, Span>,
 }
 
+/// Where the requests of a host and path prefix go.
+#[derive(Debug)]
+enum Destination {
+    /// To the services of a route.
+    Route(Arc<Route>),
+    /// Nowhere: the route cannot be decoded, and none with a shorter prefix may take them.
+    Unreadable,
+}
+
 /// Indexes a configuration.
 pub fn build(config: Config, revision: u64) -> Routes {
     let highest = config.routes.iter().map(|r| r.priority).max();
@@ -65,16 +74,23 @@
         .services
         .into_iter()
         .map(|s| (s.name.clone(), Arc::new(s)));
-    let routes = config
-        .routes
-        .into_iter()
-        .map(|r| (r.host.to_string(), r.prefix.to_string(), r));
+    let unreadable = config.unreadable_routes.into_iter().map(|r| {
+        (
+            r.host.to_string(),
+            r.prefix.to_string(),
+            Destination::Unreadable,
+        )
+    });
+    let routes = config.routes.into_iter().map(|r| {
+        let (host, prefix) = (r.host.to_string(), r.prefix.to_string());
+        (host, prefix, Destination::Route(Arc::new(r)))
+    });
     Routes {
         version: config.version,
         revision,
         limits: config.limits,
         accounts: config.accounts.map(accounts::build),
-        router: Router::new(routes),
+        router: Router::new(unreadable.chain(routes)),
         priority_levels,
         services: services.collect(),
         max_pauses,
@@ -105,7 +121,16 @@
 
     /// Route for a host and path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.router.find(host, path)
+        match &**self.router.find(host, path)? {
+            Destination::Route(route) => Some(route),
+            Destination::Unreadable => None,
+        }
+    }
+
+    /// Whether the route for a host and path cannot be decoded.
+    pub fn is_unreadable(&self, host: &str, path: &str) -> bool {
+        let destination = self.router.find(host, path);
+        destination.is_some_and(|d| matches!(**d, Destination::Unreadable))
     }
 
     /// Caller of a request that another host let in by its key. The key is checked again when the request is sent.
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -36,6 +36,14 @@
     if let Some(route) = routes.find(&host, head.uri.path()) {
         return Ok(route.clone());
     }
+    if routes.is_unreadable(&host, head.uri.path()) {
+        let message = "The route that leads there cannot be read by this host.";
+        return Err(Rejection::not_run(
+            "route_unreadable",
+            message,
+            RETRY_AFTER_DEFAULT,
+        ));
+    }
     let max = Span::from(state.settings.bounds.configuration) * MAX_AGE_FRACTION;
     if state.table.lock().view.contact.is_unreachable() || accounts::data_age(state) > max {
         // The route may exist in a newer configuration.
--- a/crates/front/tests/changes.rs
+++ b/crates/front/tests/changes.rs
@@ -42,6 +42,23 @@
     }
 }
 
+/// Guards against a route that takes the others with it, and against its requests taking a route with a shorter prefix.
+#[tokio::test]
+async fn a_route_that_cannot_be_decoded_costs_itself_only() {
+    let store = store().await;
+    let _replica = web(&store, "i-1").await;
+    let mut newest = configuration(9);
+    let mut route = newest["routes"][0].clone();
+    route["path_prefix"] = "/again/inner/".into();
+    route["kind"] = "unknown".into();
+    newest["routes"].as_array_mut().unwrap().push(route);
+    store.put("op/config", &newest);
+    let daemon = daemon(&store, "d1").await;
+    for (path, status) in [("/again/x", 200), ("/again/inner/x", 503), ("/none/x", 404)] {
+        assert_eq!(ask(&daemon, path, None).await.1.status(), status, "{path}");
+    }
+}
+
 #[rstest]
 #[case::announced(true)]
 #[case::silent(false)]
