Answers with an invalid status reach no client

Callers saw: 101, 600 and 999 of a faulty replica as they came, signed. Cause: hyper refuses statuses below 100 and those that are not three digits (000, 001, 099, 20, 2000, empty and words gave 502 before), and passes the others on. An answer outside 200 to 599 is now one that belongs to no request: a request that may be repeated goes elsewhere, others get 502 without the replica's stamp.

--- a/crates/front/src/attempt/verdict.rs
+++ b/crates/front/src/attempt/verdict.rs
@@ -11,6 +11,7 @@
 //! request and answer with a status that is a promise when a host gives it, as 503 and 429 are.
 
 use platform::response::Feedback;
+use std::ops::Range;
 
 /// Verdict on an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,8 +39,14 @@
     }
 }
 
+/// Statuses that end a request; others are invalid (RFC 9110, section 15), or no answer to what hosts send.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Judges an answer by its head. `is_first` is whether its connection has carried no request before.
 pub fn judge(feedback: &Feedback, request: &str, is_first: bool) -> Verdict {
+    if !FINAL_STATUSES.contains(&feedback.status) {
+        return Verdict::Foreign("an answer with an invalid status came");
+    }
     match feedback.request_id() {
         Some(_) if !feedback.matches_request(request) => {
             return Verdict::Foreign("an answer to another request came");
--- a/crates/front/tests/proofs.rs
+++ b/crates/front/tests/proofs.rs
@@ -352,7 +352,7 @@
     /// comes first on its connection. It counts as the answer only on the same terms, and never as a bare promise.
     #[test]
     fn a_head_proves_what_it_states_about_its_own_request(
-        status in prop_oneof![Just(200u16), Just(400), Just(404), Just(408), Just(421), Just(429), Just(500), Just(503)],
+        status in prop_oneof![Just(200u16), Just(400), Just(404), Just(408), Just(421), Just(429), Just(500), Just(503), Just(600), Just(999)],
         id in prop_oneof![Just(None), Just(Some("r-1")), Just(Some("r-2"))],
         is_stated: bool,
         is_signed: bool,
@@ -372,6 +372,8 @@
         let feedback = platform::response::parse(StatusCode::from_u16(status).unwrap(), &headers);
         let verdict = judge(&feedback, "r-1", is_first);
         let belongs = id == Some("r-1") || id.is_none() && is_first;
+        let is_valid = status < 600;
+        let belongs = belongs && is_valid;
         prop_assert_eq!(matches!(verdict, Verdict::Foreign(_)), !belongs);
         let is_refusal = is_stated || status == 421 && !is_signed;
         prop_assert_eq!(verdict == Verdict::NotRun, belongs && is_refusal);
--- a/crates/front/tests/responses.rs
+++ b/crates/front/tests/responses.rs
@@ -7,8 +7,9 @@
 use platform_standin::replica::Fault;
 use rstest::rstest;
 use site::{WAIT_LIMIT, ask, daemon, engine, request, store, until, web};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 #[tokio::test]
 async fn a_stream_is_forwarded_complete_and_signed() {
@@ -71,6 +72,55 @@
     }
 }
 
+/// Guards against a status that is none in HTTP, which a client would get as an answer.
+#[rstest]
+#[case::three_zeros("000")]
+#[case::one("001")]
+#[case::below_the_range("099")]
+#[case::another_protocol("101")]
+#[case::two_digits("20")]
+#[case::four_digits("2000")]
+#[case::above_the_range("600")]
+#[case::the_highest_of_three_digits("999")]
+#[case::empty("")]
+#[case::a_word("fine")]
+#[tokio::test]
+async fn an_answer_whose_status_is_invalid_reaches_no_client(#[case] status: &'static str) {
+    let store = store().await;
+    let addr = answer_with_status(status).await;
+    let entry = serde_json::json!({
+        "service": "web", "address": addr.to_string(), "zone": "a", "version": "v1", "slots": 8,
+        "state": "ready", "cold_remaining_ms": 0, "models": [], "sequence": 1, "born": 1,
+    });
+    store.put("servers/i-1", &entry);
+    let daemon = daemon(&store, "d1").await;
+    for path in ["/once/x", "/again/x"] {
+        let (_, answer) = ask(&daemon, path, None).await;
+        assert_eq!(answer.status(), 502, "{path}");
+        assert_eq!(answer.header("server-stamp"), None, "{path}");
+    }
+}
+
+/// Replica that answers each request in full and signed, with this text in the place of the status.
+async fn answer_with_status(status: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = vec![0; 4_096];
+            let count = stream.read(&mut head).await.unwrap_or(0);
+            let head = String::from_utf8_lossy(&head[..count]).into_owned();
+            let id = head.lines().find_map(|l| l.strip_prefix("request-id: "));
+            let answer = format!(
+                "HTTP/1.1 {status} x\r\nrequest-id: {}\r\nserver-stamp: 3e1b.07\r\ncontent-length: 2\r\n\r\nok",
+                id.unwrap_or_default()
+            );
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    addr
+}
+
 /// Guards against a repeatable request that is not retried at a healthy replica.
 #[rstest]
 #[case::sheds(Fault::Shed)]
