A host that stops sends nothing late in its grace, and answers what it has

Callers saw: requests whose bodies came late in the grace of a host that stops, or that replicas still worked on at its end, cut with no answer, among them requests that may not be repeated. Cause: nothing looked at how much of the grace was left; the process ended with the requests. Now no request is sent to a replica or another host once half of the grace is over (503 with Retry-After, it has not run), and those in progress get 502 shortly before the end. New connections are accepted for a shorter time than half, as before.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod feedback;
 pub mod fleet;
 pub mod follow;
+pub mod grace;
 pub mod grant;
 pub mod leader;
 pub mod log;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -6,6 +6,7 @@
 use crate::detour;
 use crate::dispatch;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
+use crate::grace;
 use crate::peers::{self, Peers};
 use crate::quarantine::Reports;
 use crate::settings::{self, Mode, Settings};
@@ -34,9 +35,6 @@
 /// stops sending requests after the second failed check.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_400);
 
-/// Fraction of the grace period after which the process exits, before it is killed.
-const GRACE_FRACTION: f64 = 0.95;
-
 /// Maximum [`ACCEPT_AFTER_STOP`] as a fraction of the grace period.
 const ACCEPT_FRACTION: f64 = 0.4;
 
@@ -342,17 +340,17 @@
     /// requests in flight get the rest of the grace period to finish.
     pub async fn drain(self) {
         let state = &self.state;
-        let grace = state.settings.bounds.grace;
+        let period = state.settings.bounds.grace;
         state.start_drain();
         let in_flight = state.in_flight();
         info!(target: "daemon", event = "draining", in_flight, "draining: readiness fails, connections are accepted a while longer");
         let stopped_at = state.now();
-        let accepting = ACCEPT_AFTER_STOP.min(grace.mul_f64(ACCEPT_FRACTION));
+        let accepting = ACCEPT_AFTER_STOP.min(period.mul_f64(ACCEPT_FRACTION));
         state
             .clock
             .sleep_until(stopped_at + Span::from(accepting))
             .await;
-        let exit_at = stopped_at + Span::from(grace.mul_f64(GRACE_FRACTION));
+        let exit_at = stopped_at + Span::from(period.mul_f64(grace::EXIT_FRACTION));
         let remaining = exit_at.since(state.now()).std();
         let drained = state
             .clock
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -17,6 +17,7 @@
 
 use crate::attempt::{Call, Exchange, Failure, History, send};
 use crate::detour;
+use crate::grace;
 use crate::peers::Peers;
 use crate::quarantine;
 use crate::queue::Queues;
@@ -173,6 +174,10 @@
         answer: None,
     };
     for attempt in 0..MAX_SENDS {
+        if !grace::allows_sends(state) {
+            progress.rejection = Some(grace::rejection());
+            break;
+        }
         if attempt > 0 && !may_retry(state, call, &progress) {
             break;
         }
@@ -253,7 +258,9 @@
     };
     progress.has_alternatives = choice.candidate_count > 1;
     let sent_at = state.now();
-    let exchange = send(state, call, &choice, reservation, call.metadata.last_event).await;
+    let last_event = call.metadata.last_event;
+    let exchange = send(state, call, &choice, reservation, last_event);
+    let exchange = grace::bound(state, exchange).await;
     if let (Some(grant), Err(failure)) = (grant, &exchange)
         && failure.proves_unsent()
     {
@@ -265,7 +272,9 @@
     }
     progress.history.record(&choice.replica, &exchange);
     let outcome = match exchange {
-        Ok(exchange) => forward(context, call, exchange, &progress.history).await,
+        Ok(exchange) => {
+            grace::bound(state, forward(context, call, exchange, &progress.history)).await
+        }
         Err(failure) => Err(failure),
     };
     match &outcome {
@@ -288,10 +297,18 @@
 ) -> Result<Outcome, Rejection> {
     let state = &context.state;
     let last_event = call.metadata.last_event;
-    let exchange = detour::send(state, call, host, &mut progress.history, last_event).await;
-    Ok(match exchange {
-        Ok(exchange) => forward(context, call, exchange, &progress.history).await,
-        Err(failure) => Err(failure),
+    let exchange = detour::send(state, call, host, &mut progress.history, last_event);
+    Ok(match grace::bound(state, exchange).await {
+        Ok(exchange) => {
+            grace::bound(state, forward(context, call, exchange, &progress.history)).await
+        }
+        Err(failure) => {
+            if matches!(failure, Failure::Lost(_)) && !progress.history.has_run() {
+                // It was cut by the end of the grace period, before the other host told what it did.
+                progress.history.unnamed_runs += 1;
+            }
+            Err(failure)
+        }
     })
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -84,7 +84,8 @@
     pub leader: Mutex<Option<Leader>>,
     /// Queue of adapters and models to request from the leader.
     pub placement_requests: tokio::sync::mpsc::UnboundedSender<PlacementRequest>,
-    draining: watch::Sender<bool>,
+    /// When it was told to stop.
+    stopped_at: watch::Sender<Option<Time>>,
     in_flight: AtomicUsize,
     pub clock: Arc<Clock>,
 }
@@ -156,7 +157,7 @@
         quarantine,
         leader: Mutex::default(),
         placement_requests,
-        draining: watch::Sender::new(false),
+        stopped_at: watch::Sender::new(None),
         in_flight: AtomicUsize::new(0),
         clock,
         settings,
@@ -171,17 +172,22 @@
 
     /// Whether this daemon has been told to stop.
     pub fn is_draining(&self) -> bool {
-        *self.draining.borrow()
+        self.stopped_at().is_some()
+    }
+
+    /// When this daemon was told to stop.
+    pub fn stopped_at(&self) -> Option<Time> {
+        *self.stopped_at.borrow()
     }
 
     pub fn start_drain(&self) {
-        self.draining.send_replace(true);
+        self.stopped_at.send_replace(Some(self.now()));
     }
 
     pub async fn drain_started(&self) {
-        let mut draining = self.draining.subscribe();
+        let mut stopped_at = self.stopped_at.subscribe();
         // The sender lives as long as this state.
-        let _ = draining.wait_for(|stops| *stops).await;
+        let _ = stopped_at.wait_for(Option::is_some).await;
     }
 
     /// Whether requests can be routed.
