--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -368,6 +368,23 @@
     assert_eq!(answer.status(), 200);
 }
 
+/// Guards against a promise that a request has not run, since the host that passed it on stops before it is answered.
+#[tokio::test]
+async fn a_host_that_stops_tells_no_caller_that_a_request_at_another_host_has_not_run() {
+    let mut site = Site::partitioned(2).await;
+    for replica in &site.replicas {
+        replica.set_fault(Fault::Hang);
+    }
+    let callers = site.callers(1);
+    let (host, _links) = site.hosts.remove(1);
+    let drain = tokio::spawn(host.drain());
+    // The timeout of the route ends after the grace from now on.
+    sleep(Duration::from_millis(1_000)).await;
+    let (id, answer) = send_to(callers, request("/once/x", None)).await;
+    assert_eq!((answer.status(), site.runs(&id)), (502, 1));
+    drain.await.unwrap();
+}
+
 /// Guards against quotas that are charged by both hosts, and keys that reach replicas.
 #[tokio::test]
 async fn keys_and_quotas_hold_over_both_hosts() {
