--- a/crates/front/tests/invalid_entries.rs
+++ b/crates/front/tests/invalid_entries.rs
@@ -30,6 +30,20 @@
     entry.to_string().into_bytes()
 }
 
+/// Entry with a field whose text is this.
+fn with_text(field: &str, text: &str) -> Vec<u8> {
+    let mut entry = entry();
+    entry[field] = json!("PLACEHOLDER");
+    let entry = entry.to_string();
+    entry.replace("\"PLACEHOLDER\"", text).into_bytes()
+}
+
+/// Entry with a field that is nested this deeply.
+fn nested(field: &str, depth: usize) -> Vec<u8> {
+    let (open, close) = ("[".repeat(depth), "]".repeat(depth));
+    with_text(field, &format!("{open}{close}"))
+}
+
 /// Sends twenty requests, which must all be served; returns how many reached a replica.
 async fn requests_reaching(daemon: &Daemon, replica: &Replica) -> u32 {
     let before = replica.arrivals();
@@ -55,6 +69,10 @@
 #[case::missing_start_time(without("born"))]
 #[case::bytes(vec![0, 159, 146, 150])]
 #[case::empty(Vec::new())]
+#[case::port_out_of_range(with("address", json!("127.0.0.1:70000")))]
+#[case::slots_out_of_range(with("slots", json!(1e300)))]
+#[case::number_out_of_range(with_text("sequence", "1e999"))]
+#[case::nested(nested("models", 100_000))]
 #[tokio::test]
 async fn an_overwritten_replica_is_not_used_until_its_entry_is_valid(#[case] value: Vec<u8>) {
     let (store, first, second, daemon) = site().await;
@@ -76,6 +94,12 @@
 #[case::service_of_wrong_type(with("service", json!(3)))]
 #[case::models_of_wrong_type(with("models", json!("m1")))]
 #[case::bytes(vec![0xff; 64])]
+#[case::port_out_of_range(with("address", json!("127.0.0.1:70000")))]
+#[case::number_out_of_range(with_text("remaining_ms", "1e999"))]
+#[case::time_out_of_range(with("remaining_ms", json!(1e300)))]
+#[case::negative_time(with("remaining_ms", json!(-1e300)))]
+#[case::nested(nested("models", 100_000))]
+#[case::nested_unknown_field(nested("other", 100_000))]
 #[tokio::test]
 async fn an_invalid_entry_does_not_affect_others(#[case] value: Vec<u8>) {
     let (store, first, second, daemon) = site().await;
@@ -89,6 +113,37 @@
     assert!(to_first > 0 && to_second > 0);
 }
 
+/// Guards against a process that ends, or stops following the store, for an odd value of one of its own keys.
+#[rstest]
+#[case::leader("coveford/leader")]
+#[case::quarantine("coveford/quarantine")]
+#[case::lifted("coveford/quarantine-lifted")]
+#[case::first_term("coveford/led")]
+#[case::unknown("coveford/other")]
+#[tokio::test]
+async fn an_odd_value_of_an_own_key_stops_nothing(#[case] key: &str) {
+    let (store, first, second, daemon) = site().await;
+    let values = [
+        nested("x", 100_000),
+        with_text("x", "1e999"),
+        vec![0xff; 64],
+        Vec::new(),
+    ];
+    for value in values {
+        store.put_bytes(key, &value);
+        sleep(Duration::from_millis(300)).await;
+    }
+    store.compact();
+    first.announce_departure();
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(
+        requests_reaching(&daemon, &first).await,
+        0,
+        "the store is no longer followed"
+    );
+    assert_eq!(requests_reaching(&daemon, &second).await, 20);
+}
+
 /// Guards against a replica whose identity cannot be sent in a header field: any replica at its
 /// address would run the request.
 #[tokio::test]
