A host denies no route while it knows to be behind

Cause: the look-up of the route asks how old the host's own data are, not whether answers of other hosts have named a newer configuration. Now it answers 503 with Retry-After. a_host_that_is_behind_denies_no_route failed before (404).

--- a/crates/front/src/detour.rs
+++ b/crates/front/src/detour.rs
@@ -124,7 +124,7 @@
 }
 
 /// Whether requests of this host were handled by a newer configuration than it has in force itself.
-fn is_behind(state: &State) -> bool {
+pub fn is_behind(state: &State) -> bool {
     let mut newest = state.detours.newest_used.lock();
     // Most hosts never pass a request on: they need no look at the table.
     let Some(used) = *newest else {
--- a/crates/front/src/serve/read.rs
+++ b/crates/front/src/serve/read.rs
@@ -3,6 +3,7 @@
 use super::RETRY_AFTER_DEFAULT;
 use crate::accounts::{self, Caller};
 use crate::attempt::Call;
+use crate::detour;
 use crate::respond::Rejection;
 use crate::routes::Routes;
 use crate::state::State;
@@ -45,7 +46,10 @@
         ));
     }
     let max = Span::from(state.settings.bounds.configuration) * MAX_AGE_FRACTION;
-    if state.table.lock().view.contact.is_unreachable() || accounts::data_age(state) > max {
+    if state.table.lock().view.contact.is_unreachable()
+        || accounts::data_age(state) > max
+        || detour::is_behind(state)
+    {
         // The route may exist in a newer configuration.
         let message = "No route leads there by the last configuration that this host could read.";
         return Err(Rejection::not_run(
--- a/crates/front/tests/detour.rs
+++ b/crates/front/tests/detour.rs
@@ -508,6 +508,21 @@
     }
 }
 
+/// Guards against a route that a host denies although its callers have seen the configuration that added it.
+#[tokio::test]
+async fn a_host_that_is_behind_denies_no_route() {
+    let site = with_a_change_on_one_host(3).await;
+    let new = site.replicas.last().unwrap();
+    while new
+        .request_log(&ask_at(site.callers(1), "/again/x", None).await.0)
+        .runs
+        == 0
+    {}
+    let (_, answer) = ask_at(site.callers(1), "/added/x", None).await;
+    assert_eq!(answer.status(), 503, "{}", answer.text());
+    assert!(answer.header("retry-after").is_some());
+}
+
 /// Version of the configuration in force on a host.
 fn version((host, _): &(Daemon, Links)) -> u64 {
     let routes = host.state().table.lock().routes.clone();
