--- a/crates/conn/src/pool.rs
+++ b/crates/conn/src/pool.rs
@@ -26,7 +26,7 @@
 /// Maximum number of idle connections per address; more are closed.
 const MAX_IDLE_PER_ADDR: usize = 64;
 
-/// Idle time after which a connection is not reused.
+/// Idle time after which a connection is not reused, unless set otherwise.
 const IDLE_TIMEOUT: Span = Span::from_secs(15);
 
 /// Maximum time to open a connection.
@@ -40,12 +40,27 @@
 }
 
 /// Pool of connections; clones share it.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    idle_timeout: Span,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool::with_idle_timeout(IDLE_TIMEOUT)
+    }
 }
 
 impl Pool {
+    /// Creates a pool that reuses no connection that has been idle for this long.
+    pub fn with_idle_timeout(idle_timeout: Span) -> Pool {
+        Pool {
+            idle: Arc::default(),
+            idle_timeout,
+        }
+    }
+
     /// Takes a pooled connection, if allowed, or opens a new one.
     pub async fn acquire(&self, addr: SocketAddr, reuse: Reuse) -> Result<Connection, Error> {
         if reuse == Reuse::Pooled
@@ -61,7 +76,7 @@
         let connections = idle.get_mut(&addr)?;
         while let Some(candidate) = connections.pop() {
             if candidate.connection.is_reusable()
-                && clock::since_boot().saturating_sub(candidate.since) < IDLE_TIMEOUT
+                && clock::since_boot().saturating_sub(candidate.since) < self.idle_timeout
             {
                 return Some(candidate.connection);
             }
