A stream of a replica that is taken away does not end as complete

Cause: a replica that leaves counted as sound at such an end, since it may end right after a whole answer. One that names the time after which it is taken away ends whatever it runs; for it the host looks whether it still listens, as for any other. a_replica_that_is_taken_away_ends_no_stream_as_complete failed before.

--- a/crates/front/src/quarantine/probe.rs
+++ b/crates/front/src/quarantine/probe.rs
@@ -70,13 +70,14 @@
 /// Whether the replica to which a request was sent has crashed since. A crash ends an answer with neither a length nor
 /// chunks as its sound end does.
 ///
-/// A replica that leaves may end after a whole answer, so it counts as sound. A connection that opens is kept.
+/// A replica that leaves may end after a whole answer, so it counts as sound, unless it is taken away at a set time, whatever
+/// it runs. A connection that opens is kept.
 pub async fn has_crashed(state: &State, (id, incarnation): &Instance) -> bool {
     sleep(PROBE_DELAY).await;
     let Some(replica) = state.table.lock().view.get(id).cloned() else {
         return false;
     };
-    if replica.entry.leaving {
+    if replica.entry.leaving && replica.entry.departs_in.is_none() {
         return false;
     }
     if replica.entry.incarnation != *incarnation {
--- a/crates/front/tests/responses.rs
+++ b/crates/front/tests/responses.rs
@@ -4,10 +4,11 @@
 
 use conn::Connection;
 use front::settings::{Mode, Scheduling};
-use platform_standin::replica::Fault;
+use platform_standin::replica::{self, Fault, Options};
 use rstest::rstest;
 use site::{WAIT_LIMIT, ask, daemon, engine, request, store, until, web};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -359,6 +360,26 @@
     }
 }
 
+/// Guards against a stream that a replica is taken away from and that ends as complete.
+#[tokio::test]
+async fn a_replica_that_is_taken_away_ends_no_stream_as_complete() {
+    let store = store().await;
+    let options = Options {
+        delay: Duration::from_millis(250),
+        ..Options::default()
+    };
+    let leaving = replica::spawn(&store, options).await.unwrap();
+    let daemon = daemon(&store, "d1").await;
+    leaving.set_fault(Fault::UnframedCrash);
+    let prepared = request("/stream/x", Some("m1"));
+    let answer = tokio::spawn(site::send_to(daemon.callers(), prepared));
+    until(|| leaving.running().0 > 0).await;
+    leaving.announce_end(Duration::from_secs(1));
+    let (_, answer) = answer.await.unwrap();
+    assert!(leaving.is_down() || !leaving.crashes().is_empty());
+    assert_ne!(answer.status(), 200, "{}", answer.text());
+}
+
 /// Guards against a crash between two events, or within a plain answer, that is taken for the end of an answer with neither
 /// a length nor chunks.
 #[rstest]
