A host that stops hands over which software began the streams that it knows

Cause: which software began a stream is known to three hosts by their memory only, and a host that starts knows no version as the sole one for 60 s. A host that is killed hands nothing over.

--- a/crates/front/src/peers/streams.rs
+++ b/crates/front/src/peers/streams.rs
@@ -34,17 +34,27 @@
     pub async fn send_runs(self: Arc<Self>) {
         loop {
             self.state.streams.begun.notified().await;
-            let mut by_host: HashMap<SocketAddr, Vec<(u64, Run)>> = HashMap::new();
-            for (key, run) in self.state.streams.take_unsent() {
-                for host in self.state.streams.keepers(key) {
-                    by_host.entry(host).or_default().push((key, run.clone()));
-                }
+            self.send_unsent_runs().await;
+        }
+    }
+
+    /// Sends the runs that this host keeps to other hosts, so that they are known once it has ended.
+    pub async fn hand_over_runs(&self) {
+        self.state.streams.hand_over(self.state.now());
+        self.send_unsent_runs().await;
+    }
+
+    async fn send_unsent_runs(&self) {
+        let mut by_host: HashMap<SocketAddr, Vec<(u64, Run)>> = HashMap::new();
+        for (key, run) in self.state.streams.take_unsent() {
+            for host in self.state.streams.keepers(key) {
+                by_host.entry(host).or_default().push((key, run.clone()));
             }
-            for (host, runs) in by_host {
-                for runs in runs.chunks(MAX_RUNS) {
-                    let message = Message::Streams(Streams::Keep(runs.to_vec()));
-                    self.send(&message, host).await;
-                }
+        }
+        for (host, runs) in by_host {
+            for runs in runs.chunks(MAX_RUNS) {
+                let message = Message::Streams(Streams::Keep(runs.to_vec()));
+                self.send(&message, host).await;
             }
         }
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -69,6 +69,7 @@
 
 pub struct Daemon {
     state: Arc<State>,
+    peers: Arc<Peers>,
     callers: Server,
     _readiness: Server,
     _metrics: Server,
@@ -163,6 +164,7 @@
         _polls: serve_hosts(&context, polls)?,
         _tasks: spawn_tasks(&context, &peers, placement_requests, reports),
         state,
+        peers,
     };
     let settings = &daemon.state.settings;
     info!(target: "daemon", event = "started", name = &*settings.name, hall = &*settings.hall, callers = %settings.callers, sample = settings.log.sample, version = env!("CARGO_PKG_VERSION"), "daemon started");
@@ -361,6 +363,7 @@
         while state.in_flight() > 0 && state.now() < exit_at {
             tokio::time::sleep(IN_FLIGHT_POLL).await;
         }
+        self.peers.hand_over_runs().await;
         info!(target: "daemon", event = "stopped", cut, "daemon stopped");
     }
 }
--- a/crates/front/src/streams.rs
+++ b/crates/front/src/streams.rs
@@ -88,6 +88,13 @@
         std::mem::take(&mut *self.unsent.lock())
     }
 
+    /// Lets the runs that this host keeps be passed on, as many as may wait: it is about to end.
+    pub fn hand_over(&self, now: Time) {
+        let registry = self.registry.lock();
+        let kept = registry.known(now).take(MAX_UNSENT);
+        *self.unsent.lock() = kept.map(|(key, run)| (key, run.clone())).collect();
+    }
+
     /// Keeps a run that began here, and passes it on.
     fn begin(&self, key: u64, run: Run, now: Time) {
         self.record(key, run.clone(), now);
--- a/crates/front/tests/versions.rs
+++ b/crates/front/tests/versions.rs
@@ -206,6 +206,30 @@
 }
 
 /// Guards against a guess, and against a wait, where no host knows which version began a stream.
+/// Guards against streams that no host knows any more once all have been restarted in turn.
+#[tokio::test]
+async fn streams_are_known_after_all_hosts_were_restarted_in_turn() {
+    let store = store().await;
+    let replicas = replicas(&store, &["v1", "v2"]).await;
+    let mut hosts = hosts_of(&store, 2, &replicas).await;
+    let broken = broken_streams(&hosts[0], &replicas, 6).await;
+    for _ in 0..2 {
+        let host = hosts.remove(0);
+        let settings = host.state().settings.clone();
+        host.drain().await;
+        // Its sockets are closed once its tasks have ended.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let host = front::spawn(settings).await.unwrap();
+        until(|| host.state().is_ready() && host.state().table.lock().host_count == 2).await;
+        hosts.push(host);
+    }
+    for first in broken {
+        let taken_up = receive(hosts[1].callers(), resumption(&first.id)).await;
+        assert_eq!(taken_up.status, 200, "{first:?}");
+        assert_eq!(taken_up.versions, first.versions);
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_no_host_knows_is_refused_at_once() {
     let store = store().await;
--- a/crates/route/src/streams.rs
+++ b/crates/route/src/streams.rs
@@ -120,6 +120,12 @@
         (is_kept && self.is_certain(run, *recorded_at)).then_some(run)
     }
 
+    /// Runs that are known and not doubtful, the newest first.
+    pub fn known(&self, now: Time) -> impl Iterator<Item = (u64, &Run)> {
+        let keys = self.order.iter().rev().map(|(_, key)| *key);
+        keys.filter_map(move |key| Some((key, self.find(key, now)?)))
+    }
+
     /// Whether a run that began at a time was of the software that it names, as far as restarts are known.
     pub fn is_certain(&self, run: &Run, began_at: Time) -> bool {
         let restarts = self.restarts.get(&run.replica).into_iter().flatten();
