Keys that were read from a copy of the store are as old as before it

Cause: the key is revoked while the store is silent, the store comes back from a copy without that version, and reading the copy renews the age of the host's data, until the version is written again and read, 1.4 s later. Now the age of the data is that of before the copy for the 2 s in which what it lacks is written again; hosts whose data is too old answer 503, and are not ready, for that time. a_copy_does_not_make_a_withdrawn_key_fresh failed before (200 after 0.2 s).

--- a/crates/front/src/accounts.rs
+++ b/crates/front/src/accounts.rs
@@ -168,7 +168,7 @@
 
 /// Checks that this host's data is fresh enough to accept keys.
 pub fn check_freshness(state: &State) -> Result<(), Refusal> {
-    let age = data_age(state);
+    let age = state.readers.changelog.lock().complete_age(state.now());
     match max_age(&state.settings.bounds) {
         Some(max) if age > max => Err(Refusal::Stale { age }),
         _ => Ok(()),
--- a/crates/front/src/changelog.rs
+++ b/crates/front/src/changelog.rs
@@ -1,7 +1,7 @@
 //! Contents and recent changes of the store, kept for hosts that follow this one instead of reading
 //! the store.
 
-use platform::store::{Change, Item};
+use platform::store::{Change, Item, era};
 use std::collections::{HashMap, HashSet};
 use unit::{Name, Span, Time};
 
@@ -9,6 +9,9 @@
 /// the whole store.
 const REMOVAL_RETENTION: Span = Span::from_secs(30);
 
+/// Time after the store's return from a copy within which what the copy lacks is written again.
+const COPY_COMPLETION: Span = Span::from_secs(2);
+
 /// Newest change of each key in the store, as far as this host has read.
 #[derive(Debug, Default)]
 pub struct Changelog {
@@ -19,6 +22,17 @@
     revision: u64,
     /// When the store was last known to be at that revision.
     confirmed_at: Time,
+    /// Last return of the store from a copy.
+    copy: Option<CopyReturn>,
+}
+
+/// Return of the store from a copy.
+#[derive(Debug, Clone, Copy)]
+struct CopyReturn {
+    /// When this host learnt of it.
+    learnt_at: Time,
+    /// When the store was last known to be at the revision before.
+    confirmed_before: Time,
 }
 
 /// Newest change of a key.
@@ -73,6 +87,12 @@
         revision: u64,
         confirmed: Time,
     ) {
+        if self.revision > 0 && era::of(revision) > era::of(self.revision) {
+            self.copy = Some(CopyReturn {
+                learnt_at: confirmed,
+                confirmed_before: confirmed - self.complete_age(confirmed),
+            });
+        }
         for change in changes {
             self.add(change, confirmed);
         }
@@ -136,6 +156,16 @@
         now.since(self.confirmed_at)
     }
 
+    /// Time since all that was written up to then was known here: a copy, from which the store has come back, lacks the last
+    /// writes before it until they are made again.
+    pub fn complete_age(&self, now: Time) -> Span {
+        let is_incomplete = |copy: &CopyReturn| now.since(copy.learnt_at) < COPY_COMPLETION;
+        match self.copy.filter(is_incomplete) {
+            Some(copy) => now.since(copy.confirmed_before),
+            None => self.age(now),
+        }
+    }
+
     /// Newest write of every key that exists.
     pub fn snapshot(&self) -> Vec<Change> {
         let changes = self.changes.values().map(|kept| &kept.change);
--- a/crates/front/tests/store_copy.rs
+++ b/crates/front/tests/store_copy.rs
@@ -349,3 +349,38 @@
     }
     hosts
 }
+
+/// Guards against a key that is accepted again since a copy of the store, which lacks its withdrawal, was read.
+#[tokio::test]
+async fn a_copy_does_not_make_a_withdrawn_key_fresh() {
+    let store = store().await;
+    let replica = web(&store, "i-1").await;
+    store.put("op/config", &with_accounts(2, &[account("acme", &["k1"])]));
+    let host = daemon(&store, "d1").await;
+    assert_eq!(ask_with(&host, "k1", "/once/x", None).await.1.status(), 200);
+    let copy = store.copy();
+    store.set_mode(Mode::Silent);
+    let without_key = with_accounts(3, &[account("acme", &["k2"])]);
+    store.put("op/config", &without_key);
+    sleep(site::bounds().withdrawal.unwrap() + Duration::from_millis(200)).await;
+    store.restore(&copy);
+    store.set_mode(Mode::Up);
+    let back_at = Instant::now();
+    let before = replica.arrivals();
+    while back_at.elapsed() < Duration::from_millis(1_500) {
+        let (id, answer) = ask_with(&host, "k1", "/once/x", None).await;
+        assert_eq!(
+            replica.request_log(&id).runs,
+            0,
+            "{} after {:?}",
+            answer.status(),
+            back_at.elapsed()
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+    store.put("op/config", &without_key);
+    let version = || host.state().table.lock().routes.as_ref().map(|r| r.version);
+    until(|| version() == Some(3)).await;
+    assert_eq!(ask_with(&host, "k1", "/once/x", None).await.1.status(), 401);
+    assert_eq!(replica.arrivals(), before);
+}
