--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -216,13 +216,7 @@
     /// Writes the next version of the configuration, with one route to a service that it does not hold.
     pub fn write_config_with_bad_route(&mut self) {
         self.version += 1;
-        let mut configuration = configuration(self.version);
-        let routes = configuration["routes"].as_array_mut();
-        let mut route = routes.as_ref().map_or(Value::Null, |r| r[0].clone());
-        route["name"] = "bad".into();
-        route["path_prefix"] = "/bad/".into();
-        route["service"] = "unknown".into();
-        routes.into_iter().for_each(|r| r.push(route.clone()));
+        let configuration = platform_standin::with_malformed_route(configuration(self.version));
         self.store.put(platform::names::CONFIG, &configuration);
         self.config_written.push(Instant::now());
     }
