--- a/crates/front/src/follow/bootstrap.rs
+++ b/crates/front/src/follow/bootstrap.rs
@@ -83,9 +83,11 @@
         })
     }
 
-    /// Whether further pages may be read after them.
-    fn is_usable(&self, state: &State) -> bool {
+    /// Whether further pages may be read after them: they are not too old, and not older than what the host has read since
+    /// from another source, up to revision `after`.
+    fn is_usable(&self, state: &State, after: u64) -> bool {
         state.now().since(self.requested_at) < MAX_KEPT_AGE
+            && self.revision >= after
             && era::of(self.revision) == state.store.era()
     }
 }
@@ -93,7 +95,7 @@
 /// Reads the whole store, on from the pages that an earlier read left in `kept`; a host that has read it up to revision
 /// `after` before asks readers for the changes only.
 pub(super) async fn read(state: &State, after: u64, kept: &mut Option<Pages>) -> Next {
-    let usable = kept.take().filter(|pages| pages.is_usable(state));
+    let usable = kept.take().filter(|pages| pages.is_usable(state, after));
     let (mut pages, is_new) = match usable {
         Some(pages) => (pages, false),
         None => match first_page(state).await {
